--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments and the demo."""
--- /dev/null
+++ b/cassiahill/loop.py
@@ -0,0 +1,253 @@
+"""Event loop for sockets, timers and tasks.
+
+A task is a generator that yields ``concurrent.futures.Future`` objects; the loop sends
+each result back into it. All futures of the loop's own work are completed on the loop's
+thread; results of executors are handed over with ``call_soon_threadsafe``.
+"""
+
+import collections
+import contextlib
+import heapq
+import itertools
+import os
+import selectors
+import threading
+from concurrent.futures import Future
+
+from absl import logging
+
+from cassiahill import errors
+
+READ = selectors.EVENT_READ
+WRITE = selectors.EVENT_WRITE
+
+
+class Timer:
+    """A call scheduled for an instant; ``cancel`` prevents it."""
+
+    __slots__ = ("at", "callback", "cancelled")
+
+    def __init__(self, at, callback):
+        self.at = at
+        self.callback = callback
+        self.cancelled = False
+
+    def cancel(self):
+        """Prevent the call."""
+        self.cancelled = True
+        self.callback = None
+
+
+class EventLoop:
+    """Single-threaded event loop.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self._selector = selectors.DefaultSelector()
+        self._timers = []
+        self._order = itertools.count()
+        self._ready = collections.deque()
+        self._stopping = False
+        self._thread = None
+        self._wake_read, self._wake_write = os.pipe()
+        os.set_blocking(self._wake_read, False)
+        os.set_blocking(self._wake_write, False)
+        self._selector.register(self._wake_read, READ, self._drain_wakeups)
+
+    def call_soon(self, callback, *args):
+        """Run a callback in the next turn; only on the loop's thread."""
+        self._ready.append((callback, args))
+
+    def call_soon_threadsafe(self, callback, *args):
+        """Run a callback in the next turn; from any thread."""
+        self._ready.append((callback, args))
+        with contextlib.suppress(BlockingIOError):  # A full pipe wakes it already.
+            os.write(self._wake_write, b"\0")
+
+    def call_at(self, at, callback):
+        """Run a callback at an instant in seconds; return its ``Timer``."""
+        timer = Timer(at, callback)
+        heapq.heappush(self._timers, (at, next(self._order), timer))
+        return timer
+
+    def watch(self, sock, events, callback):
+        """Call ``callback(events)`` whenever the socket is ready."""
+        try:
+            self._selector.modify(sock, events, callback)
+        except KeyError:
+            self._selector.register(sock, events, callback)
+
+    def unwatch(self, sock):
+        """Stop watching a socket."""
+        with contextlib.suppress(KeyError, ValueError):
+            self._selector.unregister(sock)
+
+    def spawn(self, generator):
+        """Start a task and return the future of its result."""
+        result = Future()
+        _Task(self, generator, result).advance(None)
+        return result
+
+    def sleep_until(self, at):
+        """Return a future that completes at an instant."""
+        future = Future()
+        self.call_at(at, lambda: future.set_result(None))
+        return future
+
+    def with_deadline(self, future, deadline, error):
+        """Return a future with the same result, or ``error`` at the deadline.
+
+        Parameters
+        ----------
+        future : Future
+        deadline : float
+            Instant in seconds.
+        error : Exception
+            Raised when the deadline comes first; the work itself goes on.
+        """
+        if future.done():
+            return future
+        bounded = Future()
+
+        def expire():
+            if not bounded.done():
+                bounded.set_exception(error)
+
+        timer = self.call_at(deadline, expire)
+
+        def settle(finished):
+            timer.cancel()
+            if not bounded.done():
+                copy_result(finished, bounded)
+
+        self.when_done(future, settle)
+        return bounded
+
+    def when_done(self, future, callback):
+        """Call ``callback(future)`` on the loop's thread when the future is done."""
+
+        def hand_over(finished):
+            if threading.current_thread() is self._thread:
+                callback(finished)
+            else:
+                self.call_soon_threadsafe(callback, finished)
+
+        future.add_done_callback(hand_over)
+
+    def run(self):
+        """Run until ``stop`` is called."""
+        self._thread = threading.current_thread()
+        while not self._stopping:
+            self._run_once()
+
+    def stop(self):
+        """End ``run`` after the current turn; from any thread."""
+        self._stopping = True
+        self.call_soon_threadsafe(lambda: None)
+
+    def close(self):
+        """Release the selector and the wake-up pipe."""
+        self._selector.close()
+        os.close(self._wake_read)
+        os.close(self._wake_write)
+
+    def _run_once(self):
+        for key, events in self._selector.select(self._timeout()):
+            self._call(key.data, (events,))
+        now = self.clock.now()
+        while self._timers and self._timers[0][0] <= now:
+            timer = heapq.heappop(self._timers)[2]
+            if not timer.cancelled:
+                self._call(timer.callback, ())
+        for _ in range(len(self._ready)):
+            callback, args = self._ready.popleft()
+            self._call(callback, args)
+
+    def _timeout(self):
+        if self._ready or self._stopping:
+            return 0
+        while self._timers and self._timers[0][2].cancelled:
+            heapq.heappop(self._timers)
+        if not self._timers:
+            return None
+        return max(0.0, self._timers[0][0] - self.clock.now())
+
+    def _call(self, callback, args):
+        try:
+            callback(*args)
+        except Exception:  # noqa: BLE001 one faulty callback must not end the loop
+            logging.exception("event=callback_failed")
+
+    def _drain_wakeups(self, _events):
+        try:
+            while os.read(self._wake_read, 4096):
+                pass
+        except BlockingIOError:
+            pass
+
+
+class _Task:
+    """Drives one generator; trampolined, so that done futures do not recurse."""
+
+    __slots__ = ("_generator", "_loop", "_result")
+
+    def __init__(self, loop, generator, result):
+        self._loop = loop
+        self._generator = generator
+        self._result = result
+
+    def advance(self, finished):
+        while True:
+            try:
+                if finished is None:
+                    waiting_for = next(self._generator)
+                elif (error := finished.exception()) is not None:
+                    waiting_for = self._generator.throw(error)
+                else:
+                    waiting_for = self._generator.send(finished.result())
+            except StopIteration as stop:
+                self._result.set_result(stop.value)
+                return
+            except Exception as error:  # noqa: BLE001 delivered through the future
+                self._result.set_exception(error)
+                return
+            if not waiting_for.done():
+                self._loop.when_done(waiting_for, self.advance)
+                return
+            finished = waiting_for
+
+
+def copy_result(source, target):
+    """Copy the result or exception of a done future to another future."""
+    error = source.exception()
+    if error is not None:
+        target.set_exception(error)
+    else:
+        target.set_result(source.result())
+
+
+def completed(value):
+    """Return a future that already has a result."""
+    future = Future()
+    future.set_result(value)
+    return future
+
+
+def failed(error):
+    """Return a future that already has an exception."""
+    future = Future()
+    future.set_exception(error)
+    return future
+
+
+def first_error(future):
+    """Return the error code of a done future, or an empty string."""
+    error = future.exception()
+    if error is None:
+        return ""
+    return error.code if isinstance(error, errors.CassiahillError) else "internal"
--- /dev/null
+++ b/cassiahill/tokens.py
@@ -0,0 +1,100 @@
+"""Session tokens: what a session has seen of each group, signed."""
+
+import base64
+import binascii
+import hashlib
+import hmac
+
+import attrs
+import msgspec
+
+from cassiahill import errors
+
+MAX_MARKS = 8
+MAX_TOKEN_CHARACTERS = 2048
+_SIGNATURE_BYTES = 16
+
+
+@attrs.frozen(order=True)
+class Mark:
+    """A point in a group's history: a term and a log position within it."""
+
+    term: int
+    position: int
+
+
+@attrs.frozen
+class SessionToken:
+    """Marks of one caller's session by group, the most recent last."""
+
+    caller: str
+    marks_by_group: dict = attrs.field(factory=dict)
+
+    def advanced(self, group, mark):
+        """Return the token after the session has seen ``mark`` of ``group``.
+
+        A mark never goes back. Only the ``MAX_MARKS`` most recent groups are kept.
+        """
+        marks = dict(self.marks_by_group)
+        previous = marks.pop(group, mark)
+        marks[group] = max(previous, mark)
+        while len(marks) > MAX_MARKS:
+            del marks[next(iter(marks))]
+        return SessionToken(self.caller, marks)
+
+
+class TokenSigner:
+    """Encodes and checks tokens.
+
+    Parameters
+    ----------
+    secrets_by_id : dict of str to bytes
+        Signing secrets; several, so that a secret can be replaced without a break.
+    current_id : str
+        Secret that signs new tokens.
+    """
+
+    def __init__(self, secrets_by_id, current_id):
+        self._secrets_by_id = dict(secrets_by_id)
+        self._current_id = current_id
+
+    def encode(self, token):
+        """Return the token as URL-safe text."""
+        marks = [[g, m.term, m.position] for g, m in token.marks_by_group.items()]
+        payload = msgspec.msgpack.encode([self._current_id, marks])
+        signature = self._sign(self._current_id, token.caller, payload)
+        return base64.urlsafe_b64encode(signature + payload).decode().rstrip("=")
+
+    def decode(self, text, caller):
+        """Return the token that ``text`` encodes; an empty one when it is None.
+
+        Raises
+        ------
+        errors.InvalidToken
+            When the text is malformed, forged, or was issued to another caller.
+        """
+        if not text:
+            return SessionToken(caller)
+        if len(text) > MAX_TOKEN_CHARACTERS:
+            raise errors.InvalidToken("the session token is too long")
+        try:
+            raw = base64.b64decode(text + "=" * (-len(text) % 4), b"-_", validate=True)
+            signature, payload = raw[:_SIGNATURE_BYTES], raw[_SIGNATURE_BYTES:]
+            secret_id, marks = msgspec.msgpack.decode(
+                payload, type=tuple[str, list[tuple[str, int, int]]]
+            )
+        except (ValueError, binascii.Error, msgspec.MsgspecError) as error:
+            raise errors.InvalidToken("the session token is malformed") from error
+        if secret_id not in self._secrets_by_id:
+            raise errors.InvalidToken("the session token's key is not known")
+        expected = self._sign(secret_id, caller, payload)
+        if not hmac.compare_digest(signature, expected):
+            raise errors.InvalidToken("the session token's signature does not match")
+        return SessionToken(
+            caller, {group: Mark(term, position) for group, term, position in marks}
+        )
+
+    def _sign(self, secret_id, caller, payload):
+        message = b"%d:%s%s" % (len(caller.encode()), caller.encode(), payload)
+        digest = hmac.digest(self._secrets_by_id[secret_id], message, hashlib.sha256)
+        return digest[:_SIGNATURE_BYTES]
--- /dev/null
+++ b/standins/sqllog.py
@@ -0,0 +1,111 @@
+"""A replicated SQL log over two in-memory SQLite databases, without I/O.
+
+``committed`` holds what the log contains; ``work`` is where the one writing transaction
+runs before it is appended to the log.
+"""
+
+import sqlite3
+
+import attrs
+
+from cassiahill import errors
+
+
+@attrs.frozen
+class Entry:
+    """One committed transaction: its term and ``[[sql, params], ...]``."""
+
+    term: int
+    statements: list
+
+
+class SqlLog:
+    """Log of committed transactions and the rows that follow from it."""
+
+    def __init__(self):
+        self.entries = []
+        self._term_starts = []
+        self._reset_databases()
+
+    @property
+    def position(self):
+        """Position of the last entry; 0 when the log is empty."""
+        return len(self.entries)
+
+    @property
+    def last_term(self):
+        """Term of the last entry; 0 when the log is empty."""
+        return self.entries[-1].term if self.entries else 0
+
+    def term_at(self, position):
+        """Return the term of the entry at a position; 0 for position 0."""
+        return self.entries[position - 1].term if position else 0
+
+    def term_starts(self):
+        """Return ``(term, first position)`` for each term in the log."""
+        return self._term_starts
+
+    def append(self, entry):
+        """Append an entry and apply it to the committed rows."""
+        if entry.term != self.last_term:
+            self._term_starts.append((entry.term, self.position + 1))
+        self.entries.append(entry)
+        self._apply(self.committed, entry)
+
+    def truncate(self, position):
+        """Drop the entries after a position and rebuild the rows."""
+        del self.entries[position:]
+        self._term_starts = [s for s in self._term_starts if s[1] <= position]
+        self._reset_databases()
+        for entry in self.entries:
+            self._apply(self.committed, entry)
+
+    def prepare_writing(self):
+        """Make ``work`` equal to the committed rows."""
+        self.work.close()
+        self.work = _open()
+        self.committed.backup(self.work)
+
+    def read(self, statements):
+        """Run statements on the committed rows without changing them."""
+        self.committed.execute("PRAGMA query_only=1")
+        try:
+            return [run(self.committed, sql, params) for sql, params in statements]
+        finally:
+            self.committed.execute("PRAGMA query_only=0")
+
+    def _reset_databases(self):
+        self.committed = _open()
+        self.work = _open()
+
+    @staticmethod
+    def _apply(database, entry):
+        database.execute("BEGIN")
+        for sql, params in entry.statements:
+            database.execute(sql, params).fetchall()
+        database.execute("COMMIT")
+
+
+def run(database, sql, params):
+    """Run one statement and return its columns, rows and row count.
+
+    Raises
+    ------
+    errors.StatementFailed
+        When SQLite refuses the statement.
+    """
+    try:
+        cursor = database.execute(sql, params)
+        rows = cursor.fetchall()
+    except (sqlite3.Error, sqlite3.Warning, OverflowError, ValueError) as error:
+        raise errors.StatementFailed(str(error)) from error
+    columns = [item[0] for item in cursor.description or ()]
+    return {
+        "columns": columns,
+        "rows": [list(row) for row in rows],
+        "row_count": len(rows) if columns else max(0, cursor.rowcount),
+    }
+
+
+def _open():
+    return sqlite3.connect(":memory:", isolation_level=None, check_same_thread=False)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; one module for each module of the package."""
