--- a/standins/database.py
+++ b/standins/database.py
@@ -287,7 +287,11 @@
         return {"term": self.term}
 
     def _result(self, results):
-        return {"term": self.term, "position": self.log.position, "results": results}
+        return {
+            "term": self.log.last_term,
+            "position": self.log.position,
+            "results": results,
+        }
 
     def _commit_work(self, session, statements):
         self.log.work.execute("COMMIT")
