--- a/cassiahill/dispatch.py
+++ b/cassiahill/dispatch.py
@@ -1,19 +1,61 @@
-"""Serves one request of a caller: route, run, acknowledge, answer."""
+"""Serves the requests of callers: route, run, acknowledge, answer."""
 
 import attrs
 
-from cassiahill import backend, errors, messages, tokens
+from cassiahill import (
+    backend,
+    errors,
+    gateway,
+    messages,
+    outcomes,
+    retries,
+    routing,
+    tokens,
+)
 
-RETRY_PAUSE = 0.02  # seconds between attempts that did not run
+NO_MARK = tokens.Mark(0, 0)
+# Refusals that were decided before a statement was passed to a database connection.
+NEVER_SENT = (
+    errors.NotOwner,
+    errors.BackendUnavailable,
+    errors.Overloaded,
+    errors.StaleEpoch,
+)
 
 
 @attrs.frozen
-class Work:
-    """What admission needs to know of a statement."""
+class Environment:
+    """What the dispatcher works with.
 
-    rank: messages.Rank
-    caller: str
-    deadline: float
+    ``leaving`` is the set of backend servers that get no new work; ``wall_clock``
+    returns Unix time in seconds, used only to date idempotency keys.
+    """
+
+    loop: object
+    signer: tokens.TokenSigner
+    monitors_by_group: dict
+    gateway: object
+    policy: routing.RoutingPolicy
+    own_domain: str
+    domains_by_server: dict
+    leaving: set
+    rng: object
+    wall_clock: object
+
+
+@attrs.frozen
+class Turn:
+    """One request on its way: its monitor, session and what admission needs."""
+
+    monitor: object
+    request: messages.StatementRequest
+    token: tokens.SessionToken
+    work: gateway.Work
+
+    @property
+    def mark(self):
+        """The session's mark of the request's group."""
+        return self.token.marks_by_group.get(self.request.group, NO_MARK)
 
 
 class Dispatcher:
@@ -21,118 +63,215 @@
 
     Parameters
     ----------
-    loop : loop.EventLoop
-    signer : tokens.TokenSigner
-    monitors_by_group : dict of str to poller.GroupMonitor
-    gateway : gateway.DirectGateway
+    environment : Environment
     """
 
-    def __init__(self, loop, signer, monitors_by_group, gateway):
-        self._loop = loop
-        self._signer = signer
-        self._monitors_by_group = monitors_by_group
-        self._gateway = gateway
+    def __init__(self, environment):
+        self._env = environment
+        self._loop = environment.loop
+        self._budget = retries.RetryBudget()
 
     def statement(self, request):
-        """Return the future of the answer to a ``messages.StatementRequest``."""
-        return self._loop.spawn(self._statement(request))
+        """Serve a ``messages.StatementRequest``; a generator for ``yield from``.
 
-    def _statement(self, request):
-        monitor = self._monitor(request.group)
-        token = self._signer.decode(request.session, request.caller)
-        work = Work(request.rank, request.caller, request.deadline)
+        Returns
+        -------
+        messages.Answer
+        """
+        turn = self.turn(request)
+        self._budget.request()
         if request.kind == "write":
-            server, result = yield from self._write(monitor, request, work)
-            age = None
-        else:
-            mark = token.marks_by_group.get(request.group, tokens.Mark(0, 0))
-            server, result, age = yield from self._read(monitor, request, work, mark)
-        mark = tokens.Mark(result.term, result.position)
-        token = token.advanced(request.group, mark)
-        first = result.results[0]
-        return messages.Answer(
-            columns=first.columns,
-            rows=first.rows,
-            row_count=first.row_count,
-            server=server,
-            term=result.term,
-            position=result.position,
-            session=self._signer.encode(token),
-            age=age,
-        )
+            return (yield from self._write(turn))
+        return (yield from self._read(turn))
+
+    def outcome(self, request):
+        """Settle the outcome of a key: ``request.key`` is closed if it is absent.
+
+        Returns
+        -------
+        outcomes.Done, outcomes.NotRun or outcomes.Unknown
+        """
+        turn = self.turn(request)
+        while True:
+            server = yield from self._route(turn)
+            steps = outcomes.resolve(
+                outcomes.stored_key(request.caller, request.key),
+                None,
+                turn.monitor.view.term,
+                self._env.wall_clock(),
+                self._left(turn),
+            )
+            outcome = yield from self._drive(steps, server, turn)
+            if not isinstance(outcome, outcomes.Unknown):
+                return outcome
+            yield from self._pause(turn, 1)
 
-    def _monitor(self, group):
-        monitor = self._monitors_by_group.get(group)
+    def turn(self, request):
+        """Return the checked start of a request."""
+        monitor = self._env.monitors_by_group.get(request.group)
         if monitor is None:
-            raise errors.UnknownGroup(f"group {group!r} is not configured")
-        return monitor
+            raise errors.UnknownGroup(f"group {request.group!r} is not configured")
+        token = self._env.signer.decode(request.session, request.caller)
+        work = gateway.Work(request.rank, request.caller, request.deadline)
+        return Turn(monitor, request, token, work)
+
+    def advanced_session(self, turn, term, position):
+        """Return the session's token after it has seen a position."""
+        mark = tokens.Mark(term, position)
+        return self._env.signer.encode(turn.token.advanced(turn.request.group, mark))
 
-    def _write(self, monitor, request, work):
+    def primary(self, turn):
+        """Wait for a primary that a write of the session may use; return its name."""
+        return (yield from self._route(turn))
+
+    def _write(self, turn):
+        number = 0
         while True:
-            server = yield from self._primary(monitor, request.deadline)
+            server = yield from self._route(turn)
             try:
-                result = yield self._gateway.submit(
-                    server, work, self._batch(monitor, request, read_only=False)
-                )
-                break
-            except (errors.StaleTerm, errors.BackendUnavailable):
-                yield from self._pause(request.deadline)
-        yield monitor.confirm(server, result.term, result.position, request.deadline)
-        return server, result
+                if turn.request.key is None:
+                    return (yield from self._plain_write(turn, server))
+                return (yield from self._keyed_write(turn, server))
+            except errors.CassiahillError as error:
+                number += 1
+                if not (yield from self._may_repeat(turn, error, number)):
+                    raise self._with_session(turn, error) from error
 
-    def _read(self, monitor, request, work, mark):
+    def _plain_write(self, turn, server):
+        batch = self._batch(turn, read_only=False)
+        result = yield from self._env.gateway.submit(server, turn.work, batch, True)
+        return self._answer(turn, server, result, result.results[0])
+
+    def _keyed_write(self, turn, server):
+        request = turn.request
+        write = outcomes.KeyedWrite(
+            outcomes.stored_key(request.caller, request.key),
+            outcomes.digest_of(request.statement),
+            request.statement,
+            server,
+            turn.monitor.view.term,
+            self._env.wall_clock(),
+            self._left(turn),
+        )
+        outcome = yield from self._drive(outcomes.keyed_write(write), server, turn)
+        match outcome:
+            case outcomes.Done():
+                return self._answer(turn, outcome.server, outcome, outcome.result)
+            case outcomes.NotRun(error=error) | outcomes.Unknown(error=error):
+                raise error
+
+    def _drive(self, steps, server, turn):
+        """Run the batches that a generator of ``outcomes`` yields."""
+        batch = next(steps)
+        while True:
+            try:
+                try:
+                    result = yield from self._env.gateway.submit(
+                        server, turn.work, batch, True
+                    )
+                except errors.CassiahillError as error:
+                    batch = steps.throw(error)
+                else:
+                    batch = steps.send(result)
+            except StopIteration as stop:
+                return stop.value
+
+    def _read(self, turn):
+        number = 0
         while True:
-            server, age = yield from self._choose(monitor, request, mark)
+            server = yield from self._route(turn)
+            age = turn.monitor.view.age(server, self._loop.clock.now())
+            batch = self._batch(turn, read_only=True)
             try:
-                result = yield self._gateway.submit(
-                    server, work, self._batch(monitor, request, read_only=True)
+                result = yield from self._env.gateway.submit(
+                    server, turn.work, batch, False
                 )
-            except (errors.StaleTerm, errors.BackendUnavailable):
-                yield from self._pause(request.deadline)
+            except errors.CassiahillError as error:
+                number += 1
+                if not (yield from self._may_repeat(turn, error, number)):
+                    raise
                 continue
-            if tokens.Mark(result.term, result.position) >= mark:
-                return server, result, age
-            yield from self._pause(request.deadline)
+            # The server may have dropped a suffix of its log since the last poll.
+            if tokens.Mark(result.term, result.position) >= turn.mark:
+                return self._answer(turn, server, result, result.results[0], age)
+            yield from self._pause(turn, 1)
 
-    def _choose(self, monitor, request, mark):
-        view = monitor.view
+    def _route(self, turn):
+        env = self._env
         while True:
-            now = self._loop.clock.now()
-            for server in sorted(view.servers, key=lambda name: name == view.primary):
-                if view.contains(server, mark).name != "YES":
-                    continue
-                age = view.age(server, now)
-                if _is_fresh(request.freshness, age):
-                    return server, age
-            if now >= request.deadline:
-                raise errors.NotFresh("no backend server is fresh enough")
-            yield monitor.changed(request.deadline)
-
-    def _primary(self, monitor, deadline):
-        while not monitor.view.primary:
-            if self._loop.clock.now() >= deadline:
-                raise errors.NoPrimary("no primary is known")
-            yield monitor.changed(deadline)
-        return monitor.view.primary
-
-    def _batch(self, monitor, request, read_only):
+            route = env.policy.route(
+                turn.request,
+                turn.mark,
+                turn.monitor.view,
+                env.gateway.load(),
+                env.leaving,
+                env.own_domain,
+                env.domains_by_server,
+                self._loop.clock.now(),
+            )
+            match route:
+                case routing.ToServer(server=server):
+                    return server
+                case routing.WaitUntil(at=at):
+                    yield turn.monitor.changed(at)
+                case routing.Refuse(error=error):
+                    raise error
+
+    def _may_repeat(self, turn, error, number):
+        attempt = retries.Attempt(
+            turn.request.kind,
+            turn.request.repeatable,
+            turn.request.key,
+            not isinstance(error, NEVER_SENT),
+            number,
+            turn.request.deadline,
+        )
+        decision = retries.decide(
+            attempt, error, self._budget, self._loop.clock.now(), self._env.rng.random()
+        )
+        match decision:
+            case retries.RetryAt(at=at):
+                yield self._loop.sleep_until(at)
+                return True
+        return False
+
+    def _pause(self, turn, number):
+        at = self._loop.clock.now() + retries.backoff(number, self._env.rng.random())
+        if at >= turn.request.deadline:
+            raise errors.NotFresh("the deadline passed between two attempts")
+        yield self._loop.sleep_until(at)
+
+    def _left(self, turn):
+        return max(0.001, turn.request.deadline - self._loop.clock.now())
+
+    def _batch(self, turn, read_only):
         return backend.Batch(
-            statements=(request.statement,),
-            term=monitor.view.term,
+            statements=(turn.request.statement,),
+            term=turn.monitor.view.term,
             read_only=read_only,
-            timeout=max(0.001, request.deadline - self._loop.clock.now()),
+            timeout=self._left(turn),
         )
 
-    def _pause(self, deadline):
-        now = self._loop.clock.now()
-        if now + RETRY_PAUSE >= deadline:
-            raise errors.DeadlinePassed("the deadline passed between attempts")
-        yield self._loop.sleep_until(now + RETRY_PAUSE)
-
+    def _answer(self, turn, server, seen, result, age=None):
+        return messages.Answer(
+            columns=result.columns,
+            rows=result.rows,
+            row_count=result.row_count,
+            server=server,
+            term=seen.term,
+            position=seen.position,
+            session=self.advanced_session(turn, seen.term, seen.position),
+            age_ms=None if age is None else age * 1000,
+        )
 
-def _is_fresh(wanted, age):
-    match wanted:
-        case messages.MaxAge(seconds=seconds):
-            return age <= seconds
-        case _:
-            return True
+    def _with_session(self, turn, error):
+        """Add the token that makes the session see an unknown write if it ran."""
+        if error.may_have_run is errors.MayHaveRun.NO:
+            return error
+        mark = getattr(error, "mark", None)
+        if mark is None:
+            view = turn.monitor.view
+            status = view.status_by_server.get(view.primary)
+            mark = (view.term, 0 if status is None else status.position + 1)
+        error.session = self.advanced_session(turn, *mark)
+        return error
--- a/cassiahill/errors.py
+++ b/cassiahill/errors.py
@@ -24,12 +24,15 @@
         Whether the statement may have run.
     retry_after : float or None
         Seconds after which a retry makes sense; None when no retry helps.
+    session : str or None
+        Session token to continue with, when the request moved the session.
     """
 
     code = "internal"
     http_status = 500
     may_have_run = MayHaveRun.UNKNOWN
     retry_after = None
+    session = None
 
     def __init__(self, detail="", *, retry_after=None, may_have_run=None):
         super().__init__(detail)
@@ -49,6 +52,8 @@
         }
         if self.retry_after is not None:
             problem["retry_after_ms"] = int(self.retry_after * 1000)
+        if self.session is not None:
+            problem["session"] = self.session
         return problem
 
 
@@ -202,11 +207,25 @@
 
 
 class OutcomeUnknown(CassiahillError):
-    """The statement was handed over and its outcome is not known."""
+    """The statement was handed over and its outcome is not known.
+
+    Attributes
+    ----------
+    mark : tuple of (int, int) or None
+        Term and position that the statement has, if it ran and they are known.
+    """
 
     code = "outcome_unknown"
     http_status = 504
     may_have_run = MayHaveRun.UNKNOWN
+    mark = None
+
+    def to_problem(self):
+        """Return the fields of the body; includes the mark between proxies."""
+        problem = super().to_problem()
+        if self.mark is not None:
+            problem["mark"] = self.mark
+        return problem
 
 
 class ConnectionLost(CassiahillError):
@@ -272,8 +291,13 @@
     """
     cls = by_code().get(problem.get("code"), CassiahillError)
     retry_after = problem.get("retry_after_ms")
-    return cls(
+    error = cls(
         str(problem.get("detail", "")),
         retry_after=None if retry_after is None else retry_after / 1000,
         may_have_run=problem.get("may_have_run"),
     )
+    error.session = problem.get("session")
+    mark = problem.get("mark")
+    if isinstance(error, OutcomeUnknown) and mark is not None:
+        error.mark = (int(mark[0]), int(mark[1]))
+    return error
--- a/cassiahill/gateway.py
+++ b/cassiahill/gateway.py
@@ -1,42 +1,445 @@
-"""Runs statements at backend servers, directly or through their owner proxy."""
+"""Runs statements at backend servers: at the own ones, else through their owners."""
 
-from cassiahill import errors
+import collections
+import itertools
 
+import attrs
 
-class DirectGateway:
-    """Opens connections of its own to every backend server.
+from cassiahill import backend, errors, forwarding, messages, owned, ownership
+
+TICK = 0.1  # seconds between two looks at the ownership
+PING_INTERVAL = 0.25  # seconds between two probes of an unreachable owner
+PING_TIMEOUT = 0.3
+DRAIN_TIMEOUT = 5.0  # seconds for the queue of a server that another proxy will own
+TRANSACTION_IDLE = 10.0  # seconds after which a silent transaction is rolled back
+FORWARD_GRACE = 0.05  # seconds for the way back of an answer
+
+Work = collections.namedtuple("Work", "rank caller deadline")
+
+
+@attrs.define(eq=False)
+class _Hosted:
+    """A transaction that runs at a backend server of this proxy."""
+
+    transaction: object
+    server: str
+    term: int
+    expires_at: float = 0.0
+    timer: object = None
+
+
+class Gateway:
+    """Sends work to the owner of each backend server.
 
     Parameters
     ----------
     loop : loop.EventLoop
+    own : ownership.Candidate
+        This proxy.
+    groups_by_name : dict of str to settings.GroupSettings
     backends_by_server : dict of str to backend.Backend
-    own_name : str
+    monitors_by_group : dict of str to poller.GroupMonitor
+    make_policy : callable
+        Takes ``settings.ServerSettings``, returns an admission policy.
+    make_client : callable
+        Takes a peer address, returns a ``peers.PeerClient``.
+    rng : random.Random
     """
 
-    def __init__(self, loop, backends_by_server, own_name):
+    def __init__(
+        self,
+        loop,
+        own,
+        groups_by_name,
+        backends_by_server,
+        monitors_by_group,
+        make_policy,
+        make_client,
+        rng,
+    ):
+        self.counts = collections.Counter()
         self._loop = loop
-        self._backends_by_server = backends_by_server
-        self._own_name = own_name
-        self._idle_by_server = {server: [] for server in backends_by_server}
-
-    def submit(self, server, work, batch):
-        """Run a batch; the future's result is a ``backend.BatchResult``."""
-        return self._loop.spawn(self._submit(server, work, batch))
-
-    def _submit(self, server, work, batch):
-        connection = yield from self._acquire(server, work.deadline)
-        result = yield connection.execute(batch, work.deadline)
-        if not connection.closed:
-            self._idle_by_server[server].append(connection)
+        self._own = own
+        self._monitors_by_group = monitors_by_group
+        self._make_client = make_client
+        self._servers_by_name = {
+            server.name: server
+            for group in groups_by_name.values()
+            for server in group.servers_by_name.values()
+        }
+        self._owned_by_server = {
+            name: owned.OwnedServer(
+                loop, backends_by_server[name], server, own.name, make_policy(server), rng
+            )
+            for name, server in self._servers_by_name.items()
+        }
+        self._candidates_by_name = {own.name: own}
+        self._addresses_by_name = {}
+        self._clients_by_name = {}
+        self._ping_at_by_name = {}
+        self._owner_by_server = {}
+        self._claims = ownership.Claims(own.name, loop.clock.now())
+        self._hosted_by_id = {}
+        self._ids = itertools.count(1)
+        self._closed = False
+        self._refresh()
+        loop.call_soon(self._tick)
+
+    # Membership and ownership
+
+    def update_members(self, candidates, addresses_by_name):
+        """Take over the live proxies and the addresses of their peer ports."""
+        self._candidates_by_name = {c.name: c for c in candidates}
+        self._candidates_by_name.setdefault(self._own.name, self._own)
+        for name, address in addresses_by_name.items():
+            if self._addresses_by_name.get(name) not in (None, address):
+                self._drop_client(name)
+        self._addresses_by_name = dict(addresses_by_name)
+        for name in list(self._ping_at_by_name):
+            if name not in self._candidates_by_name:
+                del self._ping_at_by_name[name]
+        self._refresh()
+
+    def leave(self):
+        """Stop being a candidate; owned servers are drained by the ticks."""
+        self._own = attrs.evolve(self._own, leaving=True)
+        self._candidates_by_name[self._own.name] = self._own
+        self._refresh()
+
+    def load(self):
+        """Return the waiting work by server, for the servers owned here."""
+        return {
+            name: owned_server.waiting
+            for name, owned_server in self._owned_by_server.items()
+            if owned_server.state == "owned"
+        }
+
+    def _refresh(self):
+        reachable = [
+            candidate
+            for name, candidate in self._candidates_by_name.items()
+            if name not in self._ping_at_by_name
+        ]
+        self._claims.observe(reachable, self._loop.clock.now())
+        for name, server in self._servers_by_name.items():
+            self._owner_by_server[name] = ownership.owner(
+                name, server.failure_domain, reachable
+            )
+
+    def _tick(self):
+        if self._closed:
+            return
+        now = self._loop.clock.now()
+        for name, owned_server in self._owned_by_server.items():
+            mine = self._owner_by_server[name] == self._own.name
+            if mine and owned_server.state in ("released", "lost"):
+                self._claim(name, owned_server, now)
+            elif not mine and owned_server.state == "owned":
+                self._loop.spawn(self._give_up(owned_server, now))
+        for name, ping_at in list(self._ping_at_by_name.items()):
+            if now >= ping_at:
+                self._loop.spawn(self._ping(name))
+        self._loop.call_at(now + TICK, self._tick)
+
+    def _claim(self, name, owned_server, now):
+        monitor = self._monitors_by_group[self._servers_by_name[name].group]
+        status = monitor.view.status_by_server.get(name)
+        if status is None:
+            return
+        claim = self._claims.claim(name, max(status.epoch, owned_server.epoch), now)
+        if claim is not None:
+            self.counts["claims"] += 1
+            owned_server.claim(claim.epoch - 1).add_done_callback(_ignore)
+
+    def _give_up(self, owned_server, now):
+        yield owned_server.drain(now + DRAIN_TIMEOUT)
+        owned_server.release()
+
+    def _ping(self, name):
+        self._ping_at_by_name[name] = self._loop.clock.now() + PING_INTERVAL
+        client = self._client(name)
+        if client is None:
+            return
+        try:
+            yield client.call(
+                forwarding.PING, b"", self._loop.clock.now() + PING_TIMEOUT
+            )
+        except errors.CassiahillError:
+            return
+        self._ping_at_by_name.pop(name, None)
+        self._refresh()
+
+    def _suspect(self, name):
+        """Leave out a proxy that cannot be reached until it answers a ping."""
+        if name in self._candidates_by_name and name not in self._ping_at_by_name:
+            self.counts["owners_suspected"] += 1
+            self._ping_at_by_name[name] = self._loop.clock.now() + PING_INTERVAL
+            self._refresh()
+
+    def _client(self, name):
+        client = self._clients_by_name.get(name)
+        if client is None and name in self._addresses_by_name:
+            client = self._clients_by_name[name] = self._make_client(
+                self._addresses_by_name[name]
+            )
+        return client
+
+    def _drop_client(self, name):
+        client = self._clients_by_name.pop(name, None)
+        if client is not None:
+            client.close()
+
+    # Calls of the entry proxy; generators for ``yield from``
+
+    def submit(self, server, work, batch, confirm):
+        """Run a batch at a backend server.
+
+        With ``confirm``, the result is returned once a majority of the group has the
+        log up to the result's position.
+        """
+        if self._owner_by_server[server] == self._own.name:
+            return (yield from self._submit_here(server, work, batch, confirm))
+        call = forwarding.SubmitCall(
+            server,
+            int(work.rank),
+            work.caller,
+            self._left(work.deadline),
+            batch.term,
+            batch.read_only,
+            confirm,
+            forwarding.plain_statements(batch.statements),
+        )
+        payload = yield from self._forward(
+            self._owner_by_server[server], forwarding.SUBMIT, call, work.deadline
+        )
+        return forwarding.decode_result(payload)
+
+    def begin(self, server, work, term):
+        """Open a transaction; return ``(owner, transaction id)``."""
+        owner = self._owner_by_server[server]
+        if owner == self._own.name:
+            return owner, (yield from self._begin_here(server, work, term))
+        call = forwarding.BeginCall(
+            server, int(work.rank), work.caller, self._left(work.deadline), term
+        )
+        payload = yield from self._forward(
+            owner, forwarding.BEGIN, call, work.deadline
+        )
+        return owner, forwarding.decode(payload, forwarding.BeginResult).transaction
+
+    def execute(self, owner, transaction, statements, deadline):
+        """Run statements of a transaction at its owner."""
+        if owner == self._own.name:
+            return (yield from self._execute_here(transaction, statements, deadline))
+        call = forwarding.ExecuteCall(
+            transaction,
+            self._left(deadline),
+            forwarding.plain_statements(statements),
+        )
+        payload = yield from self._forward(owner, forwarding.EXECUTE, call, deadline)
+        return forwarding.decode_result(payload)
+
+    def end(self, owner, transaction, commit, deadline):
+        """Commit or roll back a transaction at its owner."""
+        if owner == self._own.name:
+            return (yield from self._end_here(transaction, commit, deadline))
+        call = forwarding.EndCall(transaction, self._left(deadline), commit)
+        payload = yield from self._forward(owner, forwarding.END, call, deadline)
+        return forwarding.decode_result(payload)
+
+    def _left(self, deadline):
+        left = deadline - self._loop.clock.now()
+        if left <= 0:
+            raise errors.DeadlinePassed("the deadline passed before the call")
+        return left
+
+    def _forward(self, owner, kind, call, deadline):
+        client = None if owner is None else self._client(owner)
+        if client is None:
+            raise errors.BackendUnavailable("no owner of the backend server is known")
+        self.counts["forwarded"] += 1
+        try:
+            return (
+                yield client.call(
+                    kind, forwarding.encode(call), deadline + FORWARD_GRACE
+                )
+            )
+        except errors.BackendUnavailable as error:
+            if client.unreachable:
+                self._suspect(owner)
+            raise error
+        except errors.ConnectionLost:
+            self._suspect(owner)
+            raise
+
+    # Work at the own backend servers
+
+    def _submit_here(self, server, work, batch, confirm):
+        result = yield self._own_server(server).submit(work, batch)
+        if confirm:
+            yield self._confirm(server, result, work.deadline)
         return result
 
-    def _acquire(self, server, deadline):
-        idle = self._idle_by_server[server]
-        while idle:
-            connection = idle.pop()
-            if not connection.closed:
-                return connection
-        if self._loop.clock.now() >= deadline:
-            raise errors.DeadlinePassed("the deadline passed before a connection")
-        backend = self._backends_by_server[server]
-        return (yield backend.connect(0, self._own_name, deadline))
+    def _confirm(self, server, result, deadline):
+        group = self._servers_by_name[server].group
+        return self._monitors_by_group[group].confirm(
+            server, result.term, result.position, deadline
+        )
+
+    def _own_server(self, server):
+        owned_server = self._owned_by_server.get(server)
+        if owned_server is None or owned_server.state not in ("owned", "draining"):
+            owner = self._owner_by_server.get(server)
+            if owner not in (None, self._own.name):
+                # An entry proxy may have seen the owner fail; see for ourselves.
+                self._loop.spawn(self._check_owner(owner))
+            raise errors.NotOwner(f"{self._own.name} does not own {server}")
+        return owned_server
+
+    def _check_owner(self, name):
+        client = self._client(name)
+        if client is None:
+            return
+        try:
+            yield client.call(
+                forwarding.PING, b"", self._loop.clock.now() + PING_TIMEOUT
+            )
+        except errors.CassiahillError:
+            self._suspect(name)
+
+    def _begin_here(self, server, work, term):
+        transaction = yield self._own_server(server).open_transaction(work, term)
+        transaction_id = f"{self._own.name}/{next(self._ids)}"
+        hosted = _Hosted(transaction, server, term)
+        self._hosted_by_id[transaction_id] = hosted
+        self._keep(transaction_id, hosted)
+        return transaction_id
+
+    def _keep(self, transaction_id, hosted):
+        """Move the instant at which a silent transaction is rolled back."""
+        if hosted.timer is not None:
+            hosted.timer.cancel()
+        hosted.expires_at = self._loop.clock.now() + TRANSACTION_IDLE
+        hosted.timer = self._loop.call_at(
+            hosted.expires_at, lambda: self._abandon(transaction_id)
+        )
+
+    def _abandon(self, transaction_id):
+        hosted = self._hosted_by_id.pop(transaction_id, None)
+        if hosted is not None:
+            self.counts["transactions_abandoned"] += 1
+            hosted.timer.cancel()
+            hosted.transaction.close()
+
+    def _hosted(self, transaction_id):
+        hosted = self._hosted_by_id.get(transaction_id)
+        if hosted is None:
+            raise errors.NoTransaction("the transaction has ended or was rolled back")
+        return hosted
+
+    def _execute_here(self, transaction_id, statements, deadline):
+        hosted = self._hosted(transaction_id)
+        self._keep(transaction_id, hosted)
+        batch = backend.Batch(statements, hosted.term, False, self._left(deadline))
+        try:
+            return (yield hosted.transaction.execute(batch, deadline))
+        except errors.CassiahillError:
+            self._abandon(transaction_id)
+            raise
+
+    def _end_here(self, transaction_id, commit, deadline):
+        hosted = self._hosted(transaction_id)
+        del self._hosted_by_id[transaction_id]
+        hosted.timer.cancel()
+        if not commit:
+            yield hosted.transaction.rollback(deadline)
+            return backend.BatchResult(0, 0, ())
+        result = yield hosted.transaction.commit(deadline)
+        yield self._confirm(hosted.server, result, deadline)
+        return result
+
+    # Calls of other proxies
+
+    def handle_peer(self, _sender, kind, payload):
+        """Return the future of the answer to another proxy's call."""
+        return self._loop.spawn(self._handle_peer(kind, payload))
+
+    def _handle_peer(self, kind, payload):
+        now = self._loop.clock.now()
+        match kind:
+            case forwarding.PING:
+                return b""
+            case forwarding.SUBMIT:
+                call = forwarding.decode(payload, forwarding.SubmitCall)
+                work = _work(call, now)
+                batch = backend.Batch(
+                    forwarding.statements_of(call.statements),
+                    call.term,
+                    call.read_only,
+                    call.timeout,
+                )
+                return forwarding.encode_result(
+                    (yield from self._submit_here(call.server, work, batch, call.confirm))
+                )
+            case forwarding.BEGIN:
+                call = forwarding.decode(payload, forwarding.BeginCall)
+                transaction = yield from self._begin_here(
+                    call.server, _work(call, now), call.term
+                )
+                return forwarding.encode(forwarding.BeginResult(transaction))
+            case forwarding.EXECUTE:
+                call = forwarding.decode(payload, forwarding.ExecuteCall)
+                result = yield from self._execute_here(
+                    call.transaction,
+                    forwarding.statements_of(call.statements),
+                    now + call.timeout,
+                )
+                return forwarding.encode_result(result)
+            case forwarding.END:
+                call = forwarding.decode(payload, forwarding.EndCall)
+                result = yield from self._end_here(
+                    call.transaction, call.commit, now + call.timeout
+                )
+                return forwarding.encode_result(result)
+        raise errors.PeerRejected(f"unknown call {kind!r}")
+
+    # Operators
+
+    def owner(self, server):
+        """Return the proxy that owns a backend server, as known here, or None."""
+        return self._owner_by_server[server]
+
+    def dump(self):
+        """Return the state as plain values."""
+        return {
+            "owners": dict(self._owner_by_server),
+            "unreachable": sorted(self._ping_at_by_name),
+            "owned": {
+                name: owned_server.dump()
+                for name, owned_server in self._owned_by_server.items()
+                if owned_server.state != "released"
+            },
+            "transactions": len(self._hosted_by_id),
+            "counts": dict(self.counts),
+        }
+
+    def busy(self):
+        """Return whether an owned server still has work."""
+        return any(s.state in ("owned", "draining") for s in self._owned_by_server.values())
+
+    def close(self):
+        """Release all servers and links."""
+        self._closed = True
+        for owned_server in self._owned_by_server.values():
+            owned_server.close()
+        for client in self._clients_by_name.values():
+            client.close()
+
+
+def _work(call, now):
+    return Work(messages.Rank(call.rank), call.caller, now + call.timeout)
+
+
+def _ignore(future):
+    """Read the exception of a claim: the next tick tries again."""
+    future.exception()
--- a/cassiahill/messages.py
+++ b/cassiahill/messages.py
@@ -75,8 +75,8 @@
 class Answer:
     """The result of a statement.
 
-    ``rows`` is a list of lists in the order of ``columns``; ``age`` is an upper bound
-    in seconds, or None when the answer comes from a write.
+    ``rows`` is a list of lists in the order of ``columns``; ``age_ms`` is an upper bound
+    in milliseconds, or None when the answer comes from a write.
     """
 
     columns: list
@@ -86,7 +86,7 @@
     term: int
     position: int
     session: str = ""
-    age: float | None = None
+    age_ms: float | None = None
 
 
 class FreshnessBody(msgspec.Struct, forbid_unknown_fields=True):
--- a/cassiahill/poller.py
+++ b/cassiahill/poller.py
@@ -41,7 +41,8 @@
         """
         self._next_write_id += 1
         write_id = self._next_write_id
-        future = self._acks_by_id[write_id] = LoopFuture()
+        future = LoopFuture()
+        self._acks_by_id[write_id] = (future, (term, position))
         now = self._loop.clock.now()
         self._settle(
             self._tracker.written(write_id, server, term, position, now, deadline)
@@ -98,12 +99,14 @@
 
     def _settle(self, decisions):
         for decision in decisions:
-            future = self._acks_by_id.pop(decision.write_id)
+            future, mark = self._acks_by_id.pop(decision.write_id)
             match decision:
                 case acknowledgement.Acknowledge():
                     future.set_result(None)
                 case acknowledgement.GiveUp(reason=reason):
-                    future.set_exception(errors.OutcomeUnknown(reason))
+                    error = errors.OutcomeUnknown(reason)
+                    error.mark = mark
+                    future.set_exception(error)
 
     def _poll_forever(self, backend):
         known = None
--- /dev/null
+++ b/cassiahill/transactions.py
@@ -0,0 +1,126 @@
+"""Open transactions of callers at their entry proxy."""
+
+import secrets
+
+import attrs
+
+from cassiahill import errors, messages
+
+ID_BYTES = 12
+MAX_TRANSACTIONS = 10_000
+
+
+@attrs.define(eq=False)
+class _Open:
+    owner: str
+    remote_id: str
+    server: str
+    turn: object
+    connection: object
+    busy: bool = False
+
+
+class Transactions:
+    """Transactions that callers have opened at this proxy.
+
+    The methods are generators for ``yield from``.
+
+    Parameters
+    ----------
+    loop : loop.EventLoop
+    dispatcher : dispatch.Dispatcher
+    gateway : gateway.Gateway
+    """
+
+    def __init__(self, loop, dispatcher, gateway):
+        self._loop = loop
+        self._dispatcher = dispatcher
+        self._gateway = gateway
+        self._open_by_id = {}
+
+    @property
+    def count(self):
+        """Number of open transactions."""
+        return len(self._open_by_id)
+
+    def begin(self, request, connection):
+        """Open a transaction at the primary; return its id.
+
+        Parameters
+        ----------
+        request : messages.StatementRequest
+            A write request whose statement is ignored.
+        connection : object
+            The caller's connection; the transaction ends with it.
+        """
+        if len(self._open_by_id) >= MAX_TRANSACTIONS:
+            raise errors.Overloaded("too many open transactions")
+        turn = self._dispatcher.turn(request)
+        server = yield from self._dispatcher.primary(turn)
+        term = turn.monitor.view.term
+        owner, remote_id = yield from self._gateway.begin(server, turn.work, term)
+        transaction_id = secrets.token_hex(ID_BYTES)
+        self._open_by_id[transaction_id] = _Open(
+            owner, remote_id, server, turn, connection
+        )
+        return transaction_id
+
+    def execute(self, transaction_id, caller, statement, deadline):
+        """Run one statement; return its ``messages.Answer``."""
+        opened = self._take(transaction_id, caller)
+        try:
+            result = yield from self._gateway.execute(
+                opened.owner, opened.remote_id, (statement,), deadline
+            )
+        except errors.CassiahillError:
+            self._open_by_id.pop(transaction_id, None)
+            raise
+        opened.busy = False
+        first = result.results[0]
+        return messages.Answer(
+            columns=first.columns,
+            rows=first.rows,
+            row_count=first.row_count,
+            server=opened.server,
+            term=result.term,
+            position=result.position,
+        )
+
+    def end(self, transaction_id, caller, commit, deadline):
+        """Commit or roll back; return the session's token and the position."""
+        opened = self._take(transaction_id, caller)
+        del self._open_by_id[transaction_id]
+        result = yield from self._gateway.end(
+            opened.owner, opened.remote_id, commit, deadline
+        )
+        session = opened.turn.request.session
+        if commit:
+            session = self._dispatcher.advanced_session(
+                opened.turn, result.term, result.position
+            )
+        return session, result.position
+
+    def forget_connection(self, connection):
+        """Roll back the transactions of a caller whose connection closed."""
+        for transaction_id, opened in list(self._open_by_id.items()):
+            if opened.connection is connection:
+                del self._open_by_id[transaction_id]
+                if not opened.busy:
+                    self._loop.spawn(self._roll_back(opened))
+
+    def _roll_back(self, opened):
+        try:
+            yield from self._gateway.end(
+                opened.owner, opened.remote_id, False, self._loop.clock.now() + 1.0
+            )
+        except errors.CassiahillError:
+            return  # The owner rolls back a transaction that has gone silent.
+
+    def _take(self, transaction_id, caller):
+        opened = self._open_by_id.get(transaction_id)
+        if opened is None or opened.turn.request.caller != caller:
+            raise errors.NoTransaction("the transaction has ended or was rolled back")
+        if opened.busy:
+            raise errors.MalformedRequest("a statement of the transaction is running")
+        opened.busy = True
+        return opened
