--- a/cassiahill/admission.py
+++ b/cassiahill/admission.py
@@ -10,10 +10,8 @@
 
 from cassiahill import errors, kernel
 from cassiahill.messages import Rank
+from cassiahill.slottime import ServiceTime, SlotTime
 
-BUCKETS = 50
-SERVICE_WEIGHT = 0.1  # weight of the newest sample in the mean service time
-SERVICE_HALF_LIFE = 1.0  # seconds without a sample after which the mean is halved
 MIN_RETRY_AFTER = 0.05
 MAX_RETRY_AFTER = 5.0
 
@@ -113,65 +111,6 @@
         raise NotImplementedError
 
 
-class _SlotTime:
-    """Slot time that one rank used in the window, in buckets of a fixed width."""
-
-    def __init__(self, window):
-        self._width = window / BUCKETS
-        self._buckets = [0.0] * BUCKETS
-        self._newest = 0
-        self._total = 0.0
-
-    def add(self, start, end):
-        self._advance(end)
-        oldest = max(int(start / self._width), self._newest - BUCKETS + 1)
-        for index in range(oldest, self._newest + 1):
-            begin = max(start, index * self._width)
-            part = min(end, (index + 1) * self._width) - begin
-            if part > 0:
-                self._buckets[index % BUCKETS] += part
-                self._total += part
-
-    def total(self, now):
-        self._advance(now)
-        return self._total
-
-    def _advance(self, now):
-        index = int(now / self._width)
-        if index <= self._newest:
-            return
-        oldest_new = max(self._newest + 1, index - BUCKETS + 1)
-        for new in range(oldest_new, index + 1):
-            self._buckets[new % BUCKETS] = 0.0
-        self._newest = index
-        self._total = sum(self._buckets)
-
-
-class _ServiceTime:
-    """Mean service time of one rank.
-
-    The mean is halved when no sample arrives for a while; otherwise one slow statement
-    could make all later work look hopeless, and no new sample would correct it.
-    """
-
-    def __init__(self):
-        self._mean = 0.0
-        self._sampled_at = None
-
-    def add(self, duration, now):
-        if self._sampled_at is None:
-            self._mean = duration
-        else:
-            self._mean += SERVICE_WEIGHT * (duration - self._mean)
-        self._sampled_at = now
-
-    def mean(self, now):
-        if self._mean and now - self._sampled_at > SERVICE_HALF_LIFE:
-            self._mean /= 2
-            self._sampled_at = now
-        return self._mean
-
-
 class _RankQueue:
     """Waiting works of one rank; callers take turns."""
 
@@ -255,8 +194,8 @@
     def __init__(self, settings):
         self._settings = settings
         self._queues = {rank: _RankQueue() for rank in Rank}
-        self._slot_times = {rank: _SlotTime(settings.window) for rank in Rank}
-        self._service_times = {rank: _ServiceTime() for rank in Rank}
+        self._slot_times = {rank: SlotTime(settings.window) for rank in Rank}
+        self._service_times = {rank: ServiceTime() for rank in Rank}
         self._running = {}
         self._capacity = settings.slots * settings.window
 
