--- a/cassiahill/owned.py
+++ b/cassiahill/owned.py
@@ -13,6 +13,7 @@
 ANSWER_GRACE = 0.1  # seconds for the way back after the database's own timeout
 SILENT_AFTER = 0.25  # a shorter wait for an answer says nothing about the connection
 MAX_ATTEMPTS = 2
+MAX_PARKED = 256  # writes that wait while an open transaction holds locks
 
 
 class OwnedServer:
@@ -256,7 +257,8 @@
             transaction.ended = True
             transaction.holds_locks = False
             self.transactions.discard(transaction)
-            self._unpark()
+            for _ in range(len(self._parked)):
+                self._unpark()
             self._check_drained()
 
     def _close_connection(self, connection_id):
@@ -309,6 +311,8 @@
             self._decide(self._policy.withdraw(work_id, self._loop.clock.now()))
         elif self.state not in ("owned", "draining"):
             self._end(call, self._refusal())
+        elif not self._may_write(call) and len(self._parked) >= MAX_PARKED:
+            self._end(call, errors.Overloaded("too many writes wait for locks"))
         elif not self._may_write(call):
             self._parked[work_id] = call
             self._decide(self._policy.withdraw(work_id, self._loop.clock.now()))
@@ -326,7 +330,9 @@
         Calls that wait for the locks of an open transaction hold their slots. One slot
         is kept free of them, so that the transaction can go on and release its locks.
         """
-        if call.read_only or (call.transaction and call.transaction.holds_locks):
+        if call.read_only or call.work_id in self._writes:
+            return True
+        if call.transaction is not None and call.transaction.holds_locks:
             return True
         if len(self._writes) >= self._max_writes and any(
             transaction.holds_locks for transaction in self.transactions
@@ -481,9 +487,10 @@
         now = self._loop.clock.now()
         self._schedule_tick()
         for work_id in [*self._without_connection, *self._parked]:
-            call = self._calls[work_id]
-            if now >= call.deadline:
+            call = self._calls.get(work_id)
+            if call is not None and now >= call.deadline:
                 self._end(call, errors.DeadlinePassed("no connection was free in time"))
+        self._unpark()
         self._decide(self._policy.tick(now))
         self._connections.tick()
 
