--- a/cassiahill/freshness.py
+++ b/cassiahill/freshness.py
@@ -1,12 +1,14 @@
 """What is known of each backend server's log position and of its age."""
 
-import collections
+import bisect
 import enum
 import math
 
 import attrs
 
-MAX_PRIMARY_SAMPLES = 2048
+from cassiahill import tokens
+
+MAX_PRIMARY_SAMPLES = 2048  # The least that is kept; 100 s of polls every 50 ms.
 
 
 class Contains(enum.Enum):
@@ -69,7 +71,10 @@
         self.term = 0
         self.primary = ""
         self.status_by_server = {}
-        self._samples = collections.deque(maxlen=MAX_PRIMARY_SAMPLES)
+        # Parallel lists, both ascending: position of the primary, and when a poll that
+        # found it there was sent.
+        self._sample_positions = []
+        self._sample_times = []
 
     @property
     def majority(self):
@@ -86,20 +91,21 @@
         if status.term > self.term:
             self.term = status.term
             self.primary = ""
-            self._samples.clear()
+            self._sample_positions.clear()
+            self._sample_times.clear()
         if status.term == self.term and status.role == "primary":
             self.primary = status.server
-            if not self._samples or self._samples[-1][1] != status.position:
-                self._samples.append((status.sent_at, status.position))
-            else:
-                self._samples[-1] = (status.sent_at, status.position)
+            self._add_sample(status)
         return before != (self.term, self.primary)
 
     def age(self, server, now):
         """Return an upper bound of the age of a server's data, in seconds.
 
         A replica at position p holds all that the primary had when a poll that found
-        the primary at p or before was sent. Infinite when nothing is known.
+        the primary at p or before was sent. A primary that has been replaced without
+        this view's knowledge says nothing about later writes, so the bound also counts
+        from the last time that a majority was in the term. Infinite when nothing is
+        known.
         """
         status = self.status_by_server.get(server)
         if status is None or status.term != self.term:
@@ -108,10 +114,30 @@
             return now - self._confirmed_at()
         if status.last_term != self.term:
             return math.inf  # It may still hold a suffix that the term dropped.
-        for sent_at, position in reversed(self._samples):
-            if position <= status.position:
-                return now - sent_at
-        return math.inf
+        index = bisect.bisect_right(self._sample_positions, status.position)
+        if not index:
+            return math.inf
+        return now - min(self._sample_times[index - 1], self._confirmed_at())
+
+    def settled(self, server):
+        """Return whether a server's log is a prefix of the current term's history.
+
+        A log that ends in an earlier term may hold a suffix that the server drops
+        without a further change of term, unless the primary's history is known to
+        contain it.
+        """
+        status = self.status_by_server.get(server)
+        if status is None or status.term != self.term:
+            return False
+        if status.last_term == self.term:
+            return True
+        primary = self.status_by_server.get(self.primary)
+        if primary is None or primary.last_term != self.term:
+            return False
+        # An older log may have a term that the primary's history does not have.
+        common = set(status.term_starts) <= set(primary.term_starts)
+        end = term_end(primary.term_starts, status.last_term)
+        return common and end is not None and status.position <= end
 
     def contains(self, server, mark):
         """Return whether a server's data contains a mark.
@@ -126,14 +152,55 @@
         Contains
             ``WAIT`` when later data may contain it, ``DIVERGED`` when it never will.
         """
-        status = self.status_by_server.get(server)
-        if status is None or status.last_term < mark.term:
+        if not self.settled(server):
+            return Contains.WAIT
+        if server == self.primary and mark.term == self.term:
+            # Only this server assigns positions in the term, so it has them all, even
+            # when the last poll is older than the mark.
+            return Contains.YES
+        status = self.status_by_server[server]
+        if status.last_term < mark.term:
             return Contains.WAIT
         end = term_end(status.term_starts, mark.term)
         if end is not None and mark.position > end:
             return Contains.DIVERGED
         return Contains.YES if status.position >= mark.position else Contains.WAIT
 
+    def mark_after(self, server, term, position):
+        """Return the mark of a session that has read from a server.
+
+        Parameters
+        ----------
+        server : str
+        term, position : int
+            From the answer; ``term`` is the server's own, which can be later than that
+            of its last log entry.
+
+        Returns
+        -------
+        tokens.Mark
+        """
+        status = self.status_by_server.get(server)
+        if status is None or status.term != term or self.settled(server):
+            return tokens.Mark(term, position)
+        return tokens.Mark(status.last_term, position)
+
+    def mark_of_unknown(self, term):
+        """Return the mark for a write in ``term`` whose outcome is unknown."""
+        status = self.status_by_server.get(self.primary)
+        known = status is not None and status.term == term
+        return tokens.Mark(term, status.position + 1 if known else 1)
+
+    def _add_sample(self, status):
+        if self._sample_positions and self._sample_positions[-1] == status.position:
+            self._sample_times[-1] = status.sent_at
+            return
+        self._sample_positions.append(status.position)
+        self._sample_times.append(status.sent_at)
+        if len(self._sample_positions) > 2 * MAX_PRIMARY_SAMPLES:
+            del self._sample_positions[:-MAX_PRIMARY_SAMPLES]
+            del self._sample_times[:-MAX_PRIMARY_SAMPLES]
+
     def _confirmed_at(self):
         """Return when a majority was last known to be in the current term."""
         sent = sorted(
--- a/cassiahill/tokens.py
+++ b/cassiahill/tokens.py
@@ -13,6 +13,7 @@
 MAX_MARKS = 8
 MAX_TOKEN_CHARACTERS = 2048
 _SIGNATURE_BYTES = 16
+_MAX_PAYLOAD_BYTES = MAX_TOKEN_CHARACTERS * 3 // 4 - _SIGNATURE_BYTES
 
 
 @attrs.frozen(order=True)
@@ -59,9 +60,16 @@
         self._current_id = current_id
 
     def encode(self, token):
-        """Return the token as URL-safe text."""
+        """Return the token as URL-safe text.
+
+        The oldest marks are left out when long group names would make the token longer
+        than ``decode`` accepts.
+        """
         marks = [[g, m.term, m.position] for g, m in token.marks_by_group.items()]
         payload = msgspec.msgpack.encode([self._current_id, marks])
+        while len(payload) > _MAX_PAYLOAD_BYTES and marks:
+            del marks[0]
+            payload = msgspec.msgpack.encode([self._current_id, marks])
         signature = self._sign(self._current_id, token.caller, payload)
         return base64.urlsafe_b64encode(signature + payload).decode().rstrip("=")
 
