--- a/cassiahill/outcomes.py
+++ b/cassiahill/outcomes.py
@@ -2,8 +2,8 @@
 
 A write with a key inserts the key, runs its statement and stores the result in one
 database transaction. Of the answer, the row count is stored, and what is known before
-the statement runs: the server and the term. Columns and rows (of a ``RETURNING`` clause)
-are not stored, because plain SQL cannot pass the rows of one statement to the next.
+the statement runs: the server and the term. Columns and rows (of ``RETURNING``) are not
+stored, because plain SQL cannot pass the rows of one statement to the next.
 
 The operations are generators without I/O: they yield a ``backend.Batch``, are sent its
 ``backend.BatchResult`` or are thrown its error, and return an outcome. ``Done`` and
@@ -16,7 +16,7 @@
 import attrs
 import msgspec
 
-from cassiahill import backend, errors
+from cassiahill import backend, errors, messages
 
 KEPT_SECONDS = 7 * 24 * 3600.0
 DROP_LIMIT = (
@@ -97,14 +97,15 @@
 class KeyedWrite:
     """A write with an idempotency key.
 
-    ``key`` comes from ``stored_key`` and ``digest`` from ``digest_of``. ``created`` is
-    Unix time in seconds, ``timeout`` is in seconds. ``row_count_sql`` is the database's
+    ``key`` comes from ``stored_key``, ``digest`` from ``digest_of``, and ``statement``
+    is a ``messages.Statement``. ``created`` is Unix time in seconds, ``timeout`` is in
+    seconds. ``row_count_sql`` is the database's
     expression for the row count of the previous statement.
     """
 
     key: str
     digest: str
-    statement: object
+    statement: messages.Statement
     server: str
     term: int
     created: float
@@ -137,7 +138,7 @@
     statements = (
         _sql(_INSERT, *insert),
         _sql(_CLEAR_COUNT, write.key),
-        {"sql": write.statement.sql, "params": list(write.statement.params)},
+        write.statement,
         _sql(_STORE.format(write.row_count_sql), write.key),
     )
     return backend.Batch(statements, write.term, False, write.timeout)
@@ -271,4 +272,4 @@
 
 
 def _sql(sql, *params):
-    return {"sql": sql, "params": list(params)}
+    return messages.Statement(sql, params)
