--- a/cassiahill/client.py
+++ b/cassiahill/client.py
@@ -1,6 +1,7 @@
 """Synchronous, thread-safe client for callers, over HTTP/1.1 with JSON."""
 
 import contextlib
+import itertools
 import random
 import threading
 import time
@@ -12,6 +13,8 @@
 
 DEFAULT_TIMEOUT = 5.0  # seconds
 RESOLVE_TIMEOUT = 10.0  # seconds; a promotion takes at most 6 s
+RESOLVE_ATTEMPT_TIMEOUT = 2.0  # seconds, so that a hung proxy leaves time for others
+RESOLVE_PAUSE = 0.05  # seconds, the least between two attempts
 
 
 @attrs.frozen
@@ -212,14 +215,7 @@
         errors.OutcomeUnknown
             When no proxy settled it in time.
         """
-        body = {"group": group, "key": key}
-        try:
-            # Closing a key twice has the effect of closing it once.
-            answer = self._call("/v1/outcomes", body, timeout, "read", False, None)
-        except errors.CassiahillError as error:
-            if isinstance(error, errors.KeyClosed | errors.KeyConflict):
-                raise
-            raise errors.OutcomeUnknown(f"key {key}: {error.detail}") from error
+        answer = self._settle({"group": group, "key": key}, timeout)
         if answer.get("outcome") == "done":
             return _result(answer.get("answer") or {}, repeated=True)
         raise errors.KeyClosed(f"the write with key {key} did not run")
@@ -275,6 +271,27 @@
             self._call("/v1/statements", body, timeout, kind, repeatable, key)
         )
 
+    def _settle(self, body, timeout):
+        """Ask for an outcome until the deadline; closing a key twice is harmless."""
+        client = self.client
+        deadline = client.now() + timeout
+        failure = errors.DeadlinePassed("no time to ask")
+        for number in itertools.count():
+            attempt_deadline = min(deadline, client.now() + RESOLVE_ATTEMPT_TIMEOUT)
+            try:
+                with self._lock:
+                    return self.send("/v1/outcomes", body, attempt_deadline)
+            except errors.HistoryDiverged as error:
+                self.token, failure = None, error
+            except errors.CassiahillError as error:
+                if error.http_status < 500 and error.retry_after is None:
+                    raise
+                failure = error
+            pause = retries.backoff(number, client.unit()) + RESOLVE_PAUSE
+            if client.now() + pause >= deadline:
+                raise errors.OutcomeUnknown(f"key {body['key']}: {failure.detail}")
+            client.pause(pause)
+
     def _call(self, path, body, timeout, kind, repeatable, key, pinned=None):
         """Send a request and repeat it while that is safe; keep the session token."""
         with self._lock:
