--- /dev/null
+++ b/cassiahill/peers.py
@@ -0,0 +1,382 @@
+"""Links between proxies over TCP: authenticated calls, many at a time.
+
+Both ends first send a random nonce. The hashes of the link are keyed with both nonces,
+so that a recorded link cannot be replayed, and its sequence numbers have no gaps.
+"""
+
+import collections
+import secrets
+import struct
+from concurrent.futures import Future
+
+import attrs
+import msgspec
+
+from cassiahill import envelopes, errors, transport
+from cassiahill.datagrams import DatagramEndpoint
+
+__all__ = ["DatagramEndpoint", "PeerClient", "PeerListener"]
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+MAX_HELLO_BYTES = 1024  # Limits what an unauthenticated connection can occupy.
+HELLO_SECONDS = 5.0
+MAX_PENDING_CALLS = 10_000
+MAX_QUEUED_BYTES = 4 * 1024 * 1024
+SILENT_SECONDS = 2.0  # A link without any answer for this long is replaced.
+CONNECT_PAUSE_SECONDS = 0.1
+NONCE_BYTES = 16
+OK = "ok"
+PROBLEM = "problem"
+HELLO = "hello"
+_LENGTH = struct.Struct(">I")
+
+
+class _Link:
+    """Framing, authentication and sequence numbers of one connection."""
+
+    def __init__(self, loop, own_name, fleet_secret, role, owner):
+        self._loop = loop
+        self._own_name = own_name
+        self._fleet_key = envelopes.fleet_key(fleet_secret)
+        self._role = role
+        self._owner = owner
+        self._nonce = secrets.token_bytes(NONCE_BYTES)
+        self._buffer = bytearray()
+        self._out = []
+        self._send_key = self._receive_key = None
+        self._sent = self._received = 0
+        self.peer = None
+        self.stream = None
+
+    def start(self, stream):
+        self.stream = stream
+        self._loop.call_at(self._loop.clock.now() + HELLO_SECONDS, self._expire_hello)
+        self._write(
+            envelopes.encode(self._fleet_key, self._own_name, 0, 0, HELLO, self._nonce)
+        )
+
+    def send(self, call, kind, payload):
+        """Queue one message for this turn's write and return its sequence."""
+        self._sent += 1
+        self._write(
+            envelopes.encode(
+                self._send_key, self._own_name, self._sent, call, kind, payload
+            )
+        )
+        return self._sent
+
+    def on_data(self, data):
+        self._buffer += data
+        buffer, offset = self._buffer, 0
+        while len(buffer) - offset >= _LENGTH.size and not self.stream.closed:
+            (length,) = _LENGTH.unpack_from(buffer, offset)
+            if length > (MAX_FRAME_BYTES if self.peer else MAX_HELLO_BYTES):
+                self._refuse("oversized")
+                return
+            end = offset + _LENGTH.size + length
+            if end > len(buffer):
+                break
+            self._on_frame(bytes(memoryview(buffer)[offset + _LENGTH.size : end]))
+            offset = end
+        del buffer[:offset]
+
+    def _on_frame(self, frame):
+        try:
+            message = envelopes.decode(self._receive_key or self._fleet_key, frame)
+        except errors.PeerRejected as error:
+            self._refuse(error.detail)
+            return
+        if self.peer is None:
+            self._on_hello(message)
+        elif message.sender != self.peer:
+            self._refuse("another sender")
+        elif message.sequence != self._received + 1:
+            self._refuse("replayed sequence")
+        else:
+            self._received = message.sequence
+            self._owner.on_message(self, message)
+
+    def _on_hello(self, message):
+        if message.kind != HELLO or len(message.payload) != NONCE_BYTES:
+            self._refuse("no hello")
+            return
+        if self.stream.peer_name not in (None, message.sender):
+            self._refuse("certificate of another proxy")
+            return
+        client, server = self._nonce, message.payload
+        if self._role == b"server":
+            client, server = server, client
+        keys = [
+            envelopes.keyed(_link_key(self._fleet_key, client + server + role))
+            for role in (b"client", b"server")
+        ]
+        self._send_key, self._receive_key = (
+            keys if self._role == b"client" else reversed(keys)
+        )
+        self.peer = message.sender
+        self._owner.on_open(self)
+
+    def _write(self, envelope):
+        if not self._out:
+            self._loop.call_soon(self._flush)
+        self._out += (_LENGTH.pack(len(envelope)), envelope)
+
+    def _flush(self):
+        data = b"".join(self._out)
+        self._out.clear()
+        self.stream.write(data)
+
+    def _expire_hello(self):
+        if self.peer is None and not self.stream.closed:
+            self._refuse("no hello in time")
+
+    def _refuse(self, reason):
+        self._owner.refusals_by_reason[reason] += 1
+        self.stream.close()
+
+
+def _link_key(fleet_key, nonces):
+    state = fleet_key.copy()
+    state.update(nonces)
+    return state.digest()
+
+
+class PeerListener:
+    """Accepts links of other proxies and answers their calls.
+
+    Parameters
+    ----------
+    loop : loop.EventLoop
+    address : tuple of (str, int)
+    handler : callable
+        ``handler(sender, kind, payload)`` returns a ``Future`` of bytes or raises
+        ``errors.CassiahillError``, which is raised again at the caller.
+    fleet_secret : bytes
+    own_name : str
+    ssl_context : ssl.SSLContext, optional
+    """
+
+    def __init__(
+        self, loop, address, handler, fleet_secret, own_name, ssl_context=None
+    ):
+        self._loop = loop
+        self._handler = handler
+        self._fleet_secret = fleet_secret
+        self._own_name = own_name
+        self._pending_by_link = {}
+        self.refusals_by_reason = collections.Counter()
+        self._listener = transport.Listener(loop, address, self._accept, ssl_context)
+        self.address = self._listener.address
+
+    def close(self):
+        """Stop listening and close all links."""
+        self._listener.close()
+        for link in list(self._pending_by_link):
+            link.stream.close()
+
+    def on_open(self, link):
+        """Do nothing: the client sends first."""
+
+    def on_message(self, link, message):
+        """Pass one request to the handler and send its answer."""
+        if self._pending_by_link[link] >= MAX_PENDING_CALLS:
+            self._answer_problem(link, message.sequence, errors.Overloaded())
+            return
+        try:
+            future = self._handler(message.sender, message.kind, message.payload)
+        except Exception as error:  # noqa: BLE001 sent to the caller as a problem
+            self._answer_problem(link, message.sequence, error)
+            return
+        if future.done():
+            self._answer(link, message.sequence, future)
+            return
+        self._pending_by_link[link] += 1
+        self._loop.when_done(
+            future, lambda done: self._finish(link, message.sequence, done)
+        )
+
+    def _accept(self, sock):
+        link = _Link(self._loop, self._own_name, self._fleet_secret, b"server", self)
+        self._pending_by_link[link] = 0
+        link.start(
+            transport.Stream(
+                self._loop,
+                sock,
+                link.on_data,
+                lambda: self._pending_by_link.pop(link, None),
+            )
+        )
+
+    def _finish(self, link, sequence, future):
+        if link in self._pending_by_link:
+            self._pending_by_link[link] -= 1
+            self._answer(link, sequence, future)
+
+    def _answer(self, link, sequence, future):
+        error = future.exception()
+        if error is not None:
+            self._answer_problem(link, sequence, error)
+        elif len(future.result()) > MAX_FRAME_BYTES - MAX_HELLO_BYTES:
+            self._answer_problem(link, sequence, errors.CassiahillError("too large"))
+        else:
+            link.send(sequence, OK, future.result())
+
+    def _answer_problem(self, link, sequence, error):
+        if not isinstance(error, errors.CassiahillError):
+            error = errors.CassiahillError(type(error).__name__)
+        link.send(sequence, PROBLEM, msgspec.msgpack.encode(error.to_problem()))
+
+
+@attrs.define(eq=False)
+class _Call:
+    kind: str
+    payload: bytes
+    future: Future
+    started_at: float
+    timer: object = None
+
+
+class PeerClient:
+    """Calls to one other proxy, many at a time on one link.
+
+    The link is opened by the first call and again after it was lost.
+
+    Parameters
+    ----------
+    loop : loop.EventLoop
+    address : tuple of (str, int)
+    fleet_secret : bytes
+    own_name : str
+    ssl_context : ssl.SSLContext, optional
+    """
+
+    def __init__(self, loop, address, fleet_secret, own_name, ssl_context=None):
+        self._loop = loop
+        self._address = address
+        self._fleet_secret = fleet_secret
+        self._own_name = own_name
+        self._ssl_context = ssl_context
+        self._link = None
+        self._queued = []
+        self._queued_bytes = 0
+        self._calls_by_sequence = {}
+        self._connect_after = 0.0
+        self._received_at = 0.0
+        self.refusals_by_reason = collections.Counter()
+
+    def call(self, kind, payload, deadline):
+        """Send a request and return the ``Future`` of the answer's bytes.
+
+        The future fails with ``errors.BackendUnavailable`` or ``DeadlinePassed`` when
+        the request was never sent, with ``ConnectionLost`` or ``OutcomeUnknown`` when
+        it may have run, and with the handler's error otherwise.
+        """
+        now = self._loop.clock.now()
+        call = _Call(kind, payload, Future(), now)
+        refusal = self._refusal(payload, now, deadline)
+        if refusal is not None:
+            call.future.set_exception(refusal)
+            return call.future
+        if self._link is not None and self._link.peer is not None:
+            self._send(call)
+        else:
+            self._queued.append(call)
+            self._queued_bytes += len(payload)
+            if self._link is None:
+                self._connect()
+        if not call.future.done():
+            call.timer = self._loop.call_at(deadline, lambda: self._expire(call))
+        return call.future
+
+    def close(self):
+        """Close the link; pending calls fail."""
+        if self._link is not None:
+            self._link.stream.close()
+
+    def on_open(self, _link):
+        """Send the calls that waited for the link."""
+        queued, self._queued, self._queued_bytes = self._queued, [], 0
+        for call in queued:
+            if not call.future.done():
+                self._send(call)
+
+    def on_message(self, _link, message):
+        """Complete the call that a message answers."""
+        self._received_at = self._loop.clock.now()
+        call = self._calls_by_sequence.pop(message.call, None)
+        if call is None:
+            return
+        call.timer.cancel()
+        if message.kind == OK:
+            call.future.set_result(message.payload)
+            return
+        try:
+            problem = msgspec.msgpack.decode(message.payload, type=dict)
+            call.future.set_exception(errors.from_problem(problem))
+        except (msgspec.MsgspecError, ValueError, TypeError):
+            call.future.set_exception(errors.CassiahillError("malformed problem"))
+
+    def _refusal(self, payload, now, deadline):
+        if deadline <= now:
+            return errors.DeadlinePassed("the deadline passed before the call")
+        if len(payload) > MAX_FRAME_BYTES - MAX_HELLO_BYTES:
+            return errors.RequestTooLarge("larger than a frame")
+        pending = len(self._calls_by_sequence) + len(self._queued)
+        if pending >= MAX_PENDING_CALLS or (
+            self._queued_bytes + len(payload) > MAX_QUEUED_BYTES
+        ):
+            return errors.Overloaded("too many calls to this proxy")
+        if self._link is None and now < self._connect_after:
+            return errors.BackendUnavailable("the proxy was unreachable just now")
+        return None
+
+    def _connect(self):
+        self._connect_after = self._loop.clock.now() + CONNECT_PAUSE_SECONDS
+        link = _Link(self._loop, self._own_name, self._fleet_secret, b"client", self)
+        self._link = link
+        try:
+            stream = transport.connect(
+                self._loop,
+                self._address,
+                link.on_data,
+                lambda: self._on_closed(link),
+                self._ssl_context,
+            )
+        except errors.CassiahillError:
+            self._on_closed(link)
+            return
+        link.start(stream)
+
+    def _send(self, call):
+        self._calls_by_sequence[self._link.send(0, call.kind, call.payload)] = call
+
+    def _expire(self, call):
+        if call.future.done():
+            return
+        if call in self._queued:
+            self._queued.remove(call)
+            self._queued_bytes -= len(call.payload)
+            call.future.set_exception(errors.DeadlinePassed("no link in time"))
+            return
+        call.future.set_exception(errors.OutcomeUnknown("no answer in time"))
+        last_sign = max(self._received_at, call.started_at)
+        if self._loop.clock.now() - last_sign >= SILENT_SECONDS and self._link:
+            self._link.stream.close()
+
+    def _on_closed(self, link):
+        if link is not self._link:
+            return
+        self._link = None
+        queued, self._queued, self._queued_bytes = self._queued, [], 0
+        sent, self._calls_by_sequence = self._calls_by_sequence, {}
+        for call in queued:
+            _fail(call, errors.BackendUnavailable("the proxy cannot be reached"))
+        for call in sent.values():
+            _fail(call, errors.ConnectionLost("the link closed before the answer"))
+
+
+def _fail(call, error):
+    if call.timer is not None:
+        call.timer.cancel()
+    if not call.future.done():
+        call.future.set_exception(error)
