--- /dev/null
+++ b/cassiahill/digests.py
@@ -0,0 +1,40 @@
+"""Digests of a set of named items, for finding differences between two processes."""
+
+import xxhash
+
+BUCKETS = 64
+
+
+def bucket_of(name):
+    """Return the bucket of a name."""
+    return xxhash.xxh3_64_intdigest(name) % BUCKETS
+
+
+class BucketDigests:
+    """One hash per bucket of names; independent of the order of changes."""
+
+    def __init__(self):
+        self._digests = [0] * BUCKETS
+
+    def toggle(self, name, content):
+        """Add an item, or remove it when it was added with the same content."""
+        self._digests[bucket_of(name)] ^= xxhash.xxh3_64_intdigest(f"{name}\0{content}")
+
+    @property
+    def root(self):
+        """Hash of all buckets."""
+        return xxhash.xxh3_64_intdigest(repr(self._digests))
+
+    def to_tuple(self):
+        """Return the hashes of all buckets."""
+        return tuple(self._digests)
+
+    def differing(self, digests):
+        """Return the numbers of the buckets that differ from another process's."""
+        return frozenset(
+            number
+            for number, (own, other) in enumerate(
+                zip(self._digests, digests, strict=False)
+            )
+            if own != other
+        )
--- /dev/null
+++ b/cassiahill/rumors.py
@@ -0,0 +1,151 @@
+"""Messages, events and actions of the spreading of values."""
+
+import attrs
+import msgspec
+
+
+class Rumor(msgspec.Struct, array_like=True, frozen=True):
+    """A generation of a value; ``value`` is absent when it has to be fetched.
+
+    ``age`` counts the rounds of push so far. ``life_ms`` is the remaining life, or 0
+    for a value that stays.
+    """
+
+    kind: str
+    name: str
+    generation: int
+    digest: bytes
+    age: int = 0
+    life_ms: int = 0
+    value: bytes | None = None
+
+
+class Rumors(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    """Rumors that are pushed, or the answer to ``Want``."""
+
+    rumors: tuple[Rumor, ...]
+
+
+class Pull(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    """Offers a comparison; there is no answer when the digests are equal."""
+
+    digest: int
+
+
+class Buckets(msgspec.Struct, array_like=True, frozen=True, tag=3):
+    """Answers ``Pull`` when the digests differ."""
+
+    digests: tuple[int, ...]
+
+
+class Want(msgspec.Struct, array_like=True, frozen=True, tag=4):
+    """Asks for the rumors of some buckets; sent on a link."""
+
+    buckets: tuple[int, ...]
+
+
+WireMessage = Rumors | Pull | Buckets | Want
+
+
+@attrs.frozen
+class Tick:
+    """Time has passed."""
+
+
+@attrs.frozen
+class Publish:
+    """A value that the own process got from the platform or observed."""
+
+    kind: str
+    name: str
+    generation: int
+    value: bytes
+    life_ms: int = 0
+
+
+@attrs.frozen
+class Received:
+    """A message of another proxy arrived."""
+
+    sender: str
+    message: object
+
+
+@attrs.frozen
+class Answered:
+    """A proxy answered an ``Ask``."""
+
+    peer: str
+    answer: Rumors
+
+
+@attrs.frozen
+class AskFailed:
+    """A proxy did not answer an ``Ask``."""
+
+    peer: str
+
+
+@attrs.frozen
+class Body:
+    """The result of a ``Fetch``; ``value`` is None when it failed."""
+
+    peer: str
+    kind: str
+    name: str
+    generation: int
+    value: bytes | None
+
+
+@attrs.frozen
+class Peers:
+    """The live members; ``neighbours`` are those in a fixed tree or graph."""
+
+    names: tuple
+    neighbours: tuple = ()
+
+
+@attrs.frozen
+class Send:
+    """Send a message in a datagram."""
+
+    peer: str
+    message: object
+
+
+@attrs.frozen
+class Ask:
+    """Send ``Want`` on a link; ends with ``Answered`` or ``AskFailed``."""
+
+    peer: str
+    want: Want
+
+
+@attrs.frozen
+class Fetch:
+    """Fetch a value from a peer; ends with ``Body``."""
+
+    peer: str
+    kind: str
+    name: str
+    generation: int
+
+
+@attrs.frozen
+class Install:
+    """A higher generation was accepted."""
+
+    kind: str
+    name: str
+    generation: int
+    value: bytes
+
+
+@attrs.frozen
+class Ready:
+    """Enough peers were asked; the process may serve."""
+
+
+def size(rumor):
+    """Return an upper bound of the encoded bytes of a rumor."""
+    return len(rumor.kind) + len(rumor.name) + len(rumor.value or b"") + 56
