--- a/cassiahill/settings.py
+++ b/cassiahill/settings.py
@@ -1,11 +1,29 @@
-"""Settings of a process: a folder of TOML files merged in the order of their names."""
+"""Settings of a process: a folder of TOML files merged in the order of their names.
+
+The tables ``groups`` and ``admission`` are shared: the accepted configuration replaces
+them. All other tables belong to one process and are never sent to the platform, because
+they differ by host or hold secrets.
+"""
 
 import pathlib
+import re
 import tomllib
 
 import attrs
 
-from cassiahill import errors
+from cassiahill import findings
+from cassiahill.findings import Finding, Place
+from cassiahill.settings_keys import (
+    DEFAULT_FLOORS_BY_RANK,
+    DEFAULT_QUEUE_LIMITS_BY_RANK,
+    LINKS,
+    SHARED_TABLES,
+    check,
+    shared_document,
+)
+
+# Comments do not count as part of the document; this bounds what is read at all.
+MAX_FOLDER_BYTES = 8_000_000
 
 
 @attrs.frozen
@@ -27,11 +45,25 @@
     name: str
     servers_by_name: dict
     acknowledge: str = "log"
+    promote: str = "majority"
+
+
+@attrs.frozen
+class TlsFiles:
+    """PEM files of one link; an empty name means that the file is not used."""
+
+    certificate: str = ""
+    key: str = ""
+    authority: str = ""
 
 
 @attrs.frozen
 class ProxySettings:
-    """Settings of one proxy process."""
+    """Settings of one proxy process.
+
+    ``tls_by_link`` has an entry for each link with TLS. Floors are shares of the slot
+    time.
+    """
 
     name: str
     failure_domain: str
@@ -44,6 +76,46 @@
     session_secrets_by_id: dict
     current_session_secret: str
     groups_by_name: dict
+    drain_deadline_ms: int = 30_000
+    floors_by_rank: dict = attrs.field(factory=DEFAULT_FLOORS_BY_RANK.copy)
+    queue_limits_by_rank: dict = attrs.field(factory=DEFAULT_QUEUE_LIMITS_BY_RANK.copy)
+    tls_by_link: dict = attrs.field(factory=dict)
+    allow_plain: bool = False
+
+
+@attrs.frozen
+class Folder:
+    """A folder as it was read.
+
+    Attributes
+    ----------
+    document : dict
+        Merged content of the files that could be parsed.
+    texts_by_file : dict of str to str
+        Text of the files that could be parsed, in merge order.
+    findings : tuple of Finding
+        What prevented files from being read.
+    """
+
+    document: dict
+    texts_by_file: dict
+    findings: tuple = ()
+
+    def placer(self):
+        """Return a function from a path to the ``Place`` that set it last."""
+        places = {}
+
+        def place_of(path):
+            if not places:
+                for file, text in self.texts_by_file.items():
+                    for known, line in findings.lines_by_path(text).items():
+                        places[known] = Place(file, line)
+                places[()] = Place()
+            while path not in places:
+                path = path[:-1]
+            return places[path]
+
+        return place_of
 
 
 def merge(documents):
@@ -54,18 +126,83 @@
     return merged
 
 
-def read_folder(folder):
-    """Return the merged document of the TOML files in a folder."""
-    paths = sorted(pathlib.Path(folder).glob("*.toml"))
+def read(folder):
+    """Read and merge the TOML files of a folder, collecting what cannot be read.
+
+    Returns
+    -------
+    Folder
+    """
+    paths = sorted(pathlib.Path(folder).glob("*.toml"), key=lambda path: path.name)
     if not paths:
-        raise errors.InvalidSettings(f"{folder} holds no .toml file")
-    return merge(tomllib.loads(path.read_text()) for path in paths)
+        finding = Finding(Place(str(folder)), "", "holds no .toml file")
+        return Folder({}, {}, (finding,))
+    found = []
+    texts = {}
+    documents = []
+    size = 0
+    for path in paths:
+        try:
+            size += path.stat().st_size
+            if size > MAX_FOLDER_BYTES:
+                problem = f"the files have more than {MAX_FOLDER_BYTES} bytes"
+                found.append(Finding(Place(path.name), "", problem))
+                break
+            text = path.read_text(encoding="utf-8")
+            documents.append(tomllib.loads(text))
+            texts[path.name] = text.replace("\r\n", "\n")
+        except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+            line = re.search(r"at line (\d+)", str(error))
+            place = Place(path.name, int(line.group(1)) if line else 0)
+            found.append(Finding(place, "", f"cannot be read: {error}"))
+    return Folder(merge(documents), texts, tuple(found))
+
+
+def check_folder(folder, process=False):
+    """Return the folder and all findings on it."""
+    content = read(folder)
+    found = list(content.findings)
+    if content.texts_by_file:
+        found += check(content.document, content.placer(), process)
+    return content, found
+
+
+def read_folder(folder):
+    """Return the merged document of the TOML files in a folder.
+
+    Raises
+    ------
+    errors.InvalidSettings
+        With all findings on files that cannot be read.
+    """
+    content = read(folder)
+    findings.refuse(content.findings)
+    return content.document
+
+
+def load(folder):
+    """Return the checked ``ProxySettings`` of a folder.
+
+    Raises
+    ------
+    errors.InvalidSettings
+        With all findings.
+    """
+    content, found = check_folder(folder, process=True)
+    findings.refuse(found)
+    return proxy_settings(content.document)
+
+
+def with_configuration(document, accepted):
+    """Return the document of a process with the accepted shared tables."""
+    local = {name: t for name, t in document.items() if name not in SHARED_TABLES}
+    return {**local, **shared_document(accepted)}
 
 
 def address_of(text):
     """Return ``(ip, port)`` of ``"ip:port"``."""
     host, _, port = text.rpartition(":")
-    return (host, int(port))
+    return (host.strip("[]"), int(port))
 
 
 def groups_of(document):
@@ -83,14 +220,28 @@
             )
             for server_name, server in table["servers"].items()
         }
-        groups[name] = GroupSettings(name, servers, table.get("acknowledge", "log"))
+        groups[name] = GroupSettings(
+            name,
+            servers,
+            table.get("acknowledge", "log"),
+            table.get("promote", "majority"),
+        )
     return groups
 
 
 def proxy_settings(document):
-    """Return the settings of a proxy from a merged document."""
+    """Return the settings of a proxy from a merged document.
+
+    Raises
+    ------
+    errors.InvalidSettings
+        With all findings; ``load`` also names the file and line of each.
+    """
+    findings.refuse(check(document, process=True))
     proxy = document["proxy"]
     session = document["session"]
+    admission = document.get("admission", {})
+    tls = document.get("tls", {})
     platform = document.get("platform", {}).get("address")
     return ProxySettings(
         name=proxy["name"],
@@ -106,12 +257,23 @@
         },
         current_session_secret=session["current"],
         groups_by_name=groups_of(document),
+        drain_deadline_ms=proxy.get("drain_deadline_ms", 30_000),
+        floors_by_rank={**DEFAULT_FLOORS_BY_RANK, **admission.get("floors", {})},
+        queue_limits_by_rank={
+            **DEFAULT_QUEUE_LIMITS_BY_RANK,
+            **admission.get("queue_limits", {}),
+        },
+        tls_by_link={link: TlsFiles(**tls[link]) for link in LINKS if tls.get(link)},
+        allow_plain=tls.get("allow_plain", False),
     )
 
 
 def _merge_into(target, source):
     for key, value in source.items():
-        if isinstance(value, dict) and isinstance(target.get(key), dict):
+        if isinstance(value, dict):
+            # A copy, so that later files never change an earlier document.
+            kept = target.get(key)
+            target[key] = kept if isinstance(kept, dict) else {}
             _merge_into(target[key], value)
         else:
             target[key] = value
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -68,7 +68,9 @@
             yield Future()  # Never completes: the request stays without an answer.
         if self.faults.slow_ms:
             yield self.loop.sleep_until(self.clock.now() + self.faults.slow_ms / 1000)
-        parts = request.path.strip("/").split("/")
+        parts = [
+            urllib.parse.unquote(part) for part in request.path.strip("/").split("/")
+        ]
         match (request.method, parts):
             case ("GET", ["objects", kind, name]):
                 self.counts["reads"] += 1
--- /dev/null
+++ b/tests/operator_builders.py
@@ -0,0 +1,53 @@
+"""Builders of folders, figures and stand-ins for the operators' tests."""
+
+import contextlib
+import json
+import subprocess
+import sys
+import urllib.request
+
+PROCESS_TOML = """
+[platform]
+address = "127.0.0.1:7000"
+[proxy]
+name = "proxy-1"
+failure_domain = "a"
+caller_address = "127.0.0.1:0"
+peer_address = "127.0.0.1:0"
+operator_address = "127.0.0.1:0"
+fleet_secret = "11111111111111111111111111111111"
+[session]
+current = "k1"
+[session.secrets]
+k1 = "22222222222222222222222222222222"
+"""
+GROUP_TOML = """
+[groups.fees.servers.fees-1]
+address = "127.0.0.1:7001"
+failure_domain = "a"
+"""
+
+
+def write_folder(folder):
+    """Write a valid folder of a proxy with one group."""
+    (folder / "10-process.toml").write_text(PROCESS_TOML)
+    (folder / "20-fees.toml").write_text(GROUP_TOML)
+
+
+@contextlib.contextmanager
+def platform_standin():
+    """Run the platform stand-in; yield its address."""
+    argv = [sys.executable, "-m", "standins.platform", "--port", "0"]
+    with subprocess.Popen(argv, stdout=subprocess.PIPE, text=True) as process:
+        try:
+            yield ("127.0.0.1", int(process.stdout.readline().split()[1]))
+        finally:
+            process.terminate()
+
+
+def set_fault(address, **faults):
+    """Set faults of the platform stand-in."""
+    url = f"http://{address[0]}:{address[1]}/fault"
+    request = urllib.request.Request(url, json.dumps(faults).encode())
+    with urllib.request.urlopen(request, timeout=10) as response:
+        response.read()
