--- /dev/null
+++ b/tests/test_figures.py
@@ -0,0 +1,119 @@
+"""Tests of ``cassiahill.figures``."""
+
+import unittest
+
+from cassiahill import errors, figures, objects
+
+DAY = "2026-12-04"
+MIDNIGHT = 1_796_342_400.0
+DEADLINE = 1e12
+
+
+class DownStore(objects.MemoryObjectStore):
+    """Is down as long as ``down`` is set."""
+
+    down = False
+
+    def put(self, *args):
+        if self.down:
+            raise errors.PlatformUnavailable("down")
+        return super().put(*args)
+
+
+class FiguresTest(unittest.TestCase):
+    def setUp(self):
+        self.store = DownStore()
+        self.publisher = figures.FigurePublisher(self.store, "proxy-1.a")
+        self.collector = figures.FigureCollector(MIDNIGHT)
+
+    def count(self, second, count=1, group="fees"):
+        for _ in range(count):
+            self.collector.count(
+                MIDNIGHT + second, group, "urgent", "done", 0.004, replica=True
+            )
+
+    def publish(self, second, ended=False):
+        batch = self.collector.take(MIDNIGHT + second)
+        return self.publisher.publish(batch, DEADLINE, ended)
+
+    def stored(self, day=DAY):
+        days, damaged = figures.read_day(self.store, day, DEADLINE)
+        self.assertEqual(damaged, [])
+        return days[0] if days else None
+
+    def test_batches_add_up(self):
+        """Guards against a batch that replaces the former one."""
+        self.count(10, 3)
+        self.publish(600)
+        self.count(700, 2)
+        self.publish(1200)
+        stored = self.stored()
+        (figure,) = stored.figures
+        self.assertEqual((figure.hour, figure.tally.done), (0, 5))
+        self.assertEqual(figure.tally.replica_reads, 5)
+        self.assertAlmostEqual(figure.tally.latency_ms(99), 4.0, delta=0.1)
+        self.assertEqual(stored.covered, ((0.0, 1200.0),))
+
+    def test_outage_loses_nothing(self):
+        """Guards against dropping a batch whose put failed."""
+        self.store.down = True
+        self.count(10)
+        self.assertFalse(self.publish(600))
+        self.store.down = False
+        self.count(700)
+        self.assertTrue(self.publish(90_000, ended=True))
+        self.assertEqual(self.stored().figures[0].tally.done, 2)
+        self.assertEqual(self.stored().gap_hours(), set())
+
+    def test_lost_batch_is_a_gap(self):
+        """Guards against a lost batch that reads as an idle hour."""
+        self.publish(3600)
+        self.collector.take(MIDNIGHT + 7300)
+        self.publish(86_400)
+        self.assertEqual(self.stored().gap_hours(), {1, 2})
+
+    def test_killed_process_is_a_gap(self):
+        """Guards against counting the rest of the day as idle."""
+        self.publish(80_000)
+        self.assertEqual(self.stored().gap_hours(), {22, 23})
+        self.assertEqual(self.stored().gap_hours(until=79_000), set())
+
+    def test_ended_process_has_no_gap(self):
+        """Guards against marking every day with a restart as incomplete."""
+        self.publish(80_000, ended=True)
+        self.assertEqual(self.stored().gap_hours(), set())
+
+    def test_batch_over_midnight(self):
+        """Guards against figures in the wrong day."""
+        self.count(86_000)
+        self.count(86_500, 2)
+        self.publish(87_000)
+        self.assertEqual(self.stored().figures[0].hour, 23)
+        self.assertEqual(self.stored("2026-12-05").covered, ((0.0, 600.0),))
+        self.assertEqual(self.stored("2026-12-05").figures[0].tally.done, 2)
+
+    def test_memory_is_bounded(self):
+        """Guards against growth with the length of an outage."""
+        self.store.down = True
+        for day in range(5):
+            self.publish(day * 86_400 + 600)
+        self.assertEqual(self.publisher.dropped_days, 3)
+
+    def test_further_groups_are_counted_together(self):
+        """Guards against requests that the bound drops."""
+        for number in range(figures.MAX_TALLIES + 50):
+            self.count(1, group=f"g{number}")
+        self.publish(600)
+        found = self.stored().figures
+        other = [f for f in found if f.group == figures.OTHER]
+        self.assertEqual((len(found), other[0].tally.done), (301, 50))
+
+    def test_damaged_objects_are_named(self):
+        """Guards against a report that fails or ignores a damaged object."""
+        rows = '[[0,"g","urgent",1,0,0,0,0,0,"AAAA"]]'
+        for number, value in enumerate(("", "[]", '{"rows": ' + rows + "}")):
+            self.store.put(f"figures/{DAY}", str(number), value.encode(), None, 0.0)
+        body = '{"proxy":"p","covered":[],"ended":true,"rows":' + rows + "}"
+        self.store.put(f"figures/{DAY}", "3", body.encode(), None, 0.0)
+        days, damaged = figures.read_day(self.store, DAY, DEADLINE)
+        self.assertEqual((days, damaged), ([], ["0", "1", "2", "3"]))
