--- a/cassiahill/calls.py
+++ b/cassiahill/calls.py
@@ -7,6 +7,8 @@
 from cassiahill import errors
 from cassiahill.loop import failed
 
+MAX_ATTEMPTS = 2
+
 
 @attrs.define(eq=False)
 class Call:
@@ -32,6 +34,12 @@
     attempts: int = 0
     future: Future = attrs.field(factory=Future)
 
+    def may_repeat(self, now):
+        """Return whether a call that never ran, or a read, may be sent again."""
+        if self.transaction is not None or self.attempts >= MAX_ATTEMPTS:
+            return False
+        return now < self.deadline
+
 
 class Transaction:
     """A transaction that is pinned to one connection.
--- /dev/null
+++ b/cassiahill/runner.py
@@ -0,0 +1,399 @@
+"""Runs the calls of one backend server: queue, connections, hand-over and answers."""
+
+import collections
+import functools
+import itertools
+
+from cassiahill import admission, calls, connections, errors, pool
+from cassiahill.loop import failed
+
+ANSWER_GRACE = 0.1  # seconds for the way back after the database's own timeout
+SILENT_AFTER = 0.25  # a shorter wait for an answer says nothing about the connection
+MAX_PARKED = 256  # writes that wait while an open transaction holds locks
+
+
+class Runner:
+    """Gives every call exactly one end.
+
+    ``refusal`` is None while calls are taken, and otherwise makes the error for new
+    ones; with ``pinned_only`` the calls of open transactions are still taken.
+
+    Parameters
+    ----------
+    loop : loop.EventLoop
+    backend : backend.Backend
+    server_settings : settings.ServerSettings
+    own_name : str
+    policy : admission.AdmissionPolicy
+    rng : random.Random
+    on_idle : callable
+        Called when a call or transaction has ended.
+    on_stale : callable
+        Called when the server answers that another proxy owns it.
+    """
+
+    def __init__(
+        self,
+        loop,
+        backend,
+        server_settings,
+        own_name,
+        policy,
+        rng,
+        on_idle,
+        on_stale,
+    ):
+        self.refusal = errors.NotOwner
+        self.pinned_only = False
+        self.counts = collections.Counter()
+        self.transactions = set()
+        self._loop = loop
+        self._policy = policy
+        self._on_idle = on_idle
+        self._on_stale = on_stale
+        limits = pool.PoolSettings(limit=server_settings.connections)
+        self.connections = connections.Connections(
+            loop,
+            backend,
+            own_name,
+            limits,
+            rng,
+            self._granted,
+            self._refused,
+            on_stale,
+        )
+        # Plain work must always find a connection for each slot; otherwise it would
+        # hold all slots while it waits for connections of transactions that wait for
+        # slots.
+        self._max_transactions = max(1, limits.capacity - server_settings.slots)
+        self._opening_transactions = 0
+        self._max_writes = max(1, server_settings.slots - 1)
+        self._writes = set()
+        self._parked = {}
+        self._calls = {}
+        self._without_connection = set()
+        self._decisions = collections.deque()
+        self._deciding = False
+        self._work_ids = itertools.count(1)
+
+    @property
+    def load(self):
+        """Number of calls and transactions that have not ended."""
+        return len(self._calls) + len(self.transactions) + self._opening_transactions
+
+    def submit(self, work, batch):
+        """Run a batch.
+
+        Parameters
+        ----------
+        work : object
+            Has ``rank``, ``caller`` and ``deadline``.
+        batch : backend.Batch
+
+        Returns
+        -------
+        Future of backend.BatchResult
+        """
+        return self._offer(
+            calls.Call(
+                next(self._work_ids),
+                work.rank,
+                work.caller,
+                work.deadline,
+                batch.timeout,
+                batch.read_only,
+                calls.executing(batch),
+            )
+        )
+
+    def open_transaction(self, work, term):
+        """Begin a transaction on a connection of its own.
+
+        Returns
+        -------
+        Future of calls.Transaction
+        """
+        count = len(self.transactions) + self._opening_transactions
+        if count >= self._max_transactions:
+            return failed(errors.Overloaded("too many transactions are open"))
+        self._opening_transactions += 1
+        return self._loop.spawn(self._open_transaction(work, term))
+
+    def _open_transaction(self, work, term):
+        transaction = calls.Transaction(self, work, term)
+
+        def run(call, connection):
+            return connection.begin(term, call.bound)
+
+        try:
+            yield self.run_in(transaction, run, True, work.deadline)
+        finally:
+            self._opening_transactions -= 1
+            self._on_idle()
+        return transaction
+
+    def run_in(self, transaction, run, read_only, deadline, timeout=None, ends=False):
+        """Queue a call of a transaction; used by ``calls.Transaction``."""
+        if timeout is None:
+            timeout = deadline - self._loop.clock.now()
+        call = calls.Call(
+            next(self._work_ids),
+            transaction.work.rank,
+            transaction.work.caller,
+            deadline,
+            timeout,
+            read_only,
+            run,
+            transaction,
+            ends,
+            transaction.connection_id,
+        )
+        transaction.busy = True
+        return self._offer(call)
+
+    def abandon(self, transaction):
+        """Close a transaction's connection, so that the database rolls back."""
+        for call in list(self._calls.values()):
+            if call.transaction is transaction and call.sent_at is None:
+                self._end(call, errors.NoTransaction("the transaction was closed"))
+        self._close_connection(transaction.connection_id)
+        self._finish_transaction(transaction)
+
+    def _finish_transaction(self, transaction):
+        if transaction is not None and not transaction.ended:
+            transaction.ended = True
+            transaction.holds_locks = False
+            self.transactions.discard(transaction)
+            for _ in range(len(self._parked)):
+                self._unpark()
+            self._on_idle()
+
+    def _close_connection(self, connection_id):
+        # The adapter fails the pending call when its connection closes.
+        connection = self.connections.get(connection_id)
+        if connection is not None:
+            connection.close()
+            self.connections.lost(connection_id)
+
+    def _offer(self, call):
+        if not self._takes(call):
+            if call.transaction is not None:
+                call.transaction.busy = False
+            return failed(self.refusal())
+        self._calls[call.work_id] = call
+        self._queue(call)
+        return call.future
+
+    def _takes(self, call):
+        if self.refusal is None:
+            return True
+        pinned = call.transaction is not None and call.connection_id is not None
+        return self.pinned_only and pinned
+
+    def _stopped(self):
+        return self.refusal is not None and not self.pinned_only
+
+    def _queue(self, call):
+        work = admission.Work(call.work_id, call.rank, call.caller, call.deadline)
+        self._decide(self._policy.offer(work, self._loop.clock.now()))
+
+    def tick(self):
+        """Look at deadlines and idle connections."""
+        now = self._loop.clock.now()
+        for work_id in [*self._without_connection, *self._parked]:
+            call = self._calls.get(work_id)
+            if call is not None and now >= call.deadline:
+                self._end(call, errors.DeadlinePassed("no connection was free in time"))
+        self._unpark()
+        self._decide(self._policy.tick(now))
+        self.connections.tick()
+
+    def fail_all(self):
+        """End the waiting calls as not run, and abandon those handed over."""
+        for call in list(self._calls.values()):
+            if call.sent_at is None:
+                self._end(call, self.refusal())
+        for transaction in list(self.transactions):
+            self.abandon(transaction)
+        for call in list(self._calls.values()):
+            self._close_connection(call.connection_id)
+
+    # Decisions of the policy
+
+    def _decide(self, decisions):
+        """Act on decisions in their order; those that they cause come after them."""
+        self._decisions.extend(decisions)
+        if self._deciding:
+            return
+        self._deciding = True
+        try:
+            while self._decisions:
+                decision = self._decisions.popleft()
+                call = self._calls.get(decision.work_id)
+                if isinstance(decision, admission.Admit):
+                    self._admitted(decision.work_id, call)
+                elif call is not None:
+                    self._end(call, decision.error, admitted=False)
+        finally:
+            self._deciding = False
+
+    def _admitted(self, work_id, call):
+        if call is None:
+            self._decide(self._policy.withdraw(work_id, self._loop.clock.now()))
+        elif self._stopped():
+            self._end(call, self.refusal())
+        elif not self._may_write(call) and len(self._parked) >= MAX_PARKED:
+            self._end(call, errors.Overloaded("too many writes wait for locks"))
+        elif not self._may_write(call):
+            self._parked[work_id] = call
+            self._decide(self._policy.withdraw(work_id, self._loop.clock.now()))
+        elif call.connection_id is not None:
+            self._hand_over(call)
+        else:
+            self._without_connection.add(work_id)
+            self.connections.acquire(work_id)
+
+    # Locks of open transactions
+
+    def _may_write(self, call):
+        """Return whether a call may take a slot although it may wait for locks.
+
+        Calls that wait for the locks of an open transaction hold their slots. One slot
+        is kept free of them, so that the transaction can go on and release its locks.
+        """
+        if call.read_only or call.ends_transaction or call.work_id in self._writes:
+            return True
+        if call.transaction is not None and call.transaction.holds_locks:
+            return True
+        if len(self._writes) >= self._max_writes and any(
+            transaction.holds_locks for transaction in self.transactions
+        ):
+            return False
+        self._writes.add(call.work_id)
+        return True
+
+    def _unpark(self):
+        """Queue the parked call of the highest rank again."""
+        if self._parked:
+            call = min(self._parked.values(), key=lambda c: (c.rank, c.work_id))
+            del self._parked[call.work_id]
+            self._queue(call)
+
+    # Connections
+
+    def _refused(self, work_id, error):
+        self._without_connection.discard(work_id)
+        if work_id in self._calls:
+            self._end(self._calls[work_id], error)
+
+    def _granted(self, work_id, connection_id):
+        self._without_connection.discard(work_id)
+        call = self._calls.get(work_id)
+        if call is None:
+            self.connections.release(connection_id, False)
+        elif self._loop.clock.now() >= call.deadline:
+            self.connections.release(connection_id, False)
+            self._end(call, errors.DeadlinePassed("no connection was free in time"))
+        else:
+            call.connection_id = connection_id
+            self._hand_over(call)
+
+    def _hand_over(self, call):
+        connection = self.connections.get(call.connection_id)
+        now = self._loop.clock.now()
+        if connection is None:
+            self._finish_transaction(call.transaction)
+            self._end(call, errors.NoTransaction("the connection has ended"))
+            return
+        call.sent_at = now
+        call.attempts += 1
+        call.bound = min(call.deadline, now + call.timeout + ANSWER_GRACE)
+        if call.transaction is not None and not call.read_only:
+            call.transaction.holds_locks = not call.ends_transaction
+        pending = call.run(call, connection)
+        self._loop.when_done(pending, functools.partial(self._answered, call))
+
+    # Answers
+
+    def _answered(self, call, pending):
+        error = pending.exception()
+        connection = self.connections.get(call.connection_id)
+        usable = connection is not None and not connection.closed
+        if error is None:
+            if usable:
+                self._keep(call)
+            else:
+                self._give_up(call)
+            self._end(call, None, pending.result())
+            return
+        ran = getattr(error, "may_have_run", errors.MayHaveRun.UNKNOWN)
+        refused = ran is errors.MayHaveRun.NO
+        if refused and usable:
+            self._return(call)
+        else:
+            self._give_up(call)
+        if isinstance(error, errors.StaleEpoch):
+            self._on_stale()
+        never_sent = isinstance(error, errors.BackendUnavailable) and not usable
+        repeat = never_sent or (call.read_only and not refused)
+        now = self._loop.clock.now()
+        if repeat and call.may_repeat(now) and not self._stopped():
+            call.may_have_run = call.may_have_run or not refused
+            call.connection_id = call.sent_at = None
+            self._decide([admission.Admit(call.work_id)])
+        elif ran is not errors.MayHaveRun.UNKNOWN:
+            self._end(call, error)
+        else:
+            self._end(call, errors.OutcomeUnknown(str(error)))
+
+    def _keep(self, call):
+        """Keep a transaction's connection, or return the connection of other work."""
+        transaction = call.transaction
+        if transaction is None or call.ends_transaction:
+            self._return(call)
+        elif transaction.connection_id is None:
+            transaction.connection_id = call.connection_id
+            self.transactions.add(transaction)
+
+    def _return(self, call):
+        """Return a connection; a read-only batch leaves nothing to reset."""
+        dirty = call.transaction is not None or not call.read_only
+        self._finish_transaction(call.transaction)
+        self.connections.release(call.connection_id, dirty)
+
+    def _give_up(self, call):
+        """Close the connection of a call whose answer is missing."""
+        now = self._loop.clock.now()
+        self._finish_transaction(call.transaction)
+        if now >= call.bound and now - call.sent_at >= SILENT_AFTER:
+            self.connections.silent(call.connection_id)
+        else:
+            self.connections.lost(call.connection_id)
+
+    def _end(self, call, error, result=None, admitted=True):
+        """Give a call its one end, and its slot to other work."""
+        if self._calls.pop(call.work_id, None) is None:
+            return
+        if call.may_have_run and error is not None:
+            error = errors.OutcomeUnknown(str(error))
+        if call.transaction is not None:
+            call.transaction.busy = False
+        if call.work_id in self._without_connection:
+            self._without_connection.discard(call.work_id)
+            self.connections.cancel(call.work_id)
+        self._parked.pop(call.work_id, None)
+        now = self._loop.clock.now()
+        if call.sent_at is not None:
+            self.counts["handed_over_" + call.rank.name.lower()] += 1
+            self._decide(self._policy.finish(call.work_id, now))
+        elif admitted:
+            self._decide(self._policy.withdraw(call.work_id, now))
+        if call.work_id in self._writes:
+            self._writes.discard(call.work_id)
+            self._unpark()
+        self.counts[error.code if error is not None else "done"] += 1
+        if error is not None:
+            call.future.set_exception(error)
+        else:
+            call.future.set_result(result)
+        self._on_idle()
--- a/tests/test_owned.py
+++ b/tests/test_owned.py
@@ -113,7 +113,7 @@
         for tags in self.server.users_by_connection.values():
             for part in " ".join(tags).split("reset"):
                 self.assertLessEqual(len({t[0] for t in part.split()} & {"1", "2"}), 1)
-        self.assertFalse(self.owned.transactions)
+        self.assertFalse(self.owned.dump()["transactions"])
 
     def test_one_slot_is_free_of_lock_waiters(self):
         """Guards against writes that hold all slots while a transaction has locks."""
@@ -178,7 +178,7 @@
         drained = self.owned.drain(2.0)
         self.loop.run_for(3.0)
         self.assertEqual(drained.result(), 1)
-        self.assertFalse(self.owned.transactions)
+        self.assertFalse(self.owned.dump()["transactions"])
 
     def test_down_server_refuses_without_waiting(self):
         """Guards against work that holds its slot until the deadline."""
