--- a/cassiahill/calls.py
+++ b/cassiahill/calls.py
@@ -5,6 +5,8 @@
 from cassiahill import backend, errors
 from cassiahill.loop import LoopFuture, failed
 
+MAX_ATTEMPTS = 2
+
 
 @attrs.define(eq=False)
 class Call:
@@ -30,6 +32,12 @@
     attempts: int = 0
     future: LoopFuture = attrs.field(factory=LoopFuture)
 
+    def may_repeat(self, now):
+        """Return whether a call that never ran, or a read, may be sent again."""
+        if self.transaction is not None or self.attempts >= MAX_ATTEMPTS:
+            return False
+        return now < self.deadline
+
 
 class Transaction:
     """A transaction that is pinned to one connection.
