--- a/cassiahill/client.py
+++ b/cassiahill/client.py
@@ -1,7 +1,6 @@
 """Synchronous, thread-safe client for callers, over HTTP/1.1 with JSON."""
 
 import contextlib
-import itertools
 import random
 import threading
 import time
@@ -276,7 +275,8 @@
         client = self.client
         deadline = client.now() + timeout
         failure = errors.DeadlinePassed("no time to ask")
-        for number in itertools.count():
+        number = 0
+        while True:
             attempt_deadline = min(deadline, client.now() + RESOLVE_ATTEMPT_TIMEOUT)
             try:
                 with self._lock:
@@ -291,6 +291,7 @@
             if client.now() + pause >= deadline:
                 raise errors.OutcomeUnknown(f"key {body['key']}: {failure.detail}")
             client.pause(pause)
+            number += 1
 
     def _call(self, path, body, timeout, kind, repeatable, key, pinned=None):
         """Send a request and repeat it while that is safe; keep the session token."""
--- /dev/null
+++ b/tests/test_session_consistency.py
@@ -0,0 +1,112 @@
+"""Random histories through views, tokens, routing, acknowledgement and outcomes."""
+
+import unittest
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from tests import session_model
+
+TWO = st.integers(0, 1)
+ANY = st.integers(0, 5)
+SERVER = st.sampled_from(session_model.SERVERS)
+ITEM = st.sampled_from(["x", "y"])
+BUDGET = settings(
+    derandomize=True,
+    max_examples=120,
+    stateful_step_count=50,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+class SessionMachine(RuleBasedStateMachine):
+    """Lagging, promoted and silent databases under two roaming sessions."""
+
+    parts = None
+
+    def __init__(self):
+        super().__init__()
+        self.model = session_model.Model(self.parts)
+
+    @rule(seconds=st.sampled_from([0.01, 0.1, 1.0]))
+    def advance(self, seconds):
+        self.model.advance(seconds)
+
+    @rule(name=SERVER, limit=st.integers(1, 4))
+    def pull(self, name, limit):
+        self.model.pull(name, limit)
+
+    @rule(absent=SERVER)
+    def promote(self, absent):
+        self.model.promote(absent)
+
+    @rule(names=st.lists(SERVER, min_size=1, max_size=3, unique=True), proxy=TWO)
+    def poll(self, names, proxy):
+        for name in names:
+            self.model.poll(name, proxy)
+            self.model.deliver(-1)
+
+    @rule(name=SERVER, proxy=TWO, before=st.sampled_from([0.0, 0.05, 0.5]))
+    def poll_slowly(self, name, proxy, before):
+        self.model.poll(name, proxy, before)
+
+    @precondition(lambda self: self.model.statuses)
+    @rule(index=ANY, lost=st.booleans())
+    def deliver(self, index, lost):
+        if lost:
+            self.model.lose_status(index)
+        else:
+            self.model.deliver(index)
+
+    @rule(
+        session=TWO,
+        proxy=TWO,
+        item=ITEM,
+        wanted=st.sampled_from(session_model.FRESHNESS),
+    )
+    def read(self, session, proxy, item, wanted):
+        self.model.read(session, proxy, item, wanted)
+
+    @rule(session=TWO, proxy=TWO, item=ITEM, key=st.sampled_from([None, "k"]))
+    def write(self, session, proxy, item, key):
+        self.model.write(session, proxy, item, key)
+
+    @rule(session=TWO, proxy=TWO)
+    def resolve(self, session, proxy):
+        self.model.resolve(session, proxy)
+
+    @precondition(lambda self: self.model.calls)
+    @rule(index=ANY, answered=st.sampled_from([True, True, True, False]))
+    def arrive(self, index, answered):
+        self.model.arrive(index, answered)
+
+    @precondition(lambda self: self.model.calls)
+    @rule(index=ANY)
+    def delay(self, index):
+        self.model.delay(index)
+
+    @precondition(lambda self: self.model.late)
+    @rule(index=ANY)
+    def run_late(self, index):
+        self.model.run_late(index)
+
+    @rule(session=TWO)
+    def give_up(self, session):
+        self.model.give_up(session)
+
+    def teardown(self):
+        findings = self.model.finish()
+        assert not findings, findings
+
+
+class SessionConsistencyTest(unittest.TestCase):
+    def test_random_histories(self):
+        """Guards against any violation of 1.3 (1, 5, 6) and of stated ages."""
+        run_state_machine_as_test(SessionMachine, settings=BUDGET)
