--- a/cassiahill/digests.py
+++ b/cassiahill/digests.py
@@ -7,7 +7,7 @@
 
 def bucket_of(name):
     """Return the bucket of a name."""
-    return xxhash.xxh3_64_intdigest(name) % BUCKETS
+    return xxhash.xxh3_64_intdigest(name.encode()) % BUCKETS
 
 
 class BucketDigests:
@@ -18,12 +18,14 @@
 
     def toggle(self, name, content):
         """Add an item, or remove it when it was added with the same content."""
-        self._digests[bucket_of(name)] ^= xxhash.xxh3_64_intdigest(f"{name}\0{content}")
+        self._digests[bucket_of(name)] ^= xxhash.xxh3_64_intdigest(
+            f"{name}\0{content}".encode()
+        )
 
     @property
     def root(self):
         """Hash of all buckets."""
-        return xxhash.xxh3_64_intdigest(repr(self._digests))
+        return xxhash.xxh3_64_intdigest(repr(self._digests).encode())
 
     def to_tuple(self):
         """Return the hashes of all buckets."""
--- a/cassiahill/membership.py
+++ b/cassiahill/membership.py
@@ -8,8 +8,6 @@
 
 import collections
 
-import attrs
-
 from cassiahill import digests, swim
 from cassiahill.swim import DEAD, LEAVING, LIVE, SUSPECTED
 
@@ -19,6 +17,7 @@
 SUSPICION_SECONDS = 4.0  # Time for the news to spread and for its refutation.
 DEAD_PROBE_SECONDS = 5.0  # Finds members again after a partition.
 SYNC_SECONDS = 30.0  # Finds news that was lost in spite of its retransmission.
+DIFFERING_SYNC_SECONDS = 10.0  # After an answer that shows another view.
 JOIN_RETRY_SECONDS = 1.0
 FORGET_DEAD_SECONDS = 2 * 3600.0  # Partitions between regions last an hour.
 MAX_INCARNATION_STEP = 1024
@@ -29,14 +28,6 @@
 MIN_CLAIMS = 8
 
 
-@attrs.define
-class _Probe:
-    number: int
-    target: str
-    started_at: float
-    indirect: bool = False
-
-
 class Membership:
     """View of the fleet held by one process.
 
@@ -63,7 +54,7 @@
         self._relays_by_number = {}
         self._next_probe_at = now + rng.random() * PROBE_SECONDS
         self._next_dead_probe_at = now + DEAD_PROBE_SECONDS
-        self._next_sync_at = now
+        self._next_sync_at = self._last_sync_at = now
         self._probe_results = collections.deque(maxlen=PROBE_HISTORY)
         self._deadlines_by_name = {}
         self._dead_since_by_name = {}
@@ -136,9 +127,9 @@
         for name in [n for n, at in self._deadlines_by_name.items() if at <= now]:
             member = self.members_by_name[name]
             actions += self._install(member.replace(state=DEAD), now)
-        oldest = next(iter(self._dead_since_by_name), None)
-        if oldest and self._dead_since_by_name[oldest] + FORGET_DEAD_SECONDS <= now:
-            self._forget(oldest)
+        for name, since in list(self._dead_since_by_name.items())[:1]:
+            if since + FORGET_DEAD_SECONDS <= now:
+                self._forget(name)
         return actions
 
     def _start_probe(self, now):
@@ -148,7 +139,7 @@
         target = self._next_target()
         if target is not None:
             self._number += 1
-            self._probe = _Probe(self._number, target.name, now)
+            self._probe = swim.Probe(self._number, target.name, now)
             actions.append(self._ping(target, self._number))
         return actions
 
@@ -203,6 +194,7 @@
         return [self._ping(self.members_by_name[name], 0)]
 
     def _sync(self, now):
+        self._last_sync_at = now
         self._next_sync_at = now + SYNC_SECONDS * (0.5 + self._rng.random())
         peers = self._random_live(1)
         if peers:
@@ -219,7 +211,7 @@
     def _random_live(self, count, excluded=""):
         names = list(self.members_by_name)
         found_by_name = {}
-        for _ in range(8 * count):  # Enough tries, since few members are not live.
+        for _ in range(8 * count):  # Few members are not live.
             member = self.members_by_name[self._rng.choice(names)]
             if member.state == LIVE and member.name not in (self.own.name, excluded):
                 found_by_name[member.name] = member
@@ -272,8 +264,9 @@
             if asker is not None:
                 relayed = swim.Ack(number, self._news(asker.name), self.digest)
                 return [swim.Send(asker.peer_address, relayed)]
-        if ack.digest == self.digest:
-            self._next_sync_at = max(self._next_sync_at, now + SYNC_SECONDS)
+        if ack.digest != self.digest:
+            hurried = self._last_sync_at + DIFFERING_SYNC_SECONDS
+            self._next_sync_at = min(self._next_sync_at, max(now, hurried))
         return []
 
     def _relay_probe(self, sender, number, target):
@@ -307,7 +300,7 @@
 
     def _objection(self, member):
         known = self.members_by_name.get(member.name)
-        if not LIVE <= member.state <= DEAD or member.incarnation < 0:
+        if not swim.is_well_formed(member, known):
             return "malformed news"
         if known is None:
             full = len(self.members_by_name) >= MAX_MEMBERS
@@ -392,9 +385,7 @@
         return tuple(self._queue.fill(news, self.members_by_name))
 
     def _read_hosts(self, hosts, now):
-        known = {
-            name for name, member in self.members_by_name.items() if member.state < DEAD
-        }
+        known = self.members_by_name.keys() - self._dead_since_by_name.keys()
         removed = self._host_filter.read(hosts, known - {self.own.name})
         if removed is None:
             self.refusals_by_reason["host list lost many members"] += 1
--- a/cassiahill/rumors.py
+++ b/cassiahill/rumors.py
@@ -1,8 +1,12 @@
 """Messages, events and actions of the spreading of values."""
 
+import math
+
 import attrs
 import msgspec
 
+BATCH_BYTES = 900  # Leaves room for the envelope in a datagram of 1,200 bytes.
+
 
 class Rumor(msgspec.Struct, array_like=True, frozen=True):
     """A generation of a value; ``value`` is absent when it has to be fetched.
@@ -146,6 +150,41 @@
     """Enough peers were asked; the process may serve."""
 
 
-def size(rumor):
-    """Return an upper bound of the encoded bytes of a rumor."""
+@attrs.define
+class Held:
+    """A value that a process holds; its value is None after its life."""
+
+    generation: int
+    digest: bytes
+    value: bytes | None
+    forget_at: float = math.inf
+    expires_at: float = math.inf
+
+
+@attrs.define
+class Fetching:
+    """A value that is being fetched."""
+
+    rumor: Rumor
+    sources: list
+    asked_at: float
+
+
+def batches(pushed):
+    """Return ``Rumors`` messages that each fit a datagram."""
+    messages, batch, size = [], [], 0
+    for rumor in pushed:
+        added = _size(rumor)
+        if batch and size + added > BATCH_BYTES:
+            messages.append(Rumors(tuple(batch)))
+            batch, size = [], 0
+        batch.append(rumor)
+        size += added
+    if batch:
+        messages.append(Rumors(tuple(batch)))
+    return messages
+
+
+def _size(rumor):
+    # An upper bound of the encoded bytes.
     return len(rumor.kind) + len(rumor.name) + len(rumor.value or b"") + 56
--- a/cassiahill/spreading.py
+++ b/cassiahill/spreading.py
@@ -9,23 +9,19 @@
 import hashlib
 import math
 
-import attrs
 import msgspec
 import xxhash
 
-from cassiahill import digests, rumors
+from cassiahill import digests, first_values, rumors
 from cassiahill.rumors import Rumor
 
 ROUND_SECONDS = 0.2  # 13 rounds of push at 4,200 members take 2.6 s.
 INLINE_BYTES = 400  # Larger values are fetched over a link.
-PUSH_BYTES = 900  # Leaves room for the envelope in 1,200 bytes.
 PUSHES_PER_ROUND = 4
 MAX_KEYS = 50_000
 MAX_GENERATION_STEP = 65_536  # Nine days of configuration changes.
 FETCH_SECONDS = 1.0
 MAX_SOURCES = 8
-START_PEERS = 3
-START_ALONE_SECONDS = 5.0
 FORGET_SECONDS = 60.0  # A generation is remembered for this long after its life.
 READERS = 3
 
@@ -41,7 +37,7 @@
     """
     return sorted(
         names,
-        key=lambda name: xxhash.xxh3_64_intdigest(f"{failure_domain}\0{name}"),
+        key=lambda name: xxhash.xxh3_64_intdigest(f"{failure_domain}\0{name}".encode()),
         reverse=True,
     )[:READERS]
 
@@ -57,22 +53,6 @@
     return max(1, math.ceil(log / math.log2(log)))
 
 
-@attrs.define
-class _Held:
-    generation: int
-    digest: bytes
-    value: bytes | None
-    forget_at: float = math.inf
-    expires_at: float = math.inf
-
-
-@attrs.define
-class _Fetching:
-    rumor: Rumor
-    sources: list
-    asked_at: float
-
-
 class Spreader:
     """Values held by one process.
 
@@ -110,9 +90,7 @@
         self._digests = digests.BucketDigests()
         self._next_round_at = now + rng.random() * ROUND_SECONDS
         self._rounds_to_pull = 1
-        self._started_at = now
-        self._answers_by_peer = {}
-        self._asked = set()
+        self._first = first_values.FirstValues(rng, now)
         self.ready = False
         self.refusals_by_reason = collections.Counter()
 
@@ -139,7 +117,8 @@
             case rumors.Answered(peer, answer):
                 return self._answered(peer, answer, now)
             case rumors.AskFailed(peer):
-                self._asked.discard(peer)
+                if not self.ready:
+                    self._first.failed(peer)
                 return []
             case rumors.Body(peer, kind, name, generation, value):
                 return self._receive_body(peer, (kind, name), generation, value, now)
@@ -217,19 +196,11 @@
         return actions
 
     def _pack(self, keys, age, now):
-        messages, batch, size = [], [], 0
+        packed = []
         for key in keys:
             at = self._age_by_key[key] + 1 if age is None else age
-            rumor = self._rumor(key, self._held_by_key[key], at, now)
-            added = rumors.size(rumor)
-            if batch and size + added > PUSH_BYTES:
-                messages.append(rumors.Rumors(tuple(batch)))
-                batch, size = [], 0
-            batch.append(rumor)
-            size += added
-        if batch:
-            messages.append(rumors.Rumors(tuple(batch)))
-        return messages
+            packed.append(self._rumor(key, self._held_by_key[key], at, now))
+        return rumors.batches(packed)
 
     def _pull(self):
         self._rounds_to_pull -= 1
@@ -281,13 +252,12 @@
         return []
 
     def _answered(self, peer, answer, now):
-        self._asked.discard(peer)
         if peer not in self._peer_set:
             self.refusals_by_reason["unknown sender"] += 1
             return []
         if self.ready:
             return self._take(peer, answer.rumors, now)
-        self._answers_by_peer[peer] = answer.rumors
+        self._first.answered(peer, answer.rumors)
         return []
 
     def _take(self, sender, received, now):
@@ -330,7 +300,7 @@
             if fetching.rumor.digest == rumor.digest and not full:
                 fetching.sources.append(sender)
             return []
-        fetching = self._fetching_by_key[key] = _Fetching(rumor, [sender], now)
+        fetching = self._fetching_by_key[key] = rumors.Fetching(rumor, [sender], now)
         return [self._fetch(fetching, now)]
 
     def _fetch(self, fetching, now):
@@ -369,7 +339,7 @@
     def _hold(self, rumor, now):
         key = (rumor.kind, rumor.name)
         old = self._held_by_key.get(key)
-        held = _Held(rumor.generation, rumor.digest, rumor.value)
+        held = rumors.Held(rumor.generation, rumor.digest, rumor.value)
         if rumor.life_ms:
             held.expires_at = now + rumor.life_ms / 1000
             held.forget_at = held.expires_at + FORGET_SECONDS
@@ -414,41 +384,17 @@
         value = held.value if len(held.value or b"") <= INLINE_BYTES else None
         return Rumor(*key, held.generation, held.digest, age, life_ms, value)
 
-    # Start while the platform may be down.
-
     def _start(self, now):
-        needed = min(START_PEERS, len(self._peers))
-        answered = [peer for peer in self._answers_by_peer if peer in self._peer_set]
-        alone = not self._peers and now >= self._started_at + START_ALONE_SECONDS
-        if alone or (needed and len(answered) >= needed):
-            return self._finish_start(answered, now)
-        missing = needed - len(answered) - len(self._asked)
-        candidates = [
-            peer
-            for peer in self._peers
-            if peer not in self._answers_by_peer and peer not in self._asked
-        ]
-        chosen = self._rng.sample(candidates, max(0, min(missing, len(candidates))))
-        self._asked.update(chosen)
-        everything = rumors.Want(tuple(range(digests.BUCKETS)))
-        return [rumors.Ask(peer, everything) for peer in chosen]
-
-    def _finish_start(self, answered, now):
+        if not self._first.is_complete(self._peer_set, now):
+            everything = rumors.Want(tuple(range(digests.BUCKETS)))
+            return [
+                rumors.Ask(peer, everything) for peer in self._first.to_ask(self._peers)
+            ]
         self.ready = True
-        offers_by_key = collections.defaultdict(list)
-        for peer in answered:
-            for rumor in self._answers_by_peer[peer]:
-                offers_by_key[rumor.kind, rumor.name].append((rumor, peer))
-        self._answers_by_peer.clear()
         actions = []
-        for offers in offers_by_key.values():
-            offers.sort(key=lambda offer: offer[0].generation, reverse=True)
-            median = offers[len(offers) // 2][0].generation
-            for rumor, peer in offers:
-                if rumor.generation - median > MAX_GENERATION_STEP:
-                    self.refusals_by_reason["generation too high"] += 1
-                else:
-                    actions += self._take(peer, (rumor,), now)
+        for peer, rumor in self._first.offers(self._peer_set, MAX_GENERATION_STEP):
+            actions += self._take(peer, (rumor,), now)
+        self._first = None
         return [*actions, rumors.Ready()]
 
 
--- a/cassiahill/swim.py
+++ b/cassiahill/swim.py
@@ -1,5 +1,6 @@
 """Messages, events, actions and small parts of the membership protocol."""
 
+import ipaddress
 import math
 
 import attrs
@@ -7,7 +8,7 @@
 
 LIVE, SUSPECTED, LEAVING, DEAD = range(4)  # Order of news of the same incarnation.
 RETRANSMISSIONS = 3  # Times log2 of the members.
-NEWS_PER_MESSAGE = 8
+NEWS_PER_MESSAGE = 16
 MAX_NEWS_BYTES = 900  # Leaves room for the envelope in 1,200 bytes.
 HOST_LIST_SHARE = 1 / 3
 HOST_LIST_READINGS = 3
@@ -33,6 +34,22 @@
         return msgspec.structs.replace(self, **changes)
 
 
+def is_well_formed(member, known):
+    """Return whether news may be used; ``known`` is the earlier news or None.
+
+    The address must be an IPv4 number, because a name would be resolved when used.
+    """
+    if not LIVE <= member.state <= DEAD or member.incarnation < 0:
+        return False
+    if known is not None and member.peer_address == known.peer_address:
+        return True
+    try:
+        ipaddress.IPv4Address(member.peer_address[0])
+    except ValueError:
+        return False
+    return 0 < member.peer_address[1] < 65_536
+
+
 class Ping(msgspec.Struct, array_like=True, frozen=True, tag=1):
     """Asks for an ``Ack``."""
 
@@ -120,6 +137,16 @@
     names: frozenset
 
 
+@attrs.define
+class Probe:
+    """The probe that runs now."""
+
+    number: int
+    target: str
+    started_at: float
+    indirect: bool = False
+
+
 class NewsQueue:
     """Names whose news is still to be sent, a bounded number of times each."""
 
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,212 @@
+"""Tests of ``cassiahill.peers``."""
+
+import random
+import socket
+import struct
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cassiahill import clock, envelopes, errors, loop, peers
+from cassiahill.loop import READ
+
+SECRET = b"fleet secret"
+
+
+def answer(_sender, kind, payload):
+    """Echo, refuse, or never answer, by the kind of the request."""
+    if kind == "refuse":
+        raise errors.NotOwner("moved", retry_after=0.25)
+    if kind == "never":
+        return loop.Future()
+    return loop.completed(payload)
+
+
+class PeersTest(unittest.TestCase):
+    def setUp(self):
+        self.loop = loop.EventLoop(clock.SystemClock())
+        self.addCleanup(self.loop.close)
+        self.listener = peers.PeerListener(
+            self.loop, ("127.0.0.1", 0), answer, SECRET, "b"
+        )
+        self.addCleanup(self.listener.close)
+        self.client = self.new_client(SECRET)
+
+    def new_client(self, secret):
+        client = peers.PeerClient(self.loop, self.listener.address, secret, "a")
+        self.addCleanup(client.close)
+        return client
+
+    def run_until(self, *futures):
+        for future in futures:
+            self.loop.when_done(future, lambda _: self.loop.call_soon(lambda: None))
+        while not all(future.done() for future in futures):
+            self.loop._run_once()
+
+    def call(self, kind="echo", payload=b"x", client=None, seconds=5.0):
+        deadline = self.loop.clock.now() + seconds
+        return (client or self.client).call(kind, payload, deadline)
+
+    def closed_raw(self, data):
+        """Send raw bytes to the listener; return a future of the link's end."""
+        sock = socket.create_connection(self.listener.address)
+        self.addCleanup(sock.close)
+        sock.setblocking(False)
+        ended = loop.Future()
+
+        def receive(_events):
+            try:
+                if not sock.recv(65536):
+                    self.loop.unwatch(sock)
+                    ended.set_result(None)
+            except ConnectionResetError:
+                self.loop.unwatch(sock)
+                ended.set_result(None)
+
+        self.loop.watch(sock, READ, receive)
+        sock.send(data)
+        return ended
+
+    def test_answers_reach_their_own_calls(self):
+        """Guards against answers that are given to another call of the link."""
+        calls = [self.call(payload=b"%d" % number) for number in range(100)]
+        large = self.call(payload=b"L" * 300_000)
+        self.run_until(large, *calls)
+        self.assertEqual([c.result() for c in calls], [b"%d" % n for n in range(100)])
+        self.assertEqual(large.result(), b"L" * 300_000)
+
+    def test_handler_errors_keep_their_class(self):
+        """Guards against a refusal that reaches the entry proxy as unknown outcome."""
+        call = self.call("refuse")
+        self.run_until(call)
+        error = call.exception()
+        self.assertIsInstance(error, errors.NotOwner)
+        self.assertEqual(error.retry_after, 0.25)
+
+    def test_lost_link_and_unreachable_proxy_differ(self):
+        """Guards against "not run" for a call that the other proxy received."""
+        pending, first = self.call("never"), self.call()
+        self.run_until(first)
+        self.listener.close()
+        self.run_until(pending)
+        self.assertIsInstance(pending.exception(), errors.ConnectionLost)
+        unsent = self.call()
+        self.run_until(unsent)
+        self.assertIsInstance(unsent.exception(), errors.BackendUnavailable)
+
+    def test_wrong_secret_is_refused(self):
+        """Guards against a process outside the fleet that takes part."""
+        stranger = self.call(client=self.new_client(b"other"))
+        known = self.call()
+        self.run_until(stranger, known)
+        self.assertIsInstance(stranger.exception(), errors.BackendUnavailable)
+        self.assertEqual(known.result(), b"x")
+        self.assertGreaterEqual(self.listener.refusals_by_reason["wrong hash"], 1)
+
+    def test_recorded_link_is_refused(self):
+        """Guards against a replay of a whole recorded link, and of one frame."""
+        call = self.call()
+        link = self.client._link
+        recorded = list(link._out)  # The hello, which waits for the connection.
+        write = link._write
+
+        def record(envelope):
+            recorded.extend((struct.pack(">I", len(envelope)), envelope))
+            write(envelope)
+
+        link._write = record
+        self.run_until(call)
+        self.run_until(self.closed_raw(b"".join(recorded)))
+        self.assertEqual(self.listener.refusals_by_reason["wrong hash"], 1)
+        link.stream.write(b"".join(recorded[-2:]))
+        again = self.call("never")
+        self.run_until(again)
+        self.assertIsInstance(again.exception(), errors.ConnectionLost)
+        self.assertEqual(self.listener.refusals_by_reason["replayed sequence"], 1)
+
+    def test_bad_input_closes_only_its_link(self):
+        """Guards against input that exhausts memory or ends the other links."""
+        oversized = struct.pack(">I", 1 << 30)
+        malformed = struct.pack(">I", 64) + b"\xff" * 64
+        self.run_until(self.closed_raw(oversized), self.closed_raw(malformed))
+        self.assertEqual(self.listener.refusals_by_reason["oversized"], 1)
+        self.assertEqual(self.listener.refusals_by_reason["malformed envelope"], 1)
+        call = self.call()
+        self.run_until(call)
+        self.assertEqual(call.result(), b"x")
+
+    def test_deadline_of_an_answer_that_never_comes(self):
+        """Guards against a call without end, and against its report as not run."""
+        self.run_until(self.call())
+        call = self.call("never", seconds=0.05)
+        self.run_until(call)
+        self.assertIsInstance(call.exception(), errors.OutcomeUnknown)
+        late = self.call(seconds=-1.0)
+        self.assertIsInstance(late.exception(), errors.DeadlinePassed)
+
+
+class EnvelopeTest(unittest.TestCase):
+    KEY = envelopes.fleet_key(SECRET)
+    DATA = envelopes.encode(KEY, "a", 7, 3, "kind", b"payload" * 20)
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(st.binary(max_size=200))
+    def test_random_input_is_refused(self, data):
+        """Guards against other exceptions than ``PeerRejected`` for hostile input."""
+        with self.assertRaises(errors.PeerRejected):
+            envelopes.decode(self.KEY, data)
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(st.integers(0, len(DATA) - 1), st.integers(1, 255))
+    def test_changed_envelope_is_refused(self, index, change):
+        """Guards against a field that the hash leaves out."""
+        data = bytearray(self.DATA)
+        data[index] ^= change
+        try:
+            decoded = envelopes.decode(self.KEY, bytes(data))
+        except errors.PeerRejected:
+            return
+        # Padding and unused pointer bits do not change the message.
+        self.assertEqual(decoded, envelopes.decode(self.KEY, self.DATA))
+
+
+class DatagramTest(unittest.TestCase):
+    def setUp(self):
+        self.received = []
+        self.loop = loop.EventLoop(clock.SystemClock())
+        self.addCleanup(self.loop.close)
+        self.endpoint = peers.DatagramEndpoint(
+            self.loop,
+            ("127.0.0.1", 0),
+            lambda sender, kind, payload, source: self.received.append(payload),
+            SECRET,
+            "b",
+            first_sequence=1,
+        )
+        self.addCleanup(self.endpoint.close)
+
+    def datagram(self, sequence):
+        key = envelopes.fleet_key(SECRET)
+        return envelopes.encode(key, "a", sequence, 0, "k", b"%d" % sequence)
+
+    def test_each_sequence_is_accepted_once_in_any_order(self):
+        """Guards against replays, and against refusing datagrams that overtook."""
+        sequences = [5000 + number for number in range(50)]
+        random.Random(1).shuffle(sequences)
+        for sequence in [*sequences, *sequences, 5000 - 1024]:
+            self.endpoint.receive(self.datagram(sequence), None)
+        self.assertEqual(sorted(self.received), [b"%d" % s for s in sorted(sequences)])
+        self.assertEqual(self.endpoint.refusals_by_reason["replayed sequence"], 51)
+
+    def test_large_datagrams_are_not_sent(self):
+        """Guards against datagrams that the network fragments or drops."""
+        address = self.endpoint.address
+        self.assertFalse(self.endpoint.send(address, "k", b"x" * 1200))
+        self.assertTrue(self.endpoint.send(address, "k", b"x" * 1000))
+        self.loop._run_once()
+        self.assertEqual(self.received, [b"x" * 1000])
+
+
+if __name__ == "__main__":
+    unittest.main()
