--- a/cassiahill/blocking_http.py
+++ b/cassiahill/blocking_http.py
@@ -57,12 +57,12 @@
 
     Raises
     ------
-    errors.PlatformUnavailable
+    errors.ConnectionLost
         With ``may_have_run`` ``no`` when nothing was sent, else ``unknown``.
     """
     timeout = deadline - clock_source.now()
     if timeout <= 0:
-        raise errors.PlatformUnavailable("the deadline passed", may_have_run="no")
+        raise errors.ConnectionLost("the deadline passed", may_have_run="no")
     host, port = address
     if ssl_context is None:
         connection = http.client.HTTPConnection(host, port, timeout)
@@ -76,7 +76,7 @@
         connection.connect()
     except OSError as error:
         detail = f"no connection to {host}:{port}: {error}"
-        raise errors.PlatformUnavailable(detail, may_have_run="no") from error
+        raise errors.ConnectionLost(detail, may_have_run="no") from error
     try:
         connection.request(request.method, target, request.body, headers)
         reader = _DeadlineReader(connection.sock, deadline, clock_source)
@@ -85,7 +85,7 @@
         body = _read_body(response)
     except (OSError, http.client.HTTPException, ValueError) as error:
         detail = f"no answer of {host}:{port}: {type(error).__name__}: {error}"
-        raise errors.PlatformUnavailable(detail) from error
+        raise errors.ConnectionLost(detail) from error
     finally:
         connection.close()
     content_type = response.headers.get("Content-Type", "").encode("latin-1")
--- /dev/null
+++ b/cassiahill/metrics.py
@@ -0,0 +1,160 @@
+"""Metrics of a process in the Prometheus text format.
+
+``docs/operations.md`` lists every name and label; a test compares the list.
+"""
+
+import prometheus_client
+from prometheus_client import Counter, Gauge, Histogram
+
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST.encode()
+LATENCY_BUCKETS = (
+    0.0005,
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+)
+FAILOVER_BUCKETS = (0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 6.0, 10.0, 30.0)
+
+
+class Metrics:
+    """All metrics of one process, in a registry of its own.
+
+    Labels never hold callers, sessions or keys, whose number is not bounded.
+    """
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self.requests = self._new(
+            Counter,
+            "cassiahill_requests_total",
+            "Requests of callers that ended.",
+            "rank kind outcome",
+        )
+        self.request_seconds = self._new(
+            Histogram,
+            "cassiahill_request_seconds",
+            "Time from receipt to answer.",
+            "rank",
+            LATENCY_BUCKETS,
+        )
+        self.refusals = self._new(
+            Counter,
+            "cassiahill_refusals_total",
+            "Requests that were refused without running, by error code.",
+            "rank code",
+        )
+        self.reads = self._new(
+            Counter,
+            "cassiahill_reads_total",
+            "Reads by the role of the server that answered (replica, primary) and by "
+            "whether a replica was allowed to (yes, no).",
+            "role eligible",
+        )
+        self.retries = self._new(
+            Counter, "cassiahill_retries_total", "Repeated requests.", "reason"
+        )
+        self.forwarded = self._new(
+            Counter,
+            "cassiahill_forwarded_total",
+            "Requests that were sent to the owner of a backend server.",
+            "result",
+        )
+        self.failover_seconds = self._new(
+            Histogram,
+            "cassiahill_failover_seconds",
+            "Time from the start of a promotion to its end.",
+            "group",
+            FAILOVER_BUCKETS,
+        )
+        self.promotions = self._new(
+            Counter,
+            "cassiahill_promotions_total",
+            "Promotions that this process started.",
+            "group result",
+        )
+        self.platform_calls = self._new(
+            Counter,
+            "cassiahill_platform_calls_total",
+            "Calls to the platform.",
+            "call result",
+        )
+        self.figure_batches = self._new(
+            Counter,
+            "cassiahill_figure_batches_total",
+            "Batches of report figures (stored, waiting, dropped).",
+            "result",
+        )
+        self.datagrams = self._new(
+            Counter,
+            "cassiahill_datagrams_total",
+            "Datagrams between proxies (sent, received, refused).",
+            "result",
+        )
+        self.connections = self._new(
+            Gauge,
+            "cassiahill_connections",
+            "Open connections by side (caller, peer, backend).",
+            "side",
+        )
+        self.queue_length = self._new(
+            Gauge,
+            "cassiahill_queue_length",
+            "Requests that wait for a slot of an owned backend server.",
+            "server rank",
+        )
+        self.replica_age_seconds = self._new(
+            Gauge,
+            "cassiahill_replica_age_seconds",
+            "Upper bound of the age of a server's data.",
+            "server",
+        )
+        self.term = self._new(
+            Gauge, "cassiahill_term", "Highest known term of a group.", "group"
+        )
+        self.members = self._new(
+            Gauge, "cassiahill_members", "Known proxies by state.", "state"
+        )
+        self.generation = self._new(
+            Gauge,
+            "cassiahill_configuration_generation",
+            "Generation of the configuration in use.",
+        )
+        self.draining = self._new(
+            Gauge, "cassiahill_draining", "1 while the process drains, else 0."
+        )
+
+    def _new(self, kind, name, documentation, labels="", buckets=None):
+        options = {} if buckets is None else {"buckets": buckets}
+        return kind(
+            name, documentation, labels.split(), registry=self.registry, **options
+        )
+
+    def exposition(self):
+        """Return all metrics as bytes of the content type ``CONTENT_TYPE``."""
+        return prometheus_client.generate_latest(self.registry)
+
+
+def reference():
+    """Return the table of names and labels for ``docs/operations.md``."""
+    lines = ["| metric | type | labels | meaning |", "| --- | --- | --- | --- |"]
+    for metric in vars(Metrics()).values():
+        if isinstance(metric, Counter | Gauge | Histogram):
+            (family,) = metric.describe()
+            suffix = "_total" if family.type == "counter" else ""
+            labels = ", ".join(f"`{label}`" for label in metric._labelnames)
+            lines.append(
+                f"| `{family.name}{suffix}` | {family.type} | {labels} "
+                f"| {family.documentation} |"
+            )
+    return "\n".join(lines) + "\n"
--- a/cassiahill/objects.py
+++ b/cassiahill/objects.py
@@ -195,13 +195,15 @@
     def _call(self, method, path, deadline, body=b"", headers=None, query=""):
         headers = {**(headers or {}), "Domain": self._domain}
         request = http1.Request(method, path, query, headers, body)
-        response = blocking_http.exchange(
-            self._address, request, deadline, self._clock, self._ssl_context
-        )
         try:
+            response = blocking_http.exchange(
+                self._address, request, deadline, self._clock, self._ssl_context
+            )
             return http1.decode_response(response)
         except errors.ConnectionLost as error:
-            raise errors.PlatformUnavailable(error.detail) from error
+            raise errors.PlatformUnavailable(
+                error.detail, may_have_run=error.may_have_run
+            ) from error
 
 
 def _path(*parts):
--- a/cassiahill/report.py
+++ b/cassiahill/report.py
@@ -106,14 +106,14 @@
         partial_hours |= lost
         known_hours |= _covered_hours(proxy_day)
         if lost:
-            listed = " ".join(f"{hour:02d}" for hour in sorted(lost))
-            notes.append(f"{proxy_day.proxy}: figures are missing in hours {listed}")
+            notes.append(f"{proxy_day.proxy}: figures are missing in {_ranges(lost)}")
         for figure in proxy_day.figures:
             key = (figure.hour, figure.group, figure.rank)
             tallies_by_key.setdefault(key, figures.Tally()).add(figure.tally)
     if not known_hours.issuperset(hours):
-        listed = " ".join(f"{hour:02d}" for hour in hours if hour not in known_hours)
-        notes.append(f"no process stored figures in hours {listed}")
+        notes.append(
+            f"no process stored figures in {_ranges(set(hours) - known_hours)}"
+        )
     rows = []
     for group, rank in sorted({key[1:] for key in tallies_by_key}):
         for hour in hours:
@@ -125,6 +125,13 @@
     return Report(day, rows, notes)
 
 
+def _ranges(hours):
+    starts = [hour for hour in sorted(hours) if hour - 1 not in hours]
+    ends = [hour + 1 for hour in sorted(hours) if hour + 1 not in hours]
+    pairs = zip(starts, ends, strict=True)
+    return ", ".join(f"{start:02d}:00-{end:02d}:00" for start, end in pairs)
+
+
 def _covered_hours(proxy_day):
     return {
         hour
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -57,13 +57,13 @@
         self.assertEqual(line_with(text, "01", "urgent")[3], "10*")
         self.assertEqual(line_with(text, "05", "urgent")[3], "7")
         self.assertEqual(line_with(text, "TOTAL", "fees")[2], "17*")
-        self.assertIn("p2: figures are missing in hours 01", text)
+        self.assertIn("p2: figures are missing in 01:00-02:00", text)
 
     def test_gap_is_never_zero(self):
         """Guards against an hour without figures that reads as an idle hour."""
         text = paged(proxy_day("p1", figure(1, 10), covered=((0, 5 * HOUR),)))
         self.assertEqual(line_with(text, "06", "urgent")[3:], ["-"] * 6)
-        self.assertIn("no process stored figures in hours 05 06", text)
+        self.assertIn("no process stored figures in 05:00-24:00", text)
 
     def test_damaged_object_marks_all_hours(self):
         """Guards against leaving out the figures of a process unseen."""
