--- /dev/null
+++ b/tests/test_errors.py
@@ -0,0 +1,27 @@
+"""Tests of ``cassiahill.errors`` and its reference page."""
+
+import pathlib
+import re
+import unittest
+
+from cassiahill import errors
+
+
+class ReferenceTest(unittest.TestCase):
+    def test_page_lists_every_code(self):
+        """Guards against callers that do not know whether their statement ran."""
+        page = pathlib.Path("docs/errors.md").read_text()
+        rows = re.findall(r"^\| `(\w+)` \| (\d+) \| (\w+) \| (.+) \|$", page, re.M)
+        expected = [
+            (code, str(cls.http_status), cls.may_have_run.value)
+            for code, cls in errors.by_code().items()
+        ]
+        self.assertEqual(sorted(row[:3] for row in rows), sorted(expected))
+
+    def test_problem_round_trip(self):
+        """Guards against a code or outcome that changes on the way to the caller."""
+        for code, cls in errors.by_code().items():
+            problem = cls("detail", may_have_run="unknown").to_problem()
+            restored = errors.from_problem(problem)
+            self.assertIs(type(restored), cls, code)
+            self.assertEqual(restored.to_problem(), problem)
