--- a/cassiahill/findings.py
+++ b/cassiahill/findings.py
@@ -11,6 +11,7 @@
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 _SHOWN_CHARACTERS = 60
+_INVALID = object()
 
 
 @attrs.frozen
@@ -135,7 +136,7 @@
         ipaddress.ip_address(host.strip("[]"))
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and int(port) <= 65_535
+    return re.fullmatch(r"[0-9]{1,5}", port) is not None and int(port) <= 65_535
 
 
 def is_name(value):
@@ -193,40 +194,42 @@
 
     def add(self, path, problem, allowed=""):
         """Record a finding on the key at ``path``, a tuple of str."""
-        dotted = ".".join(map(str, path))
+        # Names come from files, so that control characters must not reach a terminal.
+        dotted = ".".join(ascii(name)[1:-1] for name in path)
         self.findings.append(Finding(self._place_of(path), dotted, problem, allowed))
 
     def check(self, document):
-        """Check a document against the table of keys."""
-        self._check_table((), document, self._tree)
+        """Check a document; return a copy without the values that have findings."""
+        return self._check_table((), document, self._tree)
 
     def _check_table(self, path, table, node):
+        valid = {}
         for name, value in table.items():
-            self._check_entry((*path, name), value, node)
+            checked = self._check_entry((*path, name), value, node)
+            if checked is not _INVALID:
+                valid[name] = checked
         for name, key in node.items():
             if isinstance(key, Key) and key.required and name not in table:
                 self.add((*path, name), "is missing", key.kind.allowed)
+        return valid
 
     def _check_entry(self, path, value, node):
         name = path[-1]
-        rule = node.get(name, node.get("*"))
-        if name == "*":
-            rule = None
+        rule = None if name == "*" else node.get(name, node.get("*"))
         if rule is None:
             self._add_unknown(path, node)
-            return
-        if name not in node and not is_name(name):
+        elif name not in node and not is_name(name):
             self.add(path, "is not a valid name", NAME.allowed)
-            return
-        if isinstance(rule, Key):
-            if not rule.kind.accepts(value):
-                self.add(
-                    path, f"{show(value, rule.kind)} is not allowed", rule.kind.allowed
-                )
+        elif isinstance(rule, Key):
+            if rule.kind.accepts(value):
+                return value
+            problem = f"{show(value, rule.kind)} is not allowed"
+            self.add(path, problem, rule.kind.allowed)
         elif isinstance(value, dict):
-            self._check_table(path, value, rule)
+            return self._check_table(path, value, rule)
         else:
             self.add(path, f"{show(value)} is not allowed", "a table")
+        return _INVALID
 
     def _add_unknown(self, path, node):
         known = sorted(node)
--- a/cassiahill/settings.py
+++ b/cassiahill/settings.py
@@ -151,7 +151,7 @@
             text = path.read_text(encoding="utf-8")
             documents.append(tomllib.loads(text))
             texts[path.name] = text.replace("\r\n", "\n")
-        except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        except (OSError, ValueError, RecursionError) as error:
             line = re.search(r"at line (\d+)", str(error))
             place = Place(path.name, int(line.group(1)) if line else 0)
             found.append(Finding(place, "", f"cannot be read: {error}"))
--- a/cassiahill/settings_keys.py
+++ b/cassiahill/settings_keys.py
@@ -138,24 +138,28 @@
     -------
     list of Finding
     """
-    size = len(msgspec.json.encode(shared_document(document)))
+    size = _size_of(shared_document(document))
     if size > MAX_DOCUMENT_BYTES:
         problem = f"the merged configuration has {size} bytes"
         return [Finding(Place(), "", problem, f"at most {MAX_DOCUMENT_BYTES} bytes")]
     if process:
         document = {"proxy": {}, "session": {"secrets": {}}, **document}
     checker = findings.Checker(KEYS, place_of)
-    checker.check(document)
-    # The checks between keys rely on the types that the first pass established.
-    broken = {finding.key.partition(".")[0] for finding in checker.findings}
+    valid = checker.check(document)
     for table, check_table in _TABLE_CHECKS.items():
-        if table in document and table not in broken:
-            check_table(checker, document[table])
-    if not broken & {"tls", "proxy", "platform", "groups"}:
-        _check_plain(checker, document)
+        if table in valid:
+            check_table(checker, valid[table])
+    _check_plain(checker, valid)
     return checker.findings
 
 
+def _size_of(document):
+    try:
+        return len(msgspec.json.encode(document))
+    except (OverflowError, RecursionError):
+        return 0  # No key allows such a value, so there is a finding on it.
+
+
 def reference():
     """Return the table of all keys for ``docs/configuration.md``."""
     lines = ["| key | allowed | default | meaning |", "| --- | --- | --- | --- |"]
@@ -178,14 +182,14 @@
     names = ("caller_address", "peer_address", "operator_address")
     taken = {}
     for name in names:
-        address = proxy[name]
+        address = proxy.get(name, ":0")
         if not address.endswith(":0") and taken.setdefault(address, name) != name:
             checker.add(("proxy", name), f"is the same as {taken[address]}")
 
 
 def _check_session(checker, session):
     known = session.get("secrets", {})
-    if session["current"] not in known:
+    if "current" in session and session["current"] not in known:
         allowed = ", ".join(known) or "a name in session.secrets"
         checker.add(("session", "current"), "names no secret", allowed)
 
@@ -215,7 +219,7 @@
             path = ("groups", group, "servers", server)
             if groups_by_server.setdefault(server, group) != group:
                 checker.add(path, f"is also a server of {groups_by_server[server]}")
-            address = values["address"]
+            address = values.get("address", path)
             if servers_by_address.setdefault(address, server) != server:
                 problem = f"is also the address of {servers_by_address[address]}"
                 checker.add((*path, "address"), problem)
@@ -261,7 +265,8 @@
     for group, table in document.get("groups", {}).items():
         for server, values in table.get("servers", {}).items():
             path = ("groups", group, "servers", server, "address")
-            yield "backends", path, values["address"]
+            if "address" in values:
+                yield "backends", path, values["address"]
 
 
 def _check_plain(checker, document):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -23,6 +23,16 @@
 )
 
 
+VALUES = strategies.one_of(
+    strategies.integers(),
+    strategies.floats(),
+    strategies.text(max_size=5),
+    strategies.booleans(),
+    strategies.sampled_from(["127.0.0.1:1", "[::1]:2", "10.0.0.1:3", "log", "ab" * 16]),
+    strategies.sampled_from([[], [1], ["127.0.0.1:1"], {}, {"a": {}}, 2**70]),
+)
+
+
 def naive_merge(documents):
     """Merge by listing every setting of a leaf in order and replaying the list."""
     merged = {}
@@ -124,6 +134,44 @@
         )
         self.assertIn("did you mean failure_domain?", problems["proxy.failuredomain"])
 
+    def test_checks_between_keys_run_beside_other_findings(self):
+        """Guards against duplicates that show only after other corrections."""
+        problems = self.problems(
+            "[proxy]\ncaller_address = '127.0.0.1:1'\npeer_address = '127.0.0.1:1'\n"
+            "name = 1\n[groups.g]\nx = 1\n[groups.g.servers.fees-1]\naddress = ''\n"
+        )
+        self.assertEqual(
+            sorted(problems),
+            [
+                "groups.g.servers.fees-1",
+                "groups.g.servers.fees-1.address",
+                "groups.g.servers.fees-1.failure_domain",
+                "groups.g.x",
+                "proxy.name",
+                "proxy.peer_address",
+            ],
+        )
+
+    @hypothesis_settings(derandomize=True, deadline=None)
+    @given(strategies.data())
+    def test_check_never_fails(self, data):
+        """Guards against a check that ends in a traceback on a hostile document."""
+        document = {}
+        names = strategies.sampled_from(["*", "a", "urgent", "\x1b", "x" * 99, ""])
+        for path in data.draw(
+            strategies.lists(
+                strategies.sampled_from([k.path for k in settings_keys.KEYS])
+            )
+        ):
+            parts = [data.draw(names) if p == "*" else p for p in path.split(".")]
+            parts = parts[: data.draw(strategies.integers(1, len(parts)))]
+            value = data.draw(VALUES)
+            for part in reversed(parts):
+                value = {part: value}
+            document = settings.merge([document, value])
+        for finding in settings.check(document, process=True):
+            self.assertTrue(str(finding).isprintable())
+
     def test_secret_is_not_shown(self):
         """Guards against secrets in terminals and logs."""
         problems = self.problems("[session.secrets]\nk1 = 'abcdefg-private'\n")
