--- a/standins/database.py
+++ b/standins/database.py
@@ -375,6 +375,7 @@
         if term > self.term:
             self.term = term
             self.raised_by = raised_by
+            self.primary = ""  # The term has no primary before /promote or /follow.
             self._step_down()
             self._pull_generation += 1
             self._log_changed()
@@ -402,6 +403,8 @@
             self.term = body["term"]
             self._step_down()
             self.primary = body["primary"]
+            # A former primary has never heard from another one; it is not silent yet.
+            self.primary_heard_at = self.clock.now()
             self._start_following(body["address"])
             self._notify(self._status_waiters)
         return {"term": self.term}
@@ -506,9 +509,11 @@
             ends_by_term[term] = next_start - 1
         own_term = self.log.last_term
         end = ends_by_term.get(own_term)
-        if end is None:
-            later = [start for term, start in starts if term > own_term]
-            end = later[0] - 1 if later else self.log.position - 1
+        if own_term not in dict(starts):
+            # No entry of that term is in the primary's history.
+            end = dict(self.log.term_starts()).get(own_term, 1) - 1
+        elif end is None:
+            end = self.log.position - 1
         keep = min(end, self.log.position - 1)
         self.counts["entries_dropped"] += self.log.position - keep
         self.log.truncate(max(0, keep))
--- /dev/null
+++ b/tests/test_backend_contract.py
@@ -0,0 +1,149 @@
+"""Contract of ``cassiahill.backend``, run on the adapter in memory and on HTTP."""
+
+import subprocess
+import sys
+import unittest
+
+from cassiahill import backend, backend_http, backend_memory, clock, errors, loop
+
+
+class Contract:
+    """Tests of both adapters; ``self.backend`` is the primary of a group of one."""
+
+    def result(self, future):
+        raise NotImplementedError
+
+    def deadline(self):
+        return 1e12
+
+    def connect(self, epoch=1):
+        return self.result(self.backend.connect(epoch, "p", self.deadline()))
+
+    def status(self):
+        return self.result(self.backend.status(None, 0.0, self.deadline()))
+
+    def execute(self, connection, term, read_only=False):
+        statements = ({"sql": "CREATE TABLE IF NOT EXISTS t (x)", "params": []},)
+        if read_only:
+            statements = ({"sql": "SELECT 1", "params": []},)
+        batch = backend.Batch(statements, term, read_only, 1.0)
+        return self.result(connection.execute(batch, self.deadline()))
+
+    def raise_term(self, term, by):
+        return self.result(self.backend.raise_term(term, by, self.deadline()))
+
+    def test_writes_and_commits_extend_the_log(self):
+        """Guards against a position that does not cover the write it answers."""
+        connection = self.connect()
+        before = self.status()
+        self.assertEqual(before.role, "primary")
+        result = self.execute(connection, before.term)
+        self.assertEqual(result.position, before.position + 1)
+        self.result(connection.begin(before.term, self.deadline()))
+        inside = self.execute(connection, before.term)
+        self.assertEqual(inside.position, before.position + 1)
+        result = self.result(connection.commit(before.term, self.deadline()))
+        self.assertEqual(result.position, before.position + 2)
+        self.execute(connection, before.term, read_only=True)
+        self.assertEqual(self.status().position, before.position + 2)
+
+    def test_rollback_leaves_no_entry(self):
+        """Guards against a reset that commits what another caller left open."""
+        connection = self.connect()
+        before = self.status()
+        self.result(connection.begin(before.term, self.deadline()))
+        self.execute(connection, before.term)
+        self.result(connection.reset(self.deadline()))
+        self.assertEqual(self.status().position, before.position)
+        with self.assertRaises(errors.NoTransaction):
+            self.result(connection.commit(before.term, self.deadline()))
+
+    def test_raised_term_fences_and_needs_its_name_to_promote(self):
+        """Guards against two promotions that share a term."""
+        connection = self.connect()
+        old = self.status()
+        end = self.raise_term(old.term + 1, "a")
+        self.assertEqual(end, self.raise_term(old.term + 1, "a"))
+        self.assertEqual(end.position, old.position)
+        self.assertEqual(self.status().primary, "")
+        with self.assertRaises(errors.StaleTerm):
+            self.execute(connection, old.term)
+        with self.assertRaises(errors.StaleTerm):
+            self.raise_term(old.term + 1, "b")
+        with self.assertRaises(errors.StaleTerm):
+            self.result(self.backend.promote(old.term + 1, "b", self.deadline()))
+        for _ in range(2):
+            self.result(self.backend.promote(old.term + 1, "a", self.deadline()))
+        new = self.status()
+        self.assertEqual((new.role, new.last_term), ("primary", old.term + 1))
+        self.assertEqual(new.position, old.position + 1)
+
+    def test_follow_demotes_only_with_a_later_term(self):
+        """Guards against a late command that demotes the current primary."""
+        old = self.status()
+        address = ("127.0.0.1", 9)
+        self.result(self.backend.follow(old.term, "s2", address, self.deadline()))
+        self.assertEqual(self.status().role, "primary")
+        self.result(self.backend.follow(old.term + 1, "s2", address, self.deadline()))
+        new = self.status()
+        self.assertEqual((new.role, new.primary), ("replica", "s2"))
+        with self.assertRaises(errors.StaleTerm):
+            self.result(self.backend.follow(old.term, "s3", address, self.deadline()))
+
+    def test_claim_closes_connections_of_lower_epochs(self):
+        """Guards against a paused owner that keeps its connections."""
+        connection = self.connect()
+        self.result(self.backend.claim(2, "q", self.deadline()))
+        with self.assertRaises(errors.CassiahillError):
+            self.execute(connection, self.status().term)
+        with self.assertRaises(errors.NotRunError):
+            self.connect(epoch=1)
+        self.connect(epoch=2)
+        with self.assertRaises(errors.StaleEpoch):
+            self.result(self.backend.claim(2, "r", self.deadline()))
+
+
+class MemoryContractTest(Contract, unittest.TestCase):
+    def setUp(self):
+        group = backend_memory.MemoryGroup("g", ["s1"], clock.ManualClock())
+        self.backend = backend_memory.MemoryBackend(group, "s1")
+
+    def result(self, future):
+        return future.result(timeout=0)
+
+
+class HttpContractTest(Contract, unittest.TestCase):
+    def setUp(self):
+        command = [sys.executable, "-m", "standins.database", "--bootstrap"]
+        command += [
+            "--name",
+            "s1",
+            "--group",
+            "g",
+            "--port",
+            "0",
+            "--role",
+            "primary",
+            "--open-ms",
+            "0",
+        ]
+        self.process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+        self.addCleanup(self.process.stdout.close)
+        self.addCleanup(self.process.wait)
+        self.addCleanup(self.process.kill)
+        port = int(self.process.stdout.readline().split()[1])
+        self.loop = loop.EventLoop(clock.SystemClock())
+        self.addCleanup(self.loop.close)
+        self.backend = backend_http.HttpBackend(
+            self.loop, "s1", "g", ("127.0.0.1", port), "d1"
+        )
+
+    def deadline(self):
+        return self.loop.clock.now() + 30.0
+
+    def result(self, future):
+        future.add_done_callback(lambda _: self.loop.stop())
+        self.loop._stopping = False
+        if not future.done():
+            self.loop.run()
+        return future.result(timeout=0)
