--- a/tests/broken_failover.py
+++ b/tests/broken_failover.py
@@ -5,7 +5,7 @@
 
 import sys
 
-from hypothesis import settings
+from hypothesis import Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
 from cassiahill import acknowledgement, promotion
@@ -82,6 +82,7 @@
             derandomize=True,
             deadline=None,
             database=None,
+            phases=(Phase.generate,),
             report_multiple_bugs=False,
         ),
     )
