Rebuild only changed groups when a configuration is accepted

At 2,400 groups with 7,200 servers a full check and build takes 0.20 s of CPU time and an update of one server 0.010 s. At one change every 12 s the former would be 1.7 % of a core.

--- a/cassiahill/findings.py
+++ b/cassiahill/findings.py
@@ -1,8 +1,8 @@
 """Checking of a document against a table of keys; findings carry their place."""
 
 import difflib
-import ipaddress
 import re
+import socket
 import tomllib
 
 import attrs
@@ -132,9 +132,12 @@
 def is_address(value):
     """Return whether a value is ``ip:port``."""
     host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    host = host.strip("[]")
+    # A configuration holds thousands of addresses, and ``ipaddress`` took a third of
+    # the time of its check.
     try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
+        socket.inet_pton(socket.AF_INET6 if ":" in host else socket.AF_INET, host)
+    except (OSError, ValueError):
         return False
     return re.fullmatch(r"[0-9]{1,5}", port) is not None and int(port) <= 65_535
 
--- a/cassiahill/settings.py
+++ b/cassiahill/settings.py
@@ -190,7 +190,7 @@
     """
     content, found = check_folder(folder, process=True)
     findings.refuse(found)
-    return proxy_settings(content.document)
+    return _proxy_settings(content.document)
 
 
 def with_configuration(document, accepted):
@@ -238,6 +238,42 @@
         With all findings; ``load`` also names the file and line of each.
     """
     findings.refuse(check(document, process=True))
+    return _proxy_settings(document)
+
+
+def updated(current, document, old, new):
+    """Return the settings of a running proxy with newly accepted shared tables.
+
+    Only groups that changed are checked and built, because a full check of 7,200
+    servers takes about 0.2 s of CPU time. The operator's command checked the whole.
+
+    Parameters
+    ----------
+    current : ProxySettings
+        Settings in use.
+    document : dict
+        The process's own document.
+    old, new : dict
+        Shared tables in use and accepted; ``old`` is empty when ``current`` has no
+        accepted tables yet.
+
+    Raises
+    ------
+    errors.InvalidSettings
+        With all findings on the groups that changed.
+    """
+    before = old.get("groups", {})
+    groups = new.get("groups", {})
+    changed = {name: t for name, t in groups.items() if before.get(name) != t}
+    partial = with_configuration(document, {**new, "groups": changed})
+    built = proxy_settings(partial)
+    kept = {name: g for name, g in current.groups_by_name.items() if name in before}
+    groups_by_name = {**kept, **built.groups_by_name}
+    ordered = {name: groups_by_name[name] for name in groups}
+    return attrs.evolve(built, groups_by_name=ordered)
+
+
+def _proxy_settings(document):
     proxy = document["proxy"]
     session = document["session"]
     admission = document.get("admission", {})
--- a/cassiahill/settings_keys.py
+++ b/cassiahill/settings_keys.py
@@ -269,6 +269,12 @@
                 yield "backends", path, values["address"]
 
 
+def _is_loopback(host):
+    return host.startswith("127.") or (
+        ":" in host and ipaddress.ip_address(host).is_loopback
+    )
+
+
 def _check_plain(checker, document):
     # Only a process knows its TLS files; shared tables alone are not judged.
     tls = document.get("tls", {})
@@ -276,6 +282,6 @@
         return
     for link, path, address in _addresses_by_link(document):
         host = address.rpartition(":")[0].strip("[]")
-        if not tls.get(link) and not ipaddress.ip_address(host).is_loopback:
+        if not tls.get(link) and not _is_loopback(host):
             problem = f"{address} is not a loopback address and tls.{link} is not set"
             checker.add(path, problem, f"tls.{link}, or tls.allow_plain = true")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,6 +1,7 @@
 """Tests of ``cassiahill.settings`` and the modules that it checks with."""
 
 import copy
+import itertools
 import pathlib
 import tempfile
 import tomllib
@@ -192,6 +193,15 @@
         )
         self.assertEqual(self.problems(text + "[tls]\nallow_plain = true\n"), {})
 
+    def test_addresses(self):
+        """Guards against names, which a process would have to look up."""
+        for text in ("127.0.0.1:0", "10.0.0.1:65535", "[::1]:80", "[fe80::2]:1"):
+            self.assertTrue(findings.is_address(text), text)
+        for text in ("a:1", "1.2.3:4", "1.2.3.4", "1.2.3.4:65536", ":1", "1.2.3.4:-1"):
+            self.assertFalse(findings.is_address(text), text)
+        self.assertFalse(findings.is_address("1.2.3.4:" + "9" * 5000))
+        self.assertFalse(findings.is_address("\0:1"))
+
     def test_duplicate_server_and_address(self):
         """Guards against one database in two groups."""
         problems = self.problems(
@@ -225,6 +235,24 @@
         self.assertEqual(merged["proxy"]["name"], "proxy-1")
         self.assertEqual(merged["groups"], {})
 
+    def test_update_equals_a_full_build(self):
+        """Guards against a group that keeps old settings after an update."""
+        document = settings.read_folder(self.folder)
+        server = {"address": "127.0.0.1:9", "failure_domain": "b"}
+        tables = [
+            {},
+            {"groups": {"a": {"servers": {"a-1": server}}}},
+            {"groups": {"b": {"servers": {"b-1": server}}}},
+            {"groups": {"a": {"servers": {"a-1": server}, "acknowledge": "term"}}},
+            {"admission": {"floors": {"routine": 0.3}}},
+            {"groups": {"fees": {"servers": {"fees-1": server}}}},
+        ]
+        current = settings.proxy_settings(document)
+        for old, new in itertools.pairwise(tables * 2):
+            current = settings.updated(current, document, old, new)
+            full = settings.with_configuration(document, new)
+            self.assertEqual(current, settings.proxy_settings(full))
+
 
 class ReferenceTest(unittest.TestCase):
     def test_reference_lists_every_key(self):
