--- a/cassiahill/calls.py
+++ b/cassiahill/calls.py
@@ -8,6 +8,7 @@
 from cassiahill.loop import failed
 
 MAX_ATTEMPTS = 2
+TIMEOUT_TOLERANCE = 0.01  # seconds; saves a copy of most batches
 
 
 @attrs.define(eq=False)
@@ -106,7 +107,7 @@
 
     def run(call, connection):
         remaining = call.bound - call.sent_at
-        if batch.timeout <= remaining:
+        if batch.timeout <= remaining + TIMEOUT_TOLERANCE:
             return connection.execute(batch, call.bound)
         return connection.execute(attrs.evolve(batch, timeout=remaining), call.bound)
 
--- a/cassiahill/runner.py
+++ b/cassiahill/runner.py
@@ -6,9 +6,11 @@
 
 from cassiahill import admission, calls, connections, errors, pool
 from cassiahill.loop import failed
+from cassiahill.messages import Rank
 
 ANSWER_GRACE = 0.1  # seconds for the way back after the database's own timeout
 SILENT_AFTER = 0.25  # a shorter wait for an answer says nothing about the connection
+COUNT_NAMES = {rank: "handed_over_" + rank.name.lower() for rank in Rank}
 MAX_PARKED = 256  # writes that wait while an open transaction holds locks
 
 
@@ -384,7 +386,7 @@
         self._parked.pop(call.work_id, None)
         now = self._loop.clock.now()
         if call.sent_at is not None:
-            self.counts["handed_over_" + call.rank.name.lower()] += 1
+            self.counts[COUNT_NAMES[call.rank]] += 1
             self._decide(self._policy.finish(call.work_id, now))
         elif admitted:
             self._decide(self._policy.withdraw(call.work_id, now))
