--- a/cassiahill/calls.py
+++ b/cassiahill/calls.py
@@ -6,6 +6,7 @@
 from cassiahill.loop import LoopFuture, failed
 
 MAX_ATTEMPTS = 2
+TIMEOUT_TOLERANCE = 0.01  # seconds; saves a copy of most batches
 
 
 @attrs.define(eq=False)
@@ -104,7 +105,7 @@
 
     def run(call, connection):
         remaining = call.bound - call.sent_at
-        if batch.timeout <= remaining:
+        if batch.timeout <= remaining + TIMEOUT_TOLERANCE:
             return connection.execute(batch, call.bound)
         bounded = backend.Batch(
             batch.statements, batch.term, batch.read_only, remaining
