--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -216,14 +216,19 @@
 
 
 def _stop_all(deployment):
-    for process in deployment.processes_by_name.values():
-        with contextlib.suppress(ProcessLookupError):
-            process.send_signal(signal.SIGCONT)
-            process.terminate()
-    for process in deployment.processes_by_name.values():
-        try:
-            process.wait(STOP_SECONDS)
-        except subprocess.TimeoutExpired:
-            process.kill()
-            process.wait()
-        process.stdout.close()
+    # Proxies go first, because a drain still writes to the platform.
+    proxies = [n for n in deployment.processes_by_name if n.startswith("proxy-")]
+    others = [n for n in deployment.processes_by_name if n not in proxies]
+    for names in (proxies, others):
+        processes = [deployment.processes_by_name[name] for name in names]
+        for process in processes:
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        for process in processes:
+            try:
+                process.wait(STOP_SECONDS)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+            process.stdout.close()
--- a/bench/load.py
+++ b/bench/load.py
@@ -1,7 +1,13 @@
-"""Load generator: callers with one connection each, in one event loop."""
+"""Load generator: callers with one connection each, in one event loop.
 
+``python -m bench.load`` runs it in a process of its own and prints its tally as JSON.
+"""
+
+import argparse
+import json
 import os
 import pathlib
+import sys
 
 import attrs
 import msgspec
@@ -84,6 +90,32 @@
                 tally.record(self.loop.clock.now() - started)
             except errors.CassiahillError as error:
                 tally.record(0, error.code)
+                if error.retry_after:
+                    yield self.loop.sleep_until(started + error.retry_after)
                 if client.closed:
                     client = http1.ClientConnection(self.loop, address)
         client.close()
+
+
+def main(argv=None):
+    """Send one statement over and over and print the tally as JSON."""
+    parser = argparse.ArgumentParser(prog="bench.load", description=__doc__)
+    parser.add_argument("--address", action="append", required=True)
+    parser.add_argument("--callers", type=int, default=100)
+    parser.add_argument("--seconds", type=float, default=5.0)
+    parser.add_argument("--body", required=True, help="JSON body of the statement")
+    options = parser.parse_args(argv)
+    runner = LoadLoop()
+    tally = Tally()
+    body = json.loads(options.body)
+    until = runner.loop.clock.now() + options.seconds
+    for number in range(options.callers):
+        host, port = options.address[number % len(options.address)].split(":")
+        runner.closed_loop((host, int(port)), lambda _: body, tally, until)
+    runner.run_for(options.seconds + 1.0)
+    print(json.dumps({"done": tally.done, "errors_by_code": tally.errors_by_code}))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/cassiahill/cli.py
+++ b/cassiahill/cli.py
@@ -7,7 +7,7 @@
 import sys
 
 import msgspec
-from absl import logging
+from absl import flags, logging
 
 from cassiahill import __version__, errors, kernel
 
@@ -76,6 +76,7 @@
     """Run one command and return its exit code."""
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
+    flags.FLAGS.mark_as_parsed()  # Otherwise absl warns, although no flags are used.
     kernel.load_all()
     options = build_parser(kernel.plugins("command")).parse_args(argv)
     try:
--- a/cassiahill/frontend.py
+++ b/cassiahill/frontend.py
@@ -98,9 +98,12 @@
                 return http1.json_response(
                     {
                         "outcome": "done",
-                        "row_count": outcome.result.row_count,
-                        "term": outcome.term,
-                        "position": outcome.position,
+                        "answer": {
+                            "row_count": outcome.result.row_count,
+                            "server": outcome.server,
+                            "term": outcome.term,
+                            "position": outcome.position,
+                        },
                         "session": session,
                     }
                 )
--- a/cassiahill/peers.py
+++ b/cassiahill/peers.py
@@ -309,8 +309,8 @@
         """Complete the call that a message answers."""
         self._received_at = self._loop.clock.now()
         call = self._calls_by_sequence.pop(message.call, None)
-        if call is None:
-            return
+        if call is None or call.future.done():
+            return  # The answer comes after the call's deadline.
         call.timer.cancel()
         if message.kind == OK:
             call.future.set_result(message.payload)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,6 +12,7 @@
 from cassiahill.loop import READ
 
 SECRET = b"fleet secret"
+LATE = []
 
 
 def answer(_sender, kind, payload):
@@ -20,6 +21,9 @@
         raise errors.NotOwner("moved", retry_after=0.25)
     if kind == "never":
         return loop.Future()
+    if kind == "late":
+        LATE.append(loop.Future())
+        return LATE[-1]
     return loop.completed(payload)
 
 
@@ -145,6 +149,17 @@
         late = self.call(seconds=-1.0)
         self.assertIsInstance(late.exception(), errors.DeadlinePassed)
 
+    def test_late_answer_does_not_break_the_link(self):
+        """Guards against a link that fails when an answer misses its deadline."""
+        late = self.call("late", seconds=0.05)
+        self.run_until(late)
+        self.assertIsInstance(late.exception(), errors.OutcomeUnknown)
+        LATE.pop().set_result(b"late")
+        following = self.call(payload=b"next")
+        self.run_until(following)
+        self.assertEqual(following.result(), b"next")
+        self.assertFalse(self.client.refusals_by_reason)
+
 
 class EnvelopeTest(unittest.TestCase):
     KEY = envelopes.fleet_key(SECRET)
