--- a/tests/test_session_consistency.py
+++ b/tests/test_session_consistency.py
@@ -89,22 +89,35 @@
         if self.model.read(session, proxy, item, wanted):
             self.model.arrive(-1)
 
-    @rule(session=TWO, proxy=TWO, item=ITEM, key=st.sampled_from([None, "k"]))
-    def write_at_once(self, session, proxy, item, key):
+    @rule(
+        session=TWO,
+        proxy=TWO,
+        item=ITEM,
+        key=st.sampled_from([None, "k"]),
+        by=st.sampled_from([None, "s1", "s2", "s3"]),
+    )
+    def write_at_once(self, session, proxy, item, key, by):
+        """Write; one more database than the primary may confirm it."""
         if self.model.write(session, proxy, item, key):
-            while self.model.sessions[session].busy and self.model.calls:
+            count = len(self.model.calls)
+            while len(self.model.calls) == count:
                 self.model.arrive(-1)
+            if by is not None:
+                self.model.pull(by, 100)
+                self.model.poll(by, proxy)
+                self.model.deliver(-1)
 
     @rule(session=TWO, proxy=TWO, item=ITEM)
     def lose_answer_of_write(self, session, proxy, item):
         if self.model.write(session, proxy, item, "k"):
             self.model.arrive(-1, answered=False)
 
-    @rule()
-    def fail_over(self):
-        self.model.promote(absent=self.model.primary.name)
-        for proxy in range(2):
-            self.model.confirm(proxy)
+    @rule(chance=st.integers(0, 3))
+    def fail_over(self, chance):
+        if chance == 3:
+            self.model.promote(absent=self.model.primary.name)
+            for proxy in range(2):
+                self.model.confirm(proxy)
 
     @rule(proxy=TWO)
     def confirm(self, proxy):
