State ages by the answer's own position and check answers against the mark

A status that arrives between a read and its answer described later data, and a replica that restarted without its data still passed by its last status.

--- a/cassiahill/client.py
+++ b/cassiahill/client.py
@@ -49,6 +49,8 @@
         Monotonic time in seconds, and random numbers in [0, 1).
     pause : callable
         Waits for a number of seconds.
+    first : int or None
+        Index of the proxy to start with; a random one when it is None.
     """
 
     def __init__(
@@ -61,7 +63,12 @@
         now=time.monotonic,
         unit=random.random,
         pause=time.sleep,
+        first=None,
     ):
+        addresses = list(addresses)
+        # Otherwise all clients would start at the same proxy.
+        first = int(unit() * len(addresses)) if first is None else first
+        addresses = addresses[first:] + addresses[:first]
         self.connections = ProxyConnections(addresses, caller, ssl_context, now)
         self.now = now
         self.unit = unit
--- a/cassiahill/freshness.py
+++ b/cassiahill/freshness.py
@@ -112,9 +112,43 @@
             return math.inf
         if server == self.primary:
             return now - self._confirmed_at()
+        return self._age_of_position(status, status.position, now)
+
+    def answer_age(self, server, term, position, sent_at, now):
+        """Return an upper bound of the age of an answer's data, in seconds.
+
+        The bound follows from the answer's own position: later polls may have found
+        the server further, and a server that restarted has less than it had.
+
+        Parameters
+        ----------
+        server : str
+        term, position : int
+            From the answer.
+        sent_at, now : float
+            When the read was sent, and the present.
+        """
+        status = self.status_by_server.get(server)
+        if status is None or not term == status.term == self.term:
+            return math.inf
+        if server == self.primary:
+            return now - min(sent_at, self._confirmed_at())
+        return self._age_of_position(status, position, now)
+
+    def accepts(self, server, term, position, mark):
+        """Return whether an answer contains a mark that its server contained.
+
+        A server that restarted after its last poll may have less; the read then has to
+        be sent again. Parameters are as in ``answer_age``; ``mark`` may be None.
+        """
+        if mark is None or position >= mark.position:
+            return True
+        return server == self.primary and term == mark.term == self.term
+
+    def _age_of_position(self, status, position, now):
         if status.last_term != self.term:
             return math.inf  # It may still hold a suffix that the term dropped.
-        index = bisect.bisect_right(self._sample_positions, status.position)
+        index = bisect.bisect_right(self._sample_positions, position)
         if not index:
             return math.inf
         return now - min(self._sample_times[index - 1], self._confirmed_at())
--- a/cassiahill/outcomes.py
+++ b/cassiahill/outcomes.py
@@ -254,6 +254,32 @@
     return Unknown(key, errors.OutcomeUnknown(failure.detail))
 
 
+def answer_body(outcome):
+    """Return the JSON fields of the answer of ``POST /v1/outcomes``.
+
+    Raises
+    ------
+    errors.CassiahillError
+        When the outcome is unknown, or the key belongs to another statement.
+    """
+    # A retry after this time is treated as a new write.
+    kept = {"kept_seconds": KEPT_SECONDS}
+    match outcome:
+        case Done(result, server, term, position):
+            answer = {
+                "columns": result.columns,
+                "rows": result.rows,
+                "row_count": result.row_count,
+                "server": server,
+                "term": term,
+                "position": position,
+            }
+            return {"outcome": "done", "answer": answer, **kept}
+        case NotRun(errors.KeyClosed()):
+            return {"outcome": "not_run", **kept}
+    raise outcome.error
+
+
 def _outcome_of_row(found, digest):
     """Return the outcome that a stored key proves; None when the key is absent."""
     rows = found.results[-1].rows
--- a/tests/broken_session.py
+++ b/tests/broken_session.py
@@ -13,9 +13,19 @@
         return super().route(request, None, *situation)
 
 
+class AnswersUnchecked(freshness.GroupView):
+    """Accepts each answer, also of a server that lost its data in a restart."""
+
+    def accepts(self, server, term, position, mark):
+        return True
+
+
 class ReportTimeAge(freshness.GroupView):
     """Takes the time since a replica's last answer for the age of its data."""
 
+    def answer_age(self, server, term, position, sent_at, now):
+        return self.age(server, now)
+
     def age(self, server, now):
         status = self.status_by_server.get(server)
         return math.inf if status is None else now - status.received_at
--- a/tests/session_model.py
+++ b/tests/session_model.py
@@ -20,9 +20,8 @@
     routing,
     tokens,
 )
-from standins import sqllog
+from tests.database_model import GROUP, Database
 
-GROUP = "g"
 SERVERS = ("s1", "s2", "s3")
 STATED_AGE = 0.2
 DOMAINS = {"s1": "a", "s2": "b", "s3": "c"}
@@ -42,77 +41,6 @@
     resolve: object = staticmethod(outcomes.resolve)
 
 
-class Database:
-    """A database without I/O; the rules are those of ``standins.database``."""
-
-    def __init__(self, name):
-        self.name = name
-        self.log = sqllog.SqlLog()
-        self.term = 1
-        self.role = "replica"
-        self.commit_times = []
-
-    def execute(self, batch, now):
-        if batch.term != self.term or not (batch.read_only or self.role == "primary"):
-            raise errors.StaleTerm(f"term {self.term}")
-        statements = [[s.sql, list(s.params)] for s in batch.statements]
-        if batch.read_only:
-            results = self.log.read(statements)
-        else:
-            results = self._write(statements, now)
-        return backend.BatchResult(
-            self.term,
-            self.log.position,
-            tuple(backend.StatementResult(**result) for result in results),
-        )
-
-    def _write(self, statements, now):
-        self.log.work.execute("BEGIN")
-        try:
-            results = [sqllog.run(self.log.work, *s) for s in statements]
-        except errors.StatementFailed:
-            self.log.work.execute("ROLLBACK")
-            raise
-        self.log.work.execute("COMMIT")
-        self.append(sqllog.Entry(self.term, statements), now)
-        return results
-
-    def append(self, entry, commit_time):
-        self.log.append(entry)
-        self.commit_times.append(commit_time)
-
-    def has(self, index, term):
-        """Return whether the log has the entry of a term at an index."""
-        return index < self.log.position and self.log.entries[index].term == term
-
-    def become_primary(self, now):
-        self.role = "primary"
-        self.append(sqllog.Entry(self.term, []), now)
-        self.log.prepare_writing()
-
-    def pull(self, primary, limit):
-        """Drop what the primary does not have, then take over some entries."""
-        own, theirs = self.log.entries, primary.log.entries
-        common = 0
-        while (
-            common < min(len(own), len(theirs))
-            and own[common].term == theirs[common].term
-        ):
-            common += 1
-        if common < len(own):
-            self.log.truncate(common)
-            del self.commit_times[common:]
-        for index in range(common, min(len(theirs), common + limit)):
-            self.append(theirs[index], primary.commit_times[index])
-
-    def status(self, sent_at):
-        starts = tuple(self.log.term_starts())
-        return freshness.ServerStatus(
-            self.name, GROUP, self.role, self.term, self.log.position,
-            self.log.last_term, starts, "", 0.0, sent_at, sent_at,
-        )  # fmt: skip
-
-
 class Proxy:
     """The state of one proxy."""
 
@@ -158,6 +86,8 @@
     steps: object
     batch: backend.Batch
     finish: object
+    result: object = None
+    terms: list = attrs.field(factory=list)  # Of the log that the batch ran on.
 
 
 class Model:
@@ -176,6 +106,7 @@
         self.naive = {}
         self.findings = []
         self.calls = []
+        self.answers = []  # Calls that ran and whose answer has not arrived.
         self.late = []  # Batches whose caller gave up before they ran.
         self.statuses = []  # Answers of polls that have not arrived.
         self.waiting = {}  # What to do once a write is acknowledged, by write id.
@@ -207,6 +138,8 @@
     def promote(self, absent):
         """Promote among the two databases that a partition leaves together."""
         present = [d for d in self.databases.values() if d.name != absent]
+        if any(d.recovering for d in present):
+            return  # A database that has not caught up refuses a new term.
         term = max(d.term for d in self.databases.values()) + 1
         for database in present:
             database.term, database.role = term, "replica"
@@ -217,6 +150,14 @@
                 best.commit_times[index] = self.now
         best.become_primary(self.now)
 
+    def restart(self, name):
+        """Restart a replica; more at once would lose acknowledged data."""
+        database = self.databases[name]
+        if database.role == "replica" and not any(
+            d.recovering for d in self.databases.values()
+        ):
+            database.restart()
+
     def poll(self, name, proxy, asked_before=0.0):
         """Answer a poll; the answer is in flight afterwards."""
         sent_at = max(100.0, self.now - asked_before)
@@ -268,8 +209,15 @@
         def steps(term):
             return (yield backend.Batch((statement,), term, True, 1.0))
 
+        before = self._mark(session)
+        sent_at = self.now
+
         def finish(call, result):
-            self._check_age(call, wanted)
+            found = (server, result.term, result.position)
+            if not proxy.view.accepts(*found, before):
+                return
+            stated = proxy.view.answer_age(*found, sent_at, self.now)
+            self._check_age(call, stated)
             mark = proxy.view.mark_after(server, result.term, result.position)
             self._advance(session, mark)
             values = tuple(row[0] for row in result.results[0].rows)
@@ -349,12 +297,26 @@
 
     def arrive(self, index=0, answered=True):
         """Run a batch in flight; its answer may be lost."""
+        call = self.execute(index)
+        self.answers.remove(call)
+        self._answer(call, call.result if answered else errors.OutcomeUnknown("lost"))
+
+    def execute(self, index=0):
+        """Run a batch in flight; its answer is in flight afterwards."""
         call = self.calls.pop(index % len(self.calls))
+        database = self.databases[call.server]
         try:
-            result = self.databases[call.server].execute(call.batch, self.now)
+            call.result = database.execute(call.batch, self.now)
         except errors.CassiahillError as error:
-            result = error
-        self._answer(call, result if answered else errors.OutcomeUnknown("lost"))
+            call.result = error
+        call.terms = [entry.term for entry in database.log.entries]
+        self.answers.append(call)
+        return call
+
+    def answer(self, index=0):
+        """Deliver the answer of a batch that ran."""
+        call = self.answers.pop(index % len(self.answers))
+        self._answer(call, call.result)
 
     def delay(self, index=0):
         """Give up on a batch that runs later."""
@@ -369,8 +331,11 @@
 
     def finish(self):
         """Run what is in flight, settle, and return all findings."""
-        while self.calls:
-            self.arrive()
+        while self.calls or self.answers:
+            if self.calls:
+                self.arrive()
+            else:
+                self.answer()
         while self.late:
             self.run_late()
         for index in range(len(self.sessions)):
@@ -392,9 +357,8 @@
             kind, GROUP, statement, messages.Rank.ROUTINE, self.now + 1.0, wanted,
             None, False, "caller", session.token,
         )  # fmt: skip
-        mark = self.signer.decode(session.token, "caller").marks_by_group.get(GROUP)
         route = proxy.policy.route(
-            request, mark, proxy.view, {}, set(), "a", DOMAINS, self.now
+            request, self._mark(session), proxy.view, {}, set(), "a", DOMAINS, self.now
         )
         if isinstance(route, routing.Refuse):
             session.token = None
@@ -464,17 +428,18 @@
                     session.write = None
                     self._record_write(session, write, history.UNKNOWN)
 
+    def _mark(self, session):
+        return self.signer.decode(session.token, "caller").marks_by_group.get(GROUP)
+
     def _advance(self, session, mark):
         token = self.signer.decode(session.token, "caller").advanced(GROUP, mark)
         session.token = self.signer.encode(token)
 
-    def _check_age(self, call, wanted):
-        stated = call.proxy.view.age(call.server, self.now)
-        data, truth = self.databases[call.server], self.primary
+    def _check_age(self, call, stated):
         true_age = 0.0
-        for index, entry in enumerate(truth.log.entries):
-            if not data.has(index, entry.term):
-                true_age = self.now - truth.commit_times[index]
+        for index, entry in enumerate(self.primary.log.entries):
+            if index >= len(call.terms) or call.terms[index] != entry.term:
+                true_age = self.now - self.primary.commit_times[index]
                 break
         if true_age > stated + 1e-9:
             self.findings.append(f"age {true_age:.3f} s, stated {stated:.3f} s")
--- a/tests/test_broken_session.py
+++ b/tests/test_broken_session.py
@@ -42,6 +42,17 @@
     read_three_times(model, 1, 1, STATED_AGE)
 
 
+def restart_after_poll(model):
+    """Read an own write from a replica that lost it and follows again."""
+    acknowledged_by_s2(model)
+    model.poll("s1", 0)
+    model.deliver()
+    model.read(0, 0, "x")
+    model.restart("s2")
+    model.pull("s2", 2)
+    model.arrive()
+
+
 def late_attempt_after_resolve(model):
     """Resolve a delayed write; an earlier write has created the table."""
     model.write(1, 0, "y", "k")
@@ -98,9 +109,16 @@
 
     def test_marks_ignored(self):
         """Guards against a checker that misses a session's lost own write."""
-        broken = Parts(policy=broken_session.MarksIgnored)
+        broken = Parts(
+            policy=broken_session.MarksIgnored, view=broken_session.AnswersUnchecked
+        )
         self.check(own_write_at_another_proxy, broken, "read-your-writes")
 
+    def test_answers_not_checked(self):
+        """Guards against a read from a replica that restarted after its last poll."""
+        broken = Parts(view=broken_session.AnswersUnchecked)
+        self.check(restart_after_poll, broken, "read-your-writes")
+
     def test_age_by_report_time(self):
         """Guards against a stated age that a replica's lag exceeds."""
         broken = Parts(view=broken_session.ReportTimeAge)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -29,8 +29,9 @@
         if unreachable:
             running[0].close()
         addresses = [p.address for p in running]
+        now = lambda: clock[0]  # noqa: E731
         with client.Client(
-            addresses, "ana", now=lambda: clock[0], unit=lambda: 0.5, pause=pause
+            addresses, "ana", now=now, unit=lambda: 0.5, pause=pause, first=0
         ) as made:
             yield made.session(), running
 
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -49,6 +49,18 @@
         broken = view_of(*statuses, servers=FIVE, cls=broken_session.UnconfirmedAge)
         self.assertEqual(broken.age("s2", 61.0), 0.0)
 
+    def test_answer_age_follows_from_its_own_position(self):
+        """Guards against the age of a later poll stated for earlier data."""
+        view = view_of(
+            primary(position=5, sent_at=1.0),
+            primary(position=9, sent_at=3.0),
+            builders.status("s2", position=9, sent_at=3.5),
+        )
+        self.assertEqual(view.age("s2", 4.0), 1.0)
+        self.assertEqual(view.answer_age("s2", 1, 5, 1.5, 4.0), 3.0)
+        self.assertEqual(view.answer_age("s1", 1, 9, 1.5, 4.0), 2.5)
+        self.assertEqual(view.answer_age("s2", 2, 9, 1.5, 4.0), math.inf)
+
     def test_old_samples_are_dropped_without_losing_the_recent_ones(self):
         """Guards against unbounded memory and against ages from the wrong sample."""
         count = 3 * freshness.MAX_PRIMARY_SAMPLES
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -4,7 +4,7 @@
 
 from cassiahill import errors, messages, outcomes
 from cassiahill.messages import Statement
-from tests.session_model import Database
+from tests.database_model import Database
 
 INSERT = Statement("INSERT INTO items VALUES (?, ?)", ("x", 1))
 LOST = errors.OutcomeUnknown("lost")
@@ -66,13 +66,15 @@
         """Guards against "not run" for a write whose answer was lost."""
         self.write(key="earlier", statement=Statement("INSERT INTO items VALUES (0,0)"))
         self.assertIsInstance(self.write(lose={0}), outcomes.Unknown)
-        self.assertIsInstance(self.resolve(), outcomes.Done)
+        done = outcomes.answer_body(self.resolve())
+        self.assertEqual((done["outcome"], done["answer"]["row_count"]), ("done", 1))
 
     def test_late_attempt_after_resolve_does_not_run(self):
         """Guards against a first attempt that runs after "not run" was reported."""
         resolved = self.resolve()
         self.assertIsInstance(resolved.error, errors.KeyClosed)
         self.assertIsNotNone(resolved.position)
+        self.assertEqual(outcomes.answer_body(resolved)["outcome"], "not_run")
         self.assertIsInstance(self.write().error, errors.KeyClosed)
         self.assertEqual(self.count(), 0)
         self.assertIsInstance(self.resolve().error, errors.KeyClosed)
@@ -115,7 +117,8 @@
         """Guards against "not run" while an earlier attempt may have run."""
         self.write()
         self.assertIsInstance(self.write(lose={1}), outcomes.Unknown)
-        self.assertIsInstance(self.resolve(lose={0}), outcomes.Unknown)
+        with self.assertRaises(errors.OutcomeUnknown):
+            outcomes.answer_body(self.resolve(lose={0}))
 
     def test_refused_term_is_not_run(self):
         """Guards against "unknown" for what the database refused."""
--- a/tests/test_session_consistency.py
+++ b/tests/test_session_consistency.py
@@ -132,6 +132,21 @@
     def arrive(self, index, answered):
         self.model.arrive(index, answered)
 
+    @precondition(lambda self: self.model.calls)
+    @rule(index=ANY)
+    def execute(self, index):
+        self.model.execute(index)
+
+    @precondition(lambda self: self.model.answers)
+    @rule(index=ANY)
+    def answer(self, index):
+        self.model.answer(index)
+
+    @rule(name=SERVER, chance=st.integers(0, 3))
+    def restart(self, name, chance):
+        if chance == 3:
+            self.model.restart(name)
+
     @precondition(lambda self: self.model.calls)
     @rule(index=ANY)
     def delay(self, index):
