--- a/cassiahill/dispatch.py
+++ b/cassiahill/dispatch.py
@@ -191,7 +191,7 @@
         number = 0
         while True:
             server = yield from self._route(turn)
-            age = turn.monitor.view.age(server, self._loop.clock.now())
+            sent_at = self._loop.clock.now()
             batch = self._batch(turn, read_only=True)
             try:
                 result = yield from self._env.gateway.submit(
@@ -202,11 +202,27 @@
                 if not (yield from self._may_repeat(turn, error, number)):
                     raise
                 continue
-            # The server may have dropped a suffix of its log since the last poll.
-            if tokens.Mark(result.term, result.position) >= turn.mark:
+            age = self._accepted_age(turn, server, result, sent_at)
+            if age is not None:
                 return self._answer(turn, server, result, result.results[0], age)
             yield from self._pause(turn, 1)
 
+    def _accepted_age(self, turn, server, result, sent_at):
+        """Return the age of an answer; None when the read has to be sent again.
+
+        The server may have dropped a suffix of its log or restarted since its last
+        poll, or the read may have waited for longer than the stated age allows.
+        """
+        view = turn.monitor.view
+        if not view.accepts(server, result.term, result.position, turn.mark):
+            return None
+        now = self._loop.clock.now()
+        age = view.answer_age(server, result.term, result.position, sent_at, now)
+        match turn.request.freshness:
+            case messages.MaxAge(seconds=seconds) if age > seconds:
+                return None
+        return age
+
     def _route(self, turn):
         env = self._env
         while True:
