--- a/cassiahill/runner.py
+++ b/cassiahill/runner.py
@@ -48,7 +48,7 @@
         self.refusal = errors.NotOwner
         self.pinned_only = False
         self.counts = collections.Counter()
-        self.transactions = set()
+        self.transactions = {}  # Used as an ordered set, so that runs repeat exactly.
         self._loop = loop
         self._policy = policy
         self._on_idle = on_idle
@@ -165,7 +165,7 @@
         if transaction is not None and not transaction.ended:
             transaction.ended = True
             transaction.holds_locks = False
-            self.transactions.discard(transaction)
+            self.transactions.pop(transaction, None)
             for _ in range(len(self._parked)):
                 self._unpark()
             self._on_idle()
@@ -355,7 +355,7 @@
             self._return(call)
         elif transaction.connection_id is None:
             transaction.connection_id = call.connection_id
-            self.transactions.add(transaction)
+            self.transactions[transaction] = None
 
     def _return(self, call):
         """Return a connection; a read-only batch leaves nothing to reset."""
--- a/tests/broken_admission.py
+++ b/tests/broken_admission.py
@@ -73,14 +73,14 @@
         return decisions + decisions[:1]
 
 
-POLICIES = (
-    WithoutRanks,
-    WithoutTurns,
-    OneSlotTooMany,
-    LosesExpired,
-    AnswersTwice,
-    NaiveAdmission,
-)
+POLICIES = {
+    WithoutRanks: "went before",
+    WithoutTurns: "passed over",
+    OneSlotTooMany: "more running",
+    LosesExpired: "not dropped|without an end",
+    AnswersTwice: "a second end",
+    NaiveAdmission: "went before|not dropped|passed over",
+}
 
 
 class PoolWithoutReserve(pool.Pool):
@@ -108,7 +108,11 @@
         return self.lost(connection_id, now)
 
 
-POOLS = (PoolWithoutReserve, PoolWithoutReset, PoolTrustsSilence)
+POOLS = {
+    PoolWithoutReserve: "over the limit",
+    PoolWithoutReset: "used without a reset",
+    PoolTrustsSilence: "used without a reset",
+}
 
 
 class RunnerClaimsNotRun(runner.Runner):
@@ -143,12 +147,18 @@
     def _hand_over(self, call):
         super()._hand_over(call)
         if not call.read_only and call.transaction is None:
-            self._decide(self._policy.withdraw(call.work_id, self._loop.clock.now()))
+            self._decide(self._policy.finish(call.work_id, self._loop.clock.now()))
+
+    def _end(self, call, error, result=None, admitted=True):
+        if not call.read_only and call.transaction is None and call.sent_at is not None:
+            call.sent_at = None
+            admitted = False
+        super()._end(call, error, result, admitted)
 
 
-RUNNERS = (
-    RunnerClaimsNotRun,
-    RunnerSharesConnections,
-    RunnerForgets,
-    RunnerOversubscribes,
-)
+RUNNERS = {
+    RunnerClaimsNotRun: "may have run",
+    RunnerSharesConnections: "session",
+    RunnerForgets: "has no end",
+    RunnerOversubscribes: "over the slots",
+}
--- a/tests/simulated.py
+++ b/tests/simulated.py
@@ -20,6 +20,9 @@
         """Call back at once when the future completes."""
         future.add_done_callback(callback)
 
+    def _timeout(self):
+        return 0.0  # Never waits for real time.
+
     def run_for(self, seconds):
         """Run all timers of the next ``seconds``."""
         end = self.clock.now() + seconds
@@ -49,7 +52,7 @@
     owner: str = ""
     running: int = 0
     most_running: int = 0
-    connections: set = attrs.field(factory=set)
+    connections: dict = attrs.field(factory=dict)  # ordered, for repeatable runs
     most_connections: int = 0
     given: list = attrs.field(factory=list)
     opened: int = 0
@@ -91,7 +94,7 @@
             error = errors.BackendUnavailable if server.down else errors.StaleEpoch
             return failed(error())
         connection = FakeConnection(self, epoch)
-        server.connections.add(connection)
+        server.connections[connection] = None
         server.opened += 1
         server.most_connections = max(server.most_connections, len(server.connections))
         self.loop.call_at(
@@ -131,7 +134,7 @@
     def close(self):
         if not self.closed:
             self.closed = True
-            self.adapter.server.connections.discard(self)
+            self.adapter.server.connections.pop(self, None)
             self._answer(errors.ConnectionLost())
 
     def _call(self, tag, deadline, service=None):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -25,6 +25,7 @@
     max_examples=100,
     stateful_step_count=40,
     database=None,
+    report_multiple_bugs=False,
     phases=(Phase.generate,),
 )
 
@@ -41,8 +42,11 @@
 
     def test_model_rejects_broken_versions(self):
         """Guards against a model that accepts anything."""
-        for policy_type in broken_admission.POLICIES:
-            with self.subTest(policy_type.__name__), self.assertRaises(AssertionError):
+        for policy_type, reason in broken_admission.POLICIES.items():
+            with (
+                self.subTest(policy_type.__name__),
+                self.assertRaisesRegex(AssertionError, reason),
+            ):
                 run_state_machine_as_test(machine(policy_type), settings=PROFILE)
 
     @settings(PROFILE, max_examples=8)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -16,6 +16,7 @@
     max_examples=60,
     stateful_step_count=50,
     database=None,
+    report_multiple_bugs=False,
     phases=(Phase.generate,),
 )
 CHOICE = st.integers(0, 99)
@@ -139,8 +140,11 @@
 
     def test_model_rejects_broken_versions(self):
         """Guards against a model that accepts anything."""
-        for pool_type in broken_admission.POOLS:
-            with self.subTest(pool_type.__name__), self.assertRaises(AssertionError):
+        for pool_type, reason in broken_admission.POOLS.items():
+            with (
+                self.subTest(pool_type.__name__),
+                self.assertRaisesRegex(AssertionError, reason),
+            ):
                 run_state_machine_as_test(machine(pool_type), settings=PROFILE)
 
     def test_failures_back_off_with_jitter(self):
