--- a/cassiahill/gossip.py
+++ b/cassiahill/gossip.py
@@ -218,7 +218,7 @@
                 for member in self.membership.members_by_name.values()
                 if member.state != swim.DEAD
             )
-            self._step_spreader(rumors.Peers(names))
+            self._step_spreader(rumors.Peers(names, frozenset(names)))
         self._step_spreader(rumors.Tick())
 
     def _on_datagram(self, sender, kind, payload, _source):
--- a/cassiahill/membership.py
+++ b/cassiahill/membership.py
@@ -48,8 +48,7 @@
         self.members_by_name = {own.name: own}
         self.leaving_hosts = frozenset()
         self.refusals_by_reason = collections.Counter()
-        self._order = []
-        self._probe = None
+        self._order, self._probe = [], None
         self._number = 0
         self._relays_by_number = {}
         self._next_probe_at = now + rng.random() * PROBE_SECONDS
@@ -127,9 +126,7 @@
         for name in [n for n, at in self._deadlines_by_name.items() if at <= now]:
             member = self.members_by_name[name]
             actions += self._install(member.replace(state=DEAD), now)
-        for name, since in list(self._dead_since_by_name.items())[:1]:
-            if since + FORGET_DEAD_SECONDS <= now:
-                self._forget(name)
+        self._forget_dead(now)
         return actions
 
     def _start_probe(self, now):
@@ -307,15 +304,11 @@
             return "too many members" if full else ""
         if member.incarnation - known.incarnation > MAX_INCARNATION_STEP:
             return "incarnation too high"
-        if (
-            member.state in (SUSPECTED, DEAD)
-            and known.state == LIVE
-            and member.key > known.key
-            and member.name != self.own.name
-            and len(self._deadlines_by_name) >= self._suspicions_allowed()
-        ):
-            return "too many suspicions"
-        return ""
+        claims = member.state in (SUSPECTED, DEAD) and member.key > known.key
+        if not claims or known.state != LIVE or known.name == self.own.name:
+            return ""
+        allowed = len(self._deadlines_by_name) < self._suspicions_allowed()
+        return "" if allowed else "too many suspicions"
 
     def _suspicions_allowed(self):
         # A view that holds many members failed is believed as far as own probes agree.
@@ -365,10 +358,12 @@
         self._queue.add(member.name, len(self.members_by_name))
         return [swim.Changed(member)]
 
-    def _forget(self, name):
-        del self.members_by_name[name]
-        del self._dead_since_by_name[name]
-        self._queue.discard(name)
+    def _forget_dead(self, now):
+        oldest, since = next(iter(self._dead_since_by_name.items()), (None, now))
+        if since + FORGET_DEAD_SECONDS <= now:
+            del self.members_by_name[oldest]
+            del self._dead_since_by_name[oldest]
+            self._queue.discard(oldest)
 
     def _toggle(self, member):
         # Dead members are left out, because processes forget them at different times.
--- a/cassiahill/rumors.py
+++ b/cassiahill/rumors.py
@@ -103,9 +103,13 @@
 
 @attrs.frozen
 class Peers:
-    """The live members; ``neighbours`` are those in a fixed tree or graph."""
+    """The live members, the own process included or not.
+
+    ``neighbours`` are those in a fixed tree or graph.
+    """
 
     names: tuple
+    name_set: frozenset
     neighbours: tuple = ()
 
 
--- a/cassiahill/spreading.py
+++ b/cassiahill/spreading.py
@@ -64,21 +64,19 @@
     rng : random.Random
     now : float
         Instant in seconds.
-    finish : {"pull", "none", "tree", "graph"}
-        How members that the push missed are reached.
+    pulls : bool
+        Whether members that the push missed are reached by a slow pull.
     check : callable, optional
         ``check(kind, name, generation, value)`` returns whether a value is acceptable.
     rounds : int, optional
         Rounds of push; by default ``push_rounds`` of the members.
     """
 
-    def __init__(
-        self, own_name, secret, rng, now, finish="pull", check=None, rounds=None
-    ):
+    def __init__(self, own_name, secret, rng, now, pulls=True, check=None, rounds=None):
         self._own_name = own_name
         self._key = hashlib.blake2b(secret, digest_size=32).digest()
         self._rng = rng
-        self._finish = finish
+        self._pulls = pulls
         self._check = check
         self._rounds = rounds
         self._peers = ()
@@ -89,7 +87,7 @@
         self._fetching_by_key = {}
         self._digests = digests.BucketDigests()
         self._next_round_at = now + rng.random() * ROUND_SECONDS
-        self._rounds_to_pull = 1
+        self._rounds_to_pull = rng.randint(1, 4)
         self._first = first_values.FirstValues(rng, now)
         self.ready = False
         self.refusals_by_reason = collections.Counter()
@@ -122,11 +120,9 @@
                 return []
             case rumors.Body(peer, kind, name, generation, value):
                 return self._receive_body(peer, (kind, name), generation, value, now)
-            case rumors.Peers(names):
-                self._peers = tuple(n for n in names if n != self._own_name)
-                self._peer_set = frozenset(self._peers)
-                if self._finish in ("tree", "graph"):
-                    self._neighbours = event.neighbours
+            case rumors.Peers():
+                self._peers, self._peer_set = event.names, event.name_set
+                self._neighbours = event.neighbours
                 return []
         raise TypeError(event)
 
@@ -169,26 +165,27 @@
         actions = self._retry_fetches(now)
         if not self.ready:
             actions += self._start(now)
-        if self._peers:
+        if len(self._peers) > (self._own_name in self._peer_set):
             actions += self._push(now)
-            if self._finish == "pull":
+            if self._pulls:
                 actions += self._pull()
         return actions
 
     def _push(self, now):
         rounds = self._rounds
         if rounds is None:
-            rounds = push_rounds(len(self._peers) + 1)
+            rounds = push_rounds(len(self._peers))
         fresh = [key for key, age in self._age_by_key.items() if age < rounds]
         finished = [key for key, age in self._age_by_key.items() if age >= rounds]
-        actions = []
+        actions = [
+            rumors.Send(peer, message)
+            for message in self._pack(finished if self._neighbours else (), rounds, now)
+            for peer in self._neighbours
+        ]
         for key in finished:
             del self._age_by_key[key]
-        if finished and self._neighbours:
-            for message in self._pack(finished, rounds, now):
-                actions += [rumors.Send(peer, message) for peer in self._neighbours]
         if fresh:
-            peer = self._rng.choice(self._peers)
+            peer = self._random_peer()
             for message in self._pack(fresh, None, now)[:PUSHES_PER_ROUND]:
                 actions.append(rumors.Send(peer, message))
                 for rumor in message.rumors:
@@ -196,20 +193,26 @@
         return actions
 
     def _pack(self, keys, age, now):
-        packed = []
-        for key in keys:
-            at = self._age_by_key[key] + 1 if age is None else age
-            packed.append(self._rumor(key, self._held_by_key[key], at, now))
-        return rumors.batches(packed)
+        ages = [self._age_by_key[key] + 1 if age is None else age for key in keys]
+        return rumors.batches(
+            self._rumor(key, self._held_by_key[key], at, now)
+            for key, at in zip(keys, ages, strict=True)
+        )
 
     def _pull(self):
         self._rounds_to_pull -= 1
         if self._rounds_to_pull > 0:
             return []
-        self._rounds_to_pull = pull_rounds(len(self._peers) + 1)
-        peer = self._rng.choice(self._peers)
+        self._rounds_to_pull = pull_rounds(len(self._peers))
+        peer = self._random_peer()
         return [rumors.Send(peer, rumors.Pull(self._digests.root))]
 
+    def _random_peer(self):
+        while True:
+            peer = self._rng.choice(self._peers)
+            if peer != self._own_name:
+                return peer
+
     def _expire(self, now):
         for key in [k for k, h in self._held_by_key.items() if h.expires_at <= now]:
             held = self._held_by_key[key]
@@ -323,13 +326,11 @@
         return self._install(rumor, now) if self._is_new(rumor) else []
 
     def _install(self, rumor, now):
-        digest = self.digest_of(rumor.kind, rumor.name, rumor.generation, rumor.value)
+        value = (rumor.kind, rumor.name, rumor.generation, rumor.value)
         reason = ""
-        if digest != rumor.digest:
+        if self.digest_of(*value) != rumor.digest:
             reason = "wrong hash"
-        elif self._check is not None and not self._check(
-            rumor.kind, rumor.name, rumor.generation, rumor.value
-        ):
+        elif self._check is not None and not self._check(*value):
             reason = "invalid value"
         if reason:
             self.refusals_by_reason[reason] += 1
@@ -385,18 +386,16 @@
         return Rumor(*key, held.generation, held.digest, age, life_ms, value)
 
     def _start(self, now):
-        if not self._first.is_complete(self._peer_set, now):
+        peers = [peer for peer in self._peers if peer != self._own_name]
+        if not self._first.is_complete(peers, now):
             everything = rumors.Want(tuple(range(digests.BUCKETS)))
-            return [
-                rumors.Ask(peer, everything) for peer in self._first.to_ask(self._peers)
-            ]
+            return [rumors.Ask(peer, everything) for peer in self._first.to_ask(peers)]
         self.ready = True
         actions = []
-        for peer, rumor in self._first.offers(self._peer_set, MAX_GENERATION_STEP):
+        for peer, rumor in self._first.offers(peers, MAX_GENERATION_STEP):
             actions += self._take(peer, (rumor,), now)
-        self._first = None
         return [*actions, rumors.Ready()]
 
 
 def _text(key):
-    return f"{key[0]}\0{key[1]}"
+    return "\0".join(key)
