--- a/cassiahill/cli.py
+++ b/cassiahill/cli.py
@@ -4,6 +4,7 @@
 """
 
 import argparse
+import os
 import sys
 
 import msgspec
@@ -79,7 +80,9 @@
     kernel.load_all()
     options = build_parser(kernel.plugins("command")).parse_args(argv)
     try:
-        return options.command.run(options)
+        code = options.command.run(options)
+        sys.stdout.flush()
+        return code
     except errors.InvalidSettings as error:
         _report(error, options)
         return EXIT_WRONG_USAGE
@@ -90,8 +93,11 @@
         _report(error, options)
         return EXIT_FAILED
     except BrokenPipeError:
-        # The reader of a long report has gone; the interpreter must not flush again.
-        sys.stderr.close()
+        # The reader of a long report has gone; the flush at exit must not fail again.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return EXIT_FAILED
+    except OSError as error:
+        print(f"failed: {error}", file=sys.stderr)
         return EXIT_FAILED
     except KeyboardInterrupt:
         return EXIT_FAILED
--- a/tests/operator_builders.py
+++ b/tests/operator_builders.py
@@ -1,11 +1,17 @@
 """Builders of folders, figures and stand-ins for the operators' tests."""
 
 import contextlib
+import datetime
+import ipaddress
 import json
 import subprocess
 import sys
 import urllib.request
 
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+
 PROCESS_TOML = """
 [platform]
 address = "127.0.0.1:7000"
@@ -51,3 +57,24 @@
     request = urllib.request.Request(url, json.dumps(faults).encode())
     with urllib.request.urlopen(request, timeout=10) as response:
         response.read()
+
+
+def write_certificate(path):
+    """Write a self-signed certificate of 127.0.0.1 and its key to one PEM file."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "test")])
+    alternative = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
+    start = datetime.datetime(2020, 1, 1, tzinfo=datetime.UTC)
+    certificate = (
+        x509.CertificateBuilder(name, name, key.public_key(), 1)
+        .not_valid_before(start)
+        .not_valid_after(start + datetime.timedelta(days=36_500))
+        .add_extension(x509.SubjectAlternativeName([alternative]), critical=False)
+        .sign(key, hashes.SHA256())
+    )
+    private = key.private_bytes(
+        serialization.Encoding.PEM,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+    path.write_bytes(certificate.public_bytes(serialization.Encoding.PEM) + private)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -3,7 +3,11 @@
 import contextlib
 import io
 import json
+import os
 import pathlib
+import ssl
+import subprocess
+import sys
 import tempfile
 import threading
 import unittest
@@ -28,10 +32,10 @@
 
 
 @contextlib.contextmanager
-def server(handler):
+def server(handler, ssl_context=None):
     """Serve HTTP on a loop in a thread; yield ``ip:port``."""
     event_loop = loop.EventLoop(clock.SystemClock())
-    http_server = http1.Server(event_loop, ("127.0.0.1", 0), handler)
+    http_server = http1.Server(event_loop, ("127.0.0.1", 0), handler, ssl_context)
     thread = threading.Thread(target=event_loop.run)
     thread.start()
     try:
@@ -75,6 +79,16 @@
         (finding,) = json.loads(output)["findings"]
         self.assertEqual((code, finding["line"], finding["key"]), (2, 2, "proxy.nam"))
 
+    def test_reader_that_goes_away(self):
+        """Guards against a traceback when the report is piped into a pager."""
+        argv = [sys.executable, "-m", "cassiahill", "report", "--day", "2026-01-01"]
+        argv += ["--figures", os.devnull]
+        read_end, write_end = os.pipe()
+        os.close(read_end)
+        done = subprocess.run(argv, stdout=write_end, stderr=-1, check=False)
+        os.close(write_end)
+        self.assertEqual((done.returncode, done.stderr), (1, b""))
+
     def test_wrong_usage(self):
         """Guards against an exit code that scripts take for a failed call."""
         for argv in (["nothing"], ["status", "host:x"], ["config", "apply", "f"]):
@@ -164,6 +178,19 @@
         self.assertEqual((body["rank"], body["params"]), ("urgent", ["7"]))
         self.assertEqual(self.requests[0].headers["caller"], "desk")
 
+    def test_tls(self):
+        """Guards against commands that accept a server of an unknown authority."""
+        folder = pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+        own, other = folder / "own.pem", folder / "other.pem"
+        operator_builders.write_certificate(own)
+        operator_builders.write_certificate(other)
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        context.load_cert_chain(own)
+        address = self.enterContext(server(self.handle, context))
+        self.assertEqual(run("status", address, "--authority", own)[0], 0)
+        self.assertEqual(run("status", address, "--authority", other)[0], 1)
+        self.assertEqual(run("status", address, "--authority", folder / "x")[0], 2)
+
     def test_silent_server(self):
         """Guards against a command that hangs, and against a false 'not run'."""
         address = self.enterContext(server(lambda *_: Future()))
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -1,6 +1,7 @@
 """Tests of ``cassiahill.figures``."""
 
 import unittest
+from unittest import mock
 
 from cassiahill import errors, figures, objects
 
@@ -108,6 +109,16 @@
         other = [f for f in found if f.group == figures.OTHER]
         self.assertEqual((len(found), other[0].tally.done), (301, 50))
 
+    def test_too_many_latencies(self):
+        """Guards against figures of a busy day that the platform refuses."""
+        for number in range(50):
+            self.count(1, group=f"g{number}")
+        with mock.patch.object(objects, "MAX_VALUE_BYTES", 5_500):
+            self.assertTrue(self.publish(600))
+        found = [f.tally for f in self.stored().figures]
+        self.assertEqual(sum(tally.done for tally in found), 50)
+        self.assertEqual({tally.latency_gap for tally in found}, {False, True})
+
     def test_damaged_objects_are_named(self):
         """Guards against a report that fails or ignores a damaged object."""
         rows = '[[0,"g","urgent",1,0,0,0,0,0,"AAAA"]]'
