--- a/cassiahill/cli.py
+++ b/cassiahill/cli.py
@@ -75,6 +75,8 @@
 
 def main(argv=None):
     """Run one command and return its exit code."""
+    # The library warns on the first line when its flags are not used.
+    logging._warn_preinit_stderr = False
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     kernel.load_all()
