--- a/cassiahill/cli.py
+++ b/cassiahill/cli.py
@@ -4,6 +4,7 @@
 """
 
 import argparse
+import os
 import sys
 
 import msgspec
@@ -74,13 +75,17 @@
 
 def main(argv=None):
     """Run one command and return its exit code."""
+    # The library warns on the first line when its flags are not used.
+    logging._warn_preinit_stderr = False
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     flags.FLAGS.mark_as_parsed()  # Otherwise absl warns, although no flags are used.
     kernel.load_all()
     options = build_parser(kernel.plugins("command")).parse_args(argv)
     try:
-        return options.command.run(options)
+        code = options.command.run(options)
+        sys.stdout.flush()
+        return code
     except errors.InvalidSettings as error:
         _report(error, options)
         return EXIT_WRONG_USAGE
@@ -91,8 +96,11 @@
         _report(error, options)
         return EXIT_FAILED
     except BrokenPipeError:
-        # The reader of a long report has gone; the interpreter must not flush again.
-        sys.stderr.close()
+        # The reader of a long report has gone; the flush at exit must not fail again.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return EXIT_FAILED
+    except OSError as error:
+        print(f"failed: {error}", file=sys.stderr)
         return EXIT_FAILED
     except KeyboardInterrupt:
         return EXIT_FAILED
