--- a/bench/flood.py
+++ b/bench/flood.py
@@ -140,7 +140,7 @@
             self.loop.stop()
 
     def capacity(self, workers, seconds):
-        """Return the reads per second of closed loops."""
+        """Return the reads per second of closed loops on connections of their own."""
         ends_at = self.loop.clock.now() + seconds
         futures = [self.loop.spawn(self._work(ends_at)) for _ in range(workers)]
         done = 0
@@ -149,11 +149,13 @@
         return done / seconds
 
     def _work(self, ends_at):
+        adapter = backend_http.HttpBackend(
+            self.loop, "s1", "g", self.address, self.domain
+        )
+        connection = yield adapter.connect(1, "p", self.loop.clock.now() + 5.0)
         done = 0
-        server = self._rng.choice(self.servers)
         while (now := self.loop.clock.now()) < ends_at:
-            offer = Offer(Rank.LOOKUP, "c", now + 5.0)
-            yield server.submit(offer, _batch(5.0))
+            yield connection.execute(_batch(5.0), now + 5.0)
             done += 1
         return done
 
@@ -235,11 +237,21 @@
     return backend.Batch(STATEMENTS, 1, True, timeout)
 
 
-def report(title, run, handed_over, capacity, seconds):
+def measure_capacity(deployment, workers, seed):
+    """Return the reads per second of ``workers`` connections without a queue."""
+    with database(deployment) as address:
+        run = Run(deployment, address, seed, ranked=True)
+        return run.run(run.capacity(workers, 3.0))
+
+
+def report(title, run, handed_over, capacity, saturated, seconds):
     """Print one run as a table."""
     useful = sum(tally.in_time for tally in run.tallies.values())
     total = max(1, sum(handed_over.values()))
-    print(f"{title}: useful work {100 * useful / seconds / capacity:.1f} % of capacity")
+    print(
+        f"{title}: useful work {100 * useful / seconds / capacity:.1f} % of capacity,"
+        f" {100 * useful / seconds / saturated:.1f} % of the saturated rate"
+    )
     print(
         "  rank     offered/s  in time %  refused %  unknown  p50 ms  p99 ms  slots %"
     )
@@ -281,14 +293,14 @@
     for deployment in DEPLOYMENTS:
         if options.deployment not in (None, deployment.name):
             continue
-        with database(deployment) as address:
-            # More loops than slots keep the database busy whatever the proxy costs.
-            run = Run(deployment, address, options.seed, ranked=False)
-            capacity = run.run(run.capacity(4 * NAIVE_PROXIES, 3.0))
+        # Capacity has one statement in flight for each slot; with more in flight, the
+        # database also hides the time between an answer and the next statement.
+        capacity = measure_capacity(deployment, deployment.slots, options.seed)
+        saturated = measure_capacity(deployment, 3 * deployment.slots, options.seed)
         nominal = 1000 * deployment.slots / deployment.service_ms
         print(
             f"{deployment.name}: {deployment.slots} slots, capacity {capacity:.0f}"
-            f" reads/s measured, {nominal:.0f} nominal"
+            f" reads/s, {saturated:.0f} saturated, {nominal:.0f} nominal"
         )
         for name, shares in SCENARIOS.items():
             rates = {rank: share * capacity for rank, share in shares.items()}
@@ -299,7 +311,7 @@
                     handed_over = run.run(run.flood(rates, options.seconds))
                     cpu = time.thread_time() - cpu
                 title = f"{name}, {'ranked' if ranked else 'fifo at 8 proxies'}"
-                report(title, run, handed_over, capacity, options.seconds)
+                report(title, run, handed_over, capacity, saturated, options.seconds)
                 print(f"  CPU of the load generator and the proxies: {cpu:.1f} s")
     return 0
 
--- a/cassiahill/runner.py
+++ b/cassiahill/runner.py
@@ -322,18 +322,12 @@
         connection = self.connections.get(call.connection_id)
         usable = connection is not None and not connection.closed
         if error is None:
-            if usable:
-                self._keep(call)
-            else:
-                self._give_up(call)
+            (self._keep if usable else self._give_up)(call)
             self._end(call, None, pending.result())
             return
         ran = getattr(error, "may_have_run", errors.MayHaveRun.UNKNOWN)
         refused = ran is errors.MayHaveRun.NO
-        if refused and usable:
-            self._return(call)
-        else:
-            self._give_up(call)
+        (self._return if refused and usable else self._give_up)(call)
         if isinstance(error, errors.StaleEpoch):
             self._on_stale()
         never_sent = isinstance(error, errors.BackendUnavailable) and not usable
@@ -394,8 +388,8 @@
             self._writes.discard(call.work_id)
             self._unpark()
         self.counts[error.code if error is not None else "done"] += 1
-        if error is not None:
-            call.future.set_exception(error)
-        else:
+        if error is None:
             call.future.set_result(result)
+        else:
+            call.future.set_exception(error)
         self._on_idle()
