--- a/bench/flood.py
+++ b/bench/flood.py
@@ -280,6 +280,30 @@
     return 0
 
 
+def compare(deployment, name, shares, options):
+    """Run one scenario with each policy."""
+    # Capacity has one statement in flight for each slot; with more in flight, the
+    # database also hides the time between an answer and the next statement. It is
+    # measured before each scenario, because other processes share the machine.
+    capacity = measure_capacity(deployment, deployment.slots, options.seed)
+    saturated = measure_capacity(deployment, 3 * deployment.slots, options.seed)
+    nominal = 1000 * deployment.slots / deployment.service_ms
+    print(
+        f"{deployment.name}: {deployment.slots} slots, capacity {capacity:.0f}"
+        f" reads/s, {saturated:.0f} saturated, {nominal:.0f} nominal"
+    )
+    rates = {rank: share * capacity for rank, share in shares.items()}
+    for ranked in (True, False):
+        with database(deployment) as address:
+            run = Run(deployment, address, options.seed, ranked)
+            cpu = time.thread_time()
+            handed_over = run.run(run.flood(rates, options.seconds))
+            cpu = time.thread_time() - cpu
+        title = f"{name}, {'ranked' if ranked else 'fifo at 8 proxies'}"
+        report(title, run, handed_over, capacity, saturated, options.seconds)
+        print(f"  CPU of the load generator and the proxies: {cpu:.1f} s", flush=True)
+
+
 def main(argv=None):
     """Run all scenarios."""
     parser = argparse.ArgumentParser(prog="bench.flood", description=__doc__)
@@ -293,26 +317,8 @@
     for deployment in DEPLOYMENTS:
         if options.deployment not in (None, deployment.name):
             continue
-        # Capacity has one statement in flight for each slot; with more in flight, the
-        # database also hides the time between an answer and the next statement.
-        capacity = measure_capacity(deployment, deployment.slots, options.seed)
-        saturated = measure_capacity(deployment, 3 * deployment.slots, options.seed)
-        nominal = 1000 * deployment.slots / deployment.service_ms
-        print(
-            f"{deployment.name}: {deployment.slots} slots, capacity {capacity:.0f}"
-            f" reads/s, {saturated:.0f} saturated, {nominal:.0f} nominal"
-        )
         for name, shares in SCENARIOS.items():
-            rates = {rank: share * capacity for rank, share in shares.items()}
-            for ranked in (True, False):
-                with database(deployment) as address:
-                    run = Run(deployment, address, options.seed, ranked)
-                    cpu = time.thread_time()
-                    handed_over = run.run(run.flood(rates, options.seconds))
-                    cpu = time.thread_time() - cpu
-                title = f"{name}, {'ranked' if ranked else 'fifo at 8 proxies'}"
-                report(title, run, handed_over, capacity, saturated, options.seconds)
-                print(f"  CPU of the load generator and the proxies: {cpu:.1f} s")
+            compare(deployment, name, shares, options)
     return 0
 
 
