--- a/cassiahill/admission.py
+++ b/cassiahill/admission.py
@@ -102,8 +102,8 @@
         """Reject expired works; return the decisions that follow."""
         raise NotImplementedError
 
-    def waiting_ids(self):
-        """Return the ids of the waiting works."""
+    def clear(self):
+        """Forget all waiting works at once; return their ids."""
         raise NotImplementedError
 
     def dump(self, now):
@@ -234,9 +234,11 @@
                 decisions.extend(_expired(work) for work in expired)
         return decisions + self._fill(now)
 
-    def waiting_ids(self):
-        """Return the ids of the waiting works."""
-        return [work.work_id for queue in self._queues.values() for work in queue]
+    def clear(self):
+        """Forget all waiting works."""
+        work_ids = [work.work_id for queue in self._queues.values() for work in queue]
+        self._queues = {rank: _RankQueue() for rank in Rank}
+        return work_ids
 
     def dump(self, now):
         """Return queue lengths, shares of the slot time and service times."""
@@ -361,9 +363,10 @@
         """Start works; expired ones are dropped when their turn comes."""
         return self._fill(now)
 
-    def waiting_ids(self):
-        """Return the ids of the waiting works."""
-        return [work.work_id for work in self._works]
+    def clear(self):
+        """Forget all waiting works."""
+        works, self._works = self._works, collections.deque()
+        return [work.work_id for work in works]
 
     def dump(self, now):
         """Return the lengths."""
--- a/cassiahill/runner.py
+++ b/cassiahill/runner.py
@@ -212,9 +212,12 @@
 
     def fail_all(self):
         """End the waiting calls as not run, and abandon those handed over."""
+        # Clearing first keeps a full queue from a search for each of its calls.
+        waiting = set(self._policy.clear())
         for call in list(self._calls.values()):
             if call.sent_at is None:
-                self._end(call, self.refusal())
+                admitted = call.work_id not in waiting
+                self._end(call, self.refusal(), admitted=admitted)
         for transaction in list(self.transactions):
             self.abandon(transaction)
         for call in list(self._calls.values()):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -84,7 +84,8 @@
         (decision,) = policy.offer(Work(999, Rank.ROUTINE, "b", 70.0), 10.02)
         self.assertIsInstance(decision.error, errors.Overloaded)
         self.assertEqual(decision.work_id, 257)
-        self.assertIn(999, policy.waiting_ids())
+        self.assertIn(999, policy.clear())
+        self.assertEqual(policy.clear(), [])
 
     def test_slow_statement_does_not_refuse_for_ever(self):
         """Guards against an estimate that no new sample ever corrects."""
