--- a/cassiahill/runner.py
+++ b/cassiahill/runner.py
@@ -217,9 +217,12 @@
 
     def fail_all(self):
         """End the waiting calls as not run, and abandon those handed over."""
+        # Clearing first keeps a full queue from a search for each of its calls.
+        waiting = set(self._policy.clear())
         for call in list(self._calls.values()):
             if call.sent_at is None:
-                self._end(call, self.refusal())
+                admitted = call.work_id not in waiting
+                self._end(call, self.refusal(), admitted=admitted)
         for transaction in list(self.transactions):
             self.abandon(transaction)
         for call in list(self._calls.values()):
@@ -327,18 +330,12 @@
         connection = self.connections.get(call.connection_id)
         usable = connection is not None and not connection.closed
         if error is None:
-            if usable:
-                self._keep(call)
-            else:
-                self._give_up(call)
+            (self._keep if usable else self._give_up)(call)
             self._end(call, None, pending.result())
             return
         ran = getattr(error, "may_have_run", errors.MayHaveRun.UNKNOWN)
         refused = ran is errors.MayHaveRun.NO
-        if refused and usable:
-            self._return(call)
-        else:
-            self._give_up(call)
+        (self._return if refused and usable else self._give_up)(call)
         if isinstance(error, errors.StaleEpoch):
             self._on_stale()
         never_sent = isinstance(error, errors.BackendUnavailable) and not usable
@@ -399,8 +396,8 @@
             self._writes.discard(call.work_id)
             self._unpark()
         self.counts[error.code if error is not None else "done"] += 1
-        if error is not None:
-            call.future.set_exception(error)
-        else:
+        if error is None:
             call.future.set_result(result)
+        else:
+            call.future.set_exception(error)
         self._on_idle()
