--- a/tests/database_model.py
+++ b/tests/database_model.py
@@ -1,9 +1,10 @@
-"""Model of a database: the rules of ``standins.database`` without sockets."""
+"""Model of a group of databases: the rules of ``standins.database`` without sockets."""
 
 from cassiahill import backend, errors, freshness
 from standins import sqllog
 
 GROUP = "g"
+SERVERS = ("s1", "s2", "s3")
 
 
 class Database:
@@ -84,3 +85,55 @@
             self.name, GROUP, self.role, self.term, self.log.position,
             self.log.last_term, starts, "", 0.0, sent_at, sent_at,
         )  # fmt: skip
+
+
+class Group:
+    """Three databases with one primary, and the time."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.databases = {name: Database(name) for name in SERVERS}
+        self.databases["s1"].become_primary(self.now)
+
+    @property
+    def primary(self):
+        primaries = [d for d in self.databases.values() if d.role == "primary"]
+        return max(primaries, key=lambda database: database.term)
+
+    @property
+    def keys_exist(self):
+        """Whether the primary has the table of keys."""
+        sql = "SELECT 1 FROM sqlite_master WHERE name = 'cassiahill_keys'"
+        return bool(self.primary.log.read([[sql, []]])[0]["rows"])
+
+    def advance(self, seconds):
+        self.now += seconds
+
+    def pull(self, name, limit=1):
+        replica = self.databases[name]
+        if replica.role == "replica" and replica.term <= self.primary.term:
+            replica.term = self.primary.term
+            replica.pull(self.primary, limit)
+
+    def promote(self, absent):
+        """Promote among the two databases that a partition leaves together."""
+        present = [d for d in self.databases.values() if d.name != absent]
+        if any(d.recovering for d in present):
+            return  # A database that has not caught up refuses a new term.
+        term = max(d.term for d in self.databases.values()) + 1
+        for database in present:
+            database.term, database.role = term, "replica"
+        best = max(present, key=lambda d: (d.log.last_term, d.log.position))
+        for index, entry in enumerate(best.log.entries):
+            # Entries that no majority has were part of no acknowledged data so far.
+            if sum(d.has(index, entry.term) for d in self.databases.values()) < 2:
+                best.commit_times[index] = self.now
+        best.become_primary(self.now)
+
+    def restart(self, name):
+        """Restart a replica; more at once would lose acknowledged data."""
+        database = self.databases[name]
+        if database.role == "replica" and not any(
+            d.recovering for d in self.databases.values()
+        ):
+            database.restart()
--- a/tests/session_model.py
+++ b/tests/session_model.py
@@ -13,16 +13,15 @@
     acknowledgement,
     backend,
     errors,
-    freshness,
     history,
     messages,
     outcomes,
     routing,
     tokens,
 )
-from tests.database_model import GROUP, Database
+from tests.database_model import GROUP, SERVERS, Group
+from tests.session_parts import Parts, Proxy
 
-SERVERS = ("s1", "s2", "s3")
 STATED_AGE = 0.2
 DOMAINS = {"s1": "a", "s2": "b", "s3": "c"}
 SCHEMA = backend.Batch(
@@ -31,25 +30,6 @@
 FRESHNESS = (messages.OwnWrites(), messages.MaxAge(STATED_AGE), messages.AnyAge())
 
 
-@attrs.frozen
-class Parts:
-    """The parts under test."""
-
-    view: type = freshness.GroupView
-    policy: type = routing.FreshPolicy
-    keyed_write: object = staticmethod(outcomes.keyed_write)
-    resolve: object = staticmethod(outcomes.resolve)
-
-
-class Proxy:
-    """The state of one proxy."""
-
-    def __init__(self, parts):
-        self.view = parts.view(GROUP, SERVERS)
-        self.policy = parts.policy(silent_after=1e9)
-        self.tracker = acknowledgement.AckTracker(SERVERS)
-
-
 @attrs.define(eq=False)
 class Session:
     """A caller's session; ``write`` is the one that is not settled."""
@@ -90,14 +70,12 @@
     terms: list = attrs.field(factory=list)  # Of the log that the batch ran on.
 
 
-class Model:
+class Model(Group):
     """All events are methods; each leaves the model in a consistent state."""
 
     def __init__(self, parts=None):
         self.parts = parts or Parts()
-        self.now = 100.0
-        self.databases = {name: Database(name) for name in SERVERS}
-        self.databases["s1"].become_primary(self.now)
+        super().__init__()
         self.databases["s1"].execute(SCHEMA, self.now)
         self.proxies = [Proxy(self.parts), Proxy(self.parts)]
         self.sessions = [Session("a"), Session("b")]
@@ -113,50 +91,7 @@
         self._ids = 0
         self.settle()
 
-    @property
-    def primary(self):
-        primaries = [d for d in self.databases.values() if d.role == "primary"]
-        return max(primaries, key=lambda database: database.term)
-
-    @property
-    def keys_exist(self):
-        """Whether the primary has the table of keys."""
-        sql = "SELECT 1 FROM sqlite_master WHERE name = 'cassiahill_keys'"
-        return bool(self.primary.log.read([[sql, []]])[0]["rows"])
-
-    # Events of the group
-
-    def advance(self, seconds):
-        self.now += seconds
-
-    def pull(self, name, limit=1):
-        replica = self.databases[name]
-        if replica.role == "replica" and replica.term <= self.primary.term:
-            replica.term = self.primary.term
-            replica.pull(self.primary, limit)
-
-    def promote(self, absent):
-        """Promote among the two databases that a partition leaves together."""
-        present = [d for d in self.databases.values() if d.name != absent]
-        if any(d.recovering for d in present):
-            return  # A database that has not caught up refuses a new term.
-        term = max(d.term for d in self.databases.values()) + 1
-        for database in present:
-            database.term, database.role = term, "replica"
-        best = max(present, key=lambda d: (d.log.last_term, d.log.position))
-        for index, entry in enumerate(best.log.entries):
-            # Entries that no majority has were part of no acknowledged data so far.
-            if sum(d.has(index, entry.term) for d in self.databases.values()) < 2:
-                best.commit_times[index] = self.now
-        best.become_primary(self.now)
-
-    def restart(self, name):
-        """Restart a replica; more at once would lose acknowledged data."""
-        database = self.databases[name]
-        if database.role == "replica" and not any(
-            d.recovering for d in self.databases.values()
-        ):
-            database.restart()
+    # Events of polls
 
     def poll(self, name, proxy, asked_before=0.0):
         """Answer a poll; the answer is in flight afterwards."""
--- a/tests/test_broken_session.py
+++ b/tests/test_broken_session.py
@@ -3,7 +3,8 @@
 import unittest
 
 from tests import broken_session
-from tests.session_model import FRESHNESS, Model, Parts
+from tests.session_model import FRESHNESS, Model
+from tests.session_parts import Parts
 
 OWN_WRITES, STATED_AGE, _ = FRESHNESS
 
