Keep a session's mark when a later term does not contain it

A mark of a later term at a lower position no longer replaces the previous one, extends() tells when a settled outcome may advance the mark, and the mark of an unknown outcome is taken before sending.

--- a/cassiahill/freshness.py
+++ b/cassiahill/freshness.py
@@ -220,11 +220,25 @@
         return tokens.Mark(status.last_term, position)
 
     def mark_of_unknown(self, term):
-        """Return the mark for a write in ``term`` whose outcome is unknown."""
+        """Return the mark for a write in ``term`` in case its outcome gets unknown.
+
+        Call it before the write is sent: the view may be in another term afterwards.
+        """
         status = self.status_by_server.get(self.primary)
         known = status is not None and status.term == term
         return tokens.Mark(term, status.position + 1 if known else 1)
 
+    def extends(self, mark):
+        """Return whether the current term's history is known to contain a mark.
+
+        A request that is not routed by the mark, as the settling of an outcome, may
+        advance the mark only then; else the session would not be told that the history
+        has diverged. Call it before the request is sent, in the view's term.
+        """
+        return mark is None or (
+            bool(self.primary) and self.contains(self.primary, mark) is Contains.YES
+        )
+
     def _add_sample(self, status):
         if self._sample_positions and self._sample_positions[-1] == status.position:
             self._sample_times[-1] = status.sent_at
--- a/cassiahill/tokens.py
+++ b/cassiahill/tokens.py
@@ -34,11 +34,15 @@
     def advanced(self, group, mark):
         """Return the token after the session has seen ``mark`` of ``group``.
 
-        A mark never goes back. Only the ``MAX_MARKS`` most recent groups are kept.
+        A mark never goes back. A later term at a lower position is a history that does
+        not contain the previous mark; the previous mark is kept then, so that the
+        session's next request is told. Only the ``MAX_MARKS`` most recent groups are
+        kept.
         """
         marks = dict(self.marks_by_group)
         previous = marks.pop(group, mark)
-        marks[group] = max(previous, mark)
+        later = mark > previous and mark.position >= previous.position
+        marks[group] = mark if later else previous
         while len(marks) > MAX_MARKS:
             del marks[next(iter(marks))]
         return SessionToken(self.caller, marks)
--- a/tests/session_model.py
+++ b/tests/session_model.py
@@ -66,6 +66,8 @@
     steps: object
     batch: backend.Batch
     finish: object
+    mark_of_unknown: tokens.Mark
+    may_advance: bool
     result: object = None
     terms: list = attrs.field(factory=list)  # Of the log that the batch ran on.
 
@@ -303,7 +305,11 @@
     def _start(self, session, proxy, server, steps, finish):
         session.busy = True
         batch = next(steps)
-        self.calls.append(Call(session, proxy, server, steps, batch, finish))
+        unknown = proxy.view.mark_of_unknown(proxy.view.term)
+        extends = proxy.view.extends(self._mark(session))
+        self.calls.append(
+            Call(session, proxy, server, steps, batch, finish, unknown, extends)
+        )
 
     def _answer(self, call, result):
         try:
@@ -346,7 +352,8 @@
             case outcomes.Done():
                 session.write = None
                 mark = tokens.Mark(outcome.term, outcome.position)
-                self._advance(session, mark)
+                if call.may_advance:
+                    self._advance(session, mark)
                 self.naive.setdefault(write.item, []).append(write.value)
                 self._record_write(session, write, history.DONE, mark)
                 if outcome.result.row_count != 1:
@@ -358,7 +365,8 @@
                     self._record_write(session, write, history.NOT_RUN)
             case outcomes.Unknown():
                 write.attempted = True
-                self._advance(session, call.proxy.view.mark_of_unknown(call.batch.term))
+                if call.may_advance:
+                    self._advance(session, call.mark_of_unknown)
                 if write.key is None:
                     session.write = None
                     self._record_write(session, write, history.UNKNOWN)
