--- a/cassiahill/freshness.py
+++ b/cassiahill/freshness.py
@@ -43,6 +43,23 @@
     recovering: bool = False
 
 
+@attrs.frozen
+class ReadPoint:
+    """A server as a read was sent to it, in ``term``.
+
+    Its log may change before the answer arrives, so the answer is interpreted by this
+    and not by later polls. ``settled_term`` is the term whose history the log was known
+    to be a prefix of, or None.
+    """
+
+    server: str
+    term: int
+    settled_term: int | None
+    last_term: int
+    is_primary: bool
+    sent_at: float
+
+
 def term_end(term_starts, term):
     """Return the last position of a term, or None while the term is the last one.
 
@@ -112,9 +129,23 @@
             return math.inf
         if server == self.primary:
             return now - self._confirmed_at()
-        return self._age_of_position(status, status.position, now)
+        if status.last_term != self.term:
+            return math.inf  # It may still hold a suffix that the term dropped.
+        return self._age_of_position(status.position, now)
 
-    def answer_age(self, server, term, position, sent_at, now):
+    def read_point(self, server, now):
+        """Return what is known of a server when a read is sent to it."""
+        status = self.status_by_server[server]
+        return ReadPoint(
+            server=server,
+            term=status.term,
+            settled_term=self.term if self.settled(server) else None,
+            last_term=status.last_term,
+            is_primary=server == self.primary,
+            sent_at=now,
+        )
+
+    def answer_age(self, point, position, now):
         """Return an upper bound of the age of an answer's data, in seconds.
 
         The bound follows from the answer's own position: later polls may have found
@@ -122,20 +153,19 @@
 
         Parameters
         ----------
-        server : str
-        term, position : int
+        point : ReadPoint
+        position : int
             From the answer.
-        sent_at, now : float
-            When the read was sent, and the present.
+        now : float
         """
-        status = self.status_by_server.get(server)
-        if status is None or not term == status.term == self.term:
+        if point.settled_term is None or point.term != self.term:
             return math.inf
-        if server == self.primary:
-            return now - min(sent_at, self._confirmed_at())
-        return self._age_of_position(status, position, now)
+        if point.is_primary:
+            return now - min(point.sent_at, self._confirmed_at())
+        return self._age_of_position(position, now)
 
-    def accepts(self, server, term, position, mark):
+    @staticmethod
+    def accepts(point, position, mark):
         """Return whether an answer contains a mark that its server contained.
 
         A server that restarted after its last poll may have less; the read then has to
@@ -143,11 +173,9 @@
         """
         if mark is None or position >= mark.position:
             return True
-        return server == self.primary and term == mark.term == self.term
+        return point.is_primary and point.term == mark.term
 
-    def _age_of_position(self, status, position, now):
-        if status.last_term != self.term:
-            return math.inf  # It may still hold a suffix that the term dropped.
+    def _age_of_position(self, position, now):
         index = bisect.bisect_right(self._sample_positions, position)
         if not index:
             return math.inf
@@ -200,24 +228,23 @@
             return Contains.DIVERGED
         return Contains.YES if status.position >= mark.position else Contains.WAIT
 
-    def mark_after(self, server, term, position):
-        """Return the mark of a session that has read from a server.
+    @staticmethod
+    def mark_after(point, position):
+        """Return the mark of a session that has read at a point.
 
         Parameters
         ----------
-        server : str
-        term, position : int
-            From the answer; ``term`` is the server's own, which can be later than that
-            of its last log entry.
+        point : ReadPoint
+        position : int
+            From the answer.
 
         Returns
         -------
         tokens.Mark
         """
-        status = self.status_by_server.get(server)
-        if status is None or status.term != term or self.settled(server):
-            return tokens.Mark(term, position)
-        return tokens.Mark(status.last_term, position)
+        if point.settled_term is None:
+            return tokens.Mark(point.last_term, position)
+        return tokens.Mark(point.settled_term, position)
 
     def mark_of_unknown(self, term):
         """Return the mark for a write in ``term`` in case its outcome gets unknown.
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -52,3 +52,7 @@
         self.assertEqual(self.rules([write(), read(["v"]), read([], "b")]), set())
         told = Operation("a", "read", "x", outcome=DIVERGED)
         self.assertEqual(self.rules([read(["u", "v"]), told, read(["v"])]), set())
+        dropped = write("b", "u", outcome=NOT_RUN)
+        self.assertEqual(self.rules([dropped, read(["u"]), told]), set())
+        still_seen = self.rules([dropped, told, read(["u"])])
+        self.assertEqual(still_seen, {"not run, but ran"})
