--- a/cassiahill/freshness.py
+++ b/cassiahill/freshness.py
@@ -48,14 +48,14 @@
     """A server as a read was sent to it, in ``term``.
 
     Its log may change before the answer arrives, so the answer is interpreted by this
-    and not by later polls. ``settled_term`` is the term whose history the log was known
-    to be a prefix of, or None.
+    and not by later polls. ``settled`` tells whether the log was known to be a prefix
+    of the term's history, whose ``(term, first position)`` pairs ``term_starts`` holds.
     """
 
     server: str
     term: int
-    settled_term: int | None
-    last_term: int
+    settled: bool
+    term_starts: tuple
     is_primary: bool
     sent_at: float
 
@@ -136,11 +136,16 @@
     def read_point(self, server, now):
         """Return what is known of a server when a read is sent to it."""
         status = self.status_by_server[server]
+        settled = self.settled(server)
+        starts = status.term_starts
+        if settled and status.last_term != self.term:
+            # The log may grow into later terms before the read runs.
+            starts = self.status_by_server[self.primary].term_starts
         return ReadPoint(
             server=server,
             term=status.term,
-            settled_term=self.term if self.settled(server) else None,
-            last_term=status.last_term,
+            settled=settled,
+            term_starts=starts,
             is_primary=server == self.primary,
             sent_at=now,
         )
@@ -158,7 +163,7 @@
             From the answer.
         now : float
         """
-        if point.settled_term is None or point.term != self.term:
+        if not point.settled or point.term != self.term:
             return math.inf
         if point.is_primary:
             return now - min(point.sent_at, self._confirmed_at())
@@ -223,6 +228,10 @@
         status = self.status_by_server[server]
         if status.last_term < mark.term:
             return Contains.WAIT
+        if mark.position <= 0:
+            return Contains.YES
+        if all(term != mark.term for term, _ in status.term_starts):
+            return Contains.DIVERGED  # The whole term was dropped.
         end = term_end(status.term_starts, mark.term)
         if end is not None and mark.position > end:
             return Contains.DIVERGED
@@ -232,6 +241,9 @@
     def mark_after(point, position):
         """Return the mark of a session that has read at a point.
 
+        Its term is that of the log entry at the position, so that a history that has
+        another entry there is recognised.
+
         Parameters
         ----------
         point : ReadPoint
@@ -242,9 +254,8 @@
         -------
         tokens.Mark
         """
-        if point.settled_term is None:
-            return tokens.Mark(point.last_term, position)
-        return tokens.Mark(point.settled_term, position)
+        terms = [term for term, start in point.term_starts if start <= position]
+        return tokens.Mark(terms[-1] if terms else 0, position)
 
     def mark_of_unknown(self, term):
         """Return the mark for a write in ``term`` in case its outcome gets unknown.
