--- a/tests/database_model.py
+++ b/tests/database_model.py
@@ -92,6 +92,7 @@
 
     def __init__(self):
         self.now = 100.0
+        self.durable = set()  # (index, term) of entries that cannot be dropped.
         self.databases = {name: Database(name) for name in SERVERS}
         self.databases["s1"].become_primary(self.now)
 
@@ -114,6 +115,11 @@
         if replica.role == "replica" and replica.term <= self.primary.term:
             replica.term = self.primary.term
             replica.pull(self.primary, limit)
+            if replica.log.last_term == replica.term:
+                # A majority has an entry of the current term, and so all before it; an
+                # entry of an earlier term alone could still be replaced.
+                entries = enumerate(replica.log.entries)
+                self.durable.update((index, entry.term) for index, entry in entries)
 
     def promote(self, absent):
         """Promote among the two databases that a partition leaves together."""
@@ -125,8 +131,8 @@
             database.term, database.role = term, "replica"
         best = max(present, key=lambda d: (d.log.last_term, d.log.position))
         for index, entry in enumerate(best.log.entries):
-            # Entries that no majority has were part of no acknowledged data so far.
-            if sum(d.has(index, entry.term) for d in self.databases.values()) < 2:
+            # What could not have been acknowledged becomes part of the data now.
+            if (index, entry.term) not in self.durable:
                 best.commit_times[index] = self.now
         best.become_primary(self.now)
 
