--- a/tests/session_model.py
+++ b/tests/session_model.py
@@ -20,7 +20,7 @@
     tokens,
 )
 from tests.database_model import GROUP, SERVERS, Group
-from tests.session_parts import Parts, Proxy
+from tests.session_parts import Call, Parts, Proxy, Session, Write
 
 STATED_AGE = 0.2
 DOMAINS = {"s1": "a", "s2": "b", "s3": "c"}
@@ -30,48 +30,6 @@
 FRESHNESS = (messages.OwnWrites(), messages.MaxAge(STATED_AGE), messages.AnyAge())
 
 
-@attrs.define(eq=False)
-class Session:
-    """A caller's session; ``write`` is the one that is not settled."""
-
-    name: str
-    token: str | None = None
-    busy: bool = False
-    write: object = None
-
-
-@attrs.define(eq=False)
-class Write:
-    """A write of a session; ``attempted`` after an attempt of unknown outcome."""
-
-    item: str
-    value: str
-    key: str | None
-    attempted: bool = False
-
-    @property
-    def statement(self):
-        return messages.Statement(
-            "INSERT INTO items VALUES (?, ?)", (self.item, self.value)
-        )
-
-
-@attrs.define(eq=False)
-class Call:
-    """A request in flight: a generator that yields batches, at one server."""
-
-    session: Session
-    proxy: Proxy
-    server: str
-    steps: object
-    batch: backend.Batch
-    finish: object
-    mark_of_unknown: tokens.Mark
-    may_advance: bool
-    result: object = None
-    terms: list = attrs.field(factory=list)  # Of the log that the batch ran on.
-
-
 class Model(Group):
     """All events are methods; each leaves the model in a consistent state."""
 
--- a/tests/session_parts.py
+++ b/tests/session_parts.py
@@ -1,8 +1,16 @@
-"""The modules that the session model drives; each can be exchanged."""
+"""State of the session model, and the modules under test that it exchanges."""
 
 import attrs
 
-from cassiahill import acknowledgement, freshness, outcomes, routing
+from cassiahill import (
+    acknowledgement,
+    backend,
+    freshness,
+    messages,
+    outcomes,
+    routing,
+    tokens,
+)
 from tests.database_model import GROUP, SERVERS
 
 
@@ -23,3 +31,45 @@
         self.view = parts.view(GROUP, SERVERS)
         self.policy = parts.policy(silent_after=1e9)
         self.tracker = acknowledgement.AckTracker(SERVERS)
+
+
+@attrs.define(eq=False)
+class Session:
+    """A caller's session; ``write`` is the one that is not settled."""
+
+    name: str
+    token: str | None = None
+    busy: bool = False
+    write: object = None
+
+
+@attrs.define(eq=False)
+class Write:
+    """A write of a session; ``attempted`` after an attempt of unknown outcome."""
+
+    item: str
+    value: str
+    key: str | None
+    attempted: bool = False
+
+    @property
+    def statement(self):
+        return messages.Statement(
+            "INSERT INTO items VALUES (?, ?)", (self.item, self.value)
+        )
+
+
+@attrs.define(eq=False)
+class Call:
+    """A request in flight: a generator that yields batches, at one server."""
+
+    session: Session
+    proxy: Proxy
+    server: str
+    steps: object
+    batch: backend.Batch
+    finish: object
+    mark_of_unknown: tokens.Mark
+    may_advance: bool
+    result: object = None
+    terms: list = attrs.field(factory=list)  # Of the log that the batch ran on.
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -2,8 +2,50 @@
 
 import unittest
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from cassiahill import history
-from cassiahill.history import DIVERGED, NOT_RUN, Operation
+from cassiahill.history import DIVERGED, DONE, NOT_RUN, UNKNOWN, Operation
+from tests import naive_history
+
+NAIVE_RULES = {
+    "read-your-writes",
+    "monotonic reads",
+    "not run, but ran",
+    "acknowledged write lost",
+    "at most once",
+}
+VALUES = st.lists(st.sampled_from("abcd"), max_size=3)
+
+
+@st.composite
+def histories(draw):
+    """Return operations of two sessions on two items, and the final values."""
+    operations = []
+    for value in draw(st.permutations("abcd")):
+        for _ in range(draw(st.integers(0, 3))):
+            operations.append(
+                Operation(
+                    draw(st.sampled_from("st")),
+                    "read",
+                    draw(st.sampled_from("xy")),
+                    values=tuple(draw(VALUES)),
+                    outcome=draw(st.sampled_from((DONE, DONE, DIVERGED))),
+                    position=draw(st.integers(1, 3)),
+                )
+            )
+        operations.append(
+            Operation(
+                draw(st.sampled_from("st")),
+                "write",
+                draw(st.sampled_from("xy")),
+                value=value,
+                outcome=draw(st.sampled_from((DONE, NOT_RUN, UNKNOWN, DIVERGED))),
+                position=draw(st.integers(1, 3)),
+            )
+        )
+    return operations, {"x": draw(VALUES), "y": draw(VALUES)}
 
 
 def write(session="a", value="v", **changes):
@@ -56,3 +98,12 @@
         self.assertEqual(self.rules([dropped, read(["u"]), told]), set())
         still_seen = self.rules([dropped, told, read(["u"])])
         self.assertEqual(still_seen, {"not run, but ran"})
+
+    @settings(derandomize=True, max_examples=500, deadline=None)
+    @given(histories())
+    def test_agrees_with_the_naive_checker(self, case):
+        """Guards against rules that the checker's bookkeeping misses."""
+        operations, final = case
+        found = {finding.rule for finding in history.check(operations, final)}
+        expected = naive_history.rules_broken(operations, final)
+        self.assertEqual(found & NAIVE_RULES, expected)
