--- a/cassiahill/dispatch.py
+++ b/cassiahill/dispatch.py
@@ -139,6 +139,8 @@
         number = 0
         while True:
             server = yield from self._route(turn)
+            view = turn.monitor.view
+            unknown_mark = view.mark_of_unknown(view.term)
             try:
                 if turn.request.key is None:
                     return (yield from self._plain_write(turn, server))
@@ -146,7 +148,7 @@
             except errors.CassiahillError as error:
                 number += 1
                 if not (yield from self._may_repeat(turn, error, number)):
-                    raise self._with_session(turn, error) from error
+                    raise self._with_session(turn, error, unknown_mark) from error
 
     def _plain_write(self, turn, server):
         batch = self._batch(turn, read_only=False)
@@ -191,7 +193,8 @@
         number = 0
         while True:
             server = yield from self._route(turn)
-            sent_at = self._loop.clock.now()
+            view = turn.monitor.view
+            point = view.read_point(server, self._loop.clock.now())
             batch = self._batch(turn, read_only=True)
             try:
                 result = yield from self._env.gateway.submit(
@@ -202,22 +205,22 @@
                 if not (yield from self._may_repeat(turn, error, number)):
                     raise
                 continue
-            age = self._accepted_age(turn, server, result, sent_at)
+            age = self._accepted_age(turn, point, result)
             if age is not None:
-                return self._answer(turn, server, result, result.results[0], age)
+                mark = view.mark_after(point, result.position)
+                return self._answer(turn, server, mark, result.results[0], age)
             yield from self._pause(turn, 1)
 
-    def _accepted_age(self, turn, server, result, sent_at):
+    def _accepted_age(self, turn, point, result):
         """Return the age of an answer; None when the read has to be sent again.
 
         The server may have dropped a suffix of its log or restarted since its last
         poll, or the read may have waited for longer than the stated age allows.
         """
         view = turn.monitor.view
-        if not view.accepts(server, result.term, result.position, turn.mark):
+        if not view.accepts(point, result.position, turn.mark):
             return None
-        now = self._loop.clock.now()
-        age = view.answer_age(server, result.term, result.position, sent_at, now)
+        age = view.answer_age(point, result.position, self._loop.clock.now())
         match turn.request.freshness:
             case messages.MaxAge(seconds=seconds) if age > seconds:
                 return None
@@ -299,14 +302,13 @@
             age_ms=None if age is None else age * 1000,
         )
 
-    def _with_session(self, turn, error):
+    def _with_session(self, turn, error, unknown_mark):
         """Add the token that makes the session see an unknown write if it ran."""
         if error.may_have_run is errors.MayHaveRun.NO:
             return error
-        mark = getattr(error, "mark", None)
-        if mark is None:
-            view = turn.monitor.view
-            status = view.status_by_server.get(view.primary)
-            mark = (view.term, 0 if status is None else status.position + 1)
+        mark = getattr(error, "mark", None) or (
+            unknown_mark.term,
+            unknown_mark.position,
+        )
         error.session = self.advanced_session(turn, *mark)
         return error
--- a/cassiahill/freshness.py
+++ b/cassiahill/freshness.py
@@ -43,6 +43,23 @@
     recovering: bool = False
 
 
+@attrs.frozen
+class ReadPoint:
+    """A server as a read was sent to it, in ``term``.
+
+    Its log may change before the answer arrives, so the answer is interpreted by this
+    and not by later polls. ``settled`` tells whether the log was known to be a prefix
+    of the term's history, whose ``(term, first position)`` pairs ``term_starts`` holds.
+    """
+
+    server: str
+    term: int
+    settled: bool
+    term_starts: tuple
+    is_primary: bool
+    sent_at: float
+
+
 def term_end(term_starts, term):
     """Return the last position of a term, or None while the term is the last one.
 
@@ -114,9 +131,28 @@
             return math.inf
         if server == self.primary:
             return now - self._confirmed_at
-        return self._age_of_position(status, status.position, now)
+        if status.last_term != self.term:
+            return math.inf  # It may still hold a suffix that the term dropped.
+        return self._age_of_position(status.position, now)
 
-    def answer_age(self, server, term, position, sent_at, now):
+    def read_point(self, server, now):
+        """Return what is known of a server when a read is sent to it."""
+        status = self.status_by_server[server]
+        settled = self.settled(server)
+        starts = status.term_starts
+        if settled and status.last_term != self.term:
+            # The log may grow into later terms before the read runs.
+            starts = self.status_by_server[self.primary].term_starts
+        return ReadPoint(
+            server=server,
+            term=status.term,
+            settled=settled,
+            term_starts=starts,
+            is_primary=server == self.primary,
+            sent_at=now,
+        )
+
+    def answer_age(self, point, position, now):
         """Return an upper bound of the age of an answer's data, in seconds.
 
         The bound follows from the answer's own position: later polls may have found
@@ -124,20 +160,19 @@
 
         Parameters
         ----------
-        server : str
-        term, position : int
+        point : ReadPoint
+        position : int
             From the answer.
-        sent_at, now : float
-            When the read was sent, and the present.
+        now : float
         """
-        status = self.status_by_server.get(server)
-        if status is None or not term == status.term == self.term:
+        if not point.settled or point.term != self.term:
             return math.inf
-        if server == self.primary:
-            return now - min(sent_at, self._confirmed_at)
-        return self._age_of_position(status, position, now)
+        if point.is_primary:
+            return now - min(point.sent_at, self._confirmed_at)
+        return self._age_of_position(position, now)
 
-    def accepts(self, server, term, position, mark):
+    @staticmethod
+    def accepts(point, position, mark):
         """Return whether an answer contains a mark that its server contained.
 
         A server that restarted after its last poll may have less; the read then has to
@@ -145,11 +180,9 @@
         """
         if mark is None or position >= mark.position:
             return True
-        return server == self.primary and term == mark.term == self.term
+        return point.is_primary and point.term == mark.term
 
-    def _age_of_position(self, status, position, now):
-        if status.last_term != self.term:
-            return math.inf  # It may still hold a suffix that the term dropped.
+    def _age_of_position(self, position, now):
         index = bisect.bisect_right(self._sample_positions, position)
         if not index:
             return math.inf
@@ -197,36 +230,55 @@
         status = self.status_by_server[server]
         if status.last_term < mark.term:
             return Contains.WAIT
+        if mark.position <= 0:
+            return Contains.YES
+        if all(term != mark.term for term, _ in status.term_starts):
+            return Contains.DIVERGED  # The whole term was dropped.
         end = term_end(status.term_starts, mark.term)
         if end is not None and mark.position > end:
             return Contains.DIVERGED
         return Contains.YES if status.position >= mark.position else Contains.WAIT
 
-    def mark_after(self, server, term, position):
-        """Return the mark of a session that has read from a server.
+    @staticmethod
+    def mark_after(point, position):
+        """Return the mark of a session that has read at a point.
+
+        Its term is that of the log entry at the position, so that a history that has
+        another entry there is recognised.
 
         Parameters
         ----------
-        server : str
-        term, position : int
-            From the answer; ``term`` is the server's own, which can be later than that
-            of its last log entry.
+        point : ReadPoint
+        position : int
+            From the answer.
 
         Returns
         -------
         tokens.Mark
         """
-        status = self.status_by_server.get(server)
-        if status is None or status.term != term or self.settled(server):
-            return tokens.Mark(term, position)
-        return tokens.Mark(status.last_term, position)
+        terms = [term for term, start in point.term_starts if start <= position]
+        return tokens.Mark(terms[-1] if terms else 0, position)
 
     def mark_of_unknown(self, term):
-        """Return the mark for a write in ``term`` whose outcome is unknown."""
+        """Return the mark for a write in ``term`` in case its outcome gets unknown.
+
+        Call it before the write is sent: the view may be in another term afterwards.
+        """
         status = self.status_by_server.get(self.primary)
         known = status is not None and status.term == term
         return tokens.Mark(term, status.position + 1 if known else 1)
 
+    def extends(self, mark):
+        """Return whether the current term's history is known to contain a mark.
+
+        A request that is not routed by the mark, as the settling of an outcome, may
+        advance the mark only then; else the session would not be told that the history
+        has diverged. Call it before the request is sent, in the view's term.
+        """
+        return mark is None or (
+            bool(self.primary) and self.contains(self.primary, mark) is Contains.YES
+        )
+
     def _add_sample(self, status):
         if self._sample_positions and self._sample_positions[-1] == status.position:
             self._sample_times[-1] = status.sent_at
--- a/tests/session_model.py
+++ b/tests/session_model.py
@@ -13,16 +13,15 @@
     acknowledgement,
     backend,
     errors,
-    freshness,
     history,
     messages,
     outcomes,
     routing,
     tokens,
 )
-from tests.database_model import GROUP, Database
+from tests.database_model import GROUP, SERVERS, Group
+from tests.session_parts import Call, Parts, Proxy, Session, Write
 
-SERVERS = ("s1", "s2", "s3")
 STATED_AGE = 0.2
 DOMAINS = {"s1": "a", "s2": "b", "s3": "c"}
 SCHEMA = backend.Batch(
@@ -31,73 +30,12 @@
 FRESHNESS = (messages.OwnWrites(), messages.MaxAge(STATED_AGE), messages.AnyAge())
 
 
-@attrs.frozen
-class Parts:
-    """The parts under test."""
-
-    view: type = freshness.GroupView
-    policy: type = routing.FreshPolicy
-    keyed_write: object = staticmethod(outcomes.keyed_write)
-    resolve: object = staticmethod(outcomes.resolve)
-
-
-class Proxy:
-    """The state of one proxy."""
-
-    def __init__(self, parts):
-        self.view = parts.view(GROUP, SERVERS)
-        self.policy = parts.policy(silent_after=1e9)
-        self.tracker = acknowledgement.AckTracker(SERVERS)
-
-
-@attrs.define(eq=False)
-class Session:
-    """A caller's session; ``write`` is the one that is not settled."""
-
-    name: str
-    token: str | None = None
-    busy: bool = False
-    write: object = None
-
-
-@attrs.define(eq=False)
-class Write:
-    """A write of a session; ``attempted`` after an attempt of unknown outcome."""
-
-    item: str
-    value: str
-    key: str | None
-    attempted: bool = False
-
-    @property
-    def statement(self):
-        return messages.Statement(
-            "INSERT INTO items VALUES (?, ?)", (self.item, self.value)
-        )
-
-
-@attrs.define(eq=False)
-class Call:
-    """A request in flight: a generator that yields batches, at one server."""
-
-    session: Session
-    proxy: Proxy
-    server: str
-    steps: object
-    batch: backend.Batch
-    finish: object
-    result: object = None
-    terms: list = attrs.field(factory=list)  # Of the log that the batch ran on.
-
-
-class Model:
+class Model(Group):
     """All events are methods; each leaves the model in a consistent state."""
 
     def __init__(self, parts=None):
         self.parts = parts or Parts()
-        self.now = 100.0
-        self.databases = {name: Database(name) for name in SERVERS}
-        self.databases["s1"].become_primary(self.now)
+        super().__init__()
         self.databases["s1"].execute(SCHEMA, self.now)
         self.proxies = [Proxy(self.parts), Proxy(self.parts)]
         self.sessions = [Session("a"), Session("b")]
@@ -113,50 +51,7 @@
         self._ids = 0
         self.settle()
 
-    @property
-    def primary(self):
-        primaries = [d for d in self.databases.values() if d.role == "primary"]
-        return max(primaries, key=lambda database: database.term)
-
-    @property
-    def keys_exist(self):
-        """Whether the primary has the table of keys."""
-        sql = "SELECT 1 FROM sqlite_master WHERE name = 'cassiahill_keys'"
-        return bool(self.primary.log.read([[sql, []]])[0]["rows"])
-
-    # Events of the group
-
-    def advance(self, seconds):
-        self.now += seconds
-
-    def pull(self, name, limit=1):
-        replica = self.databases[name]
-        if replica.role == "replica" and replica.term <= self.primary.term:
-            replica.term = self.primary.term
-            replica.pull(self.primary, limit)
-
-    def promote(self, absent):
-        """Promote among the two databases that a partition leaves together."""
-        present = [d for d in self.databases.values() if d.name != absent]
-        if any(d.recovering for d in present):
-            return  # A database that has not caught up refuses a new term.
-        term = max(d.term for d in self.databases.values()) + 1
-        for database in present:
-            database.term, database.role = term, "replica"
-        best = max(present, key=lambda d: (d.log.last_term, d.log.position))
-        for index, entry in enumerate(best.log.entries):
-            # Entries that no majority has were part of no acknowledged data so far.
-            if sum(d.has(index, entry.term) for d in self.databases.values()) < 2:
-                best.commit_times[index] = self.now
-        best.become_primary(self.now)
-
-    def restart(self, name):
-        """Restart a replica; more at once would lose acknowledged data."""
-        database = self.databases[name]
-        if database.role == "replica" and not any(
-            d.recovering for d in self.databases.values()
-        ):
-            database.restart()
+    # Events of polls
 
     def poll(self, name, proxy, asked_before=0.0):
         """Answer a poll; the answer is in flight afterwards."""
@@ -210,15 +105,14 @@
             return (yield backend.Batch((statement,), term, True, 1.0))
 
         before = self._mark(session)
-        sent_at = self.now
+        point = proxy.view.read_point(server, self.now)
 
         def finish(call, result):
-            found = (server, result.term, result.position)
-            if not proxy.view.accepts(*found, before):
+            if not proxy.view.accepts(point, result.position, before):
                 return
-            stated = proxy.view.answer_age(*found, sent_at, self.now)
+            stated = proxy.view.answer_age(point, result.position, self.now)
             self._check_age(call, stated)
-            mark = proxy.view.mark_after(server, result.term, result.position)
+            mark = proxy.view.mark_after(point, result.position)
             self._advance(session, mark)
             values = tuple(row[0] for row in result.results[0].rows)
             self._record(
@@ -341,6 +235,11 @@
         for index in range(len(self.sessions)):
             self.give_up(index)
         self.settle()
+        for session in range(len(self.sessions)):
+            for item in "xy":
+                # The second read follows when the first was told of a divergence.
+                if self.read(session, 0, item) or self.read(session, 0, item):
+                    self.arrive()
         rows = self.primary.log.read([["SELECT item, value FROM items", []]])[0]["rows"]
         final = {}
         for item, value in rows:
@@ -368,7 +267,11 @@
     def _start(self, session, proxy, server, steps, finish):
         session.busy = True
         batch = next(steps)
-        self.calls.append(Call(session, proxy, server, steps, batch, finish))
+        unknown = proxy.view.mark_of_unknown(proxy.view.term)
+        extends = proxy.view.extends(self._mark(session))
+        self.calls.append(
+            Call(session, proxy, server, steps, batch, finish, unknown, extends)
+        )
 
     def _answer(self, call, result):
         try:
@@ -411,7 +314,8 @@
             case outcomes.Done():
                 session.write = None
                 mark = tokens.Mark(outcome.term, outcome.position)
-                self._advance(session, mark)
+                if call.may_advance:
+                    self._advance(session, mark)
                 self.naive.setdefault(write.item, []).append(write.value)
                 self._record_write(session, write, history.DONE, mark)
                 if outcome.result.row_count != 1:
@@ -423,7 +327,8 @@
                     self._record_write(session, write, history.NOT_RUN)
             case outcomes.Unknown():
                 write.attempted = True
-                self._advance(session, call.proxy.view.mark_of_unknown(call.batch.term))
+                if call.may_advance:
+                    self._advance(session, call.mark_of_unknown)
                 if write.key is None:
                     session.write = None
                     self._record_write(session, write, history.UNKNOWN)
