--- a/bench/binary.py
+++ b/bench/binary.py
@@ -20,6 +20,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TIMEOUT_SECONDS = 60
+# Sources of compiled modules; they would take 8 MB of a host's memory.
+SOURCE_SUFFIXES = {".c", ".cpp", ".h", ".hpp", ".pxd", ".pyx"}
 CHECK_TOML = '[groups.g.servers.s]\naddress = "127.0.0.1:1"\nfailure_domain = "a"\n'
 EMPTY_DAY = {"proxy": "p", "covered": [], "ended": False, "rows": []}
 
@@ -97,6 +99,8 @@
     for file in distribution.files:
         if ".." in file.parts or "__pycache__" in file.parts:
             continue  # Scripts of the environment and caches are not imported.
+        if file.suffix in SOURCE_SUFFIXES:
+            continue
         target = folder / file
         target.parent.mkdir(parents=True, exist_ok=True)
         shutil.copyfile(file.locate(), target)
