--- a/cassiahill/objects.py
+++ b/cassiahill/objects.py
@@ -148,7 +148,8 @@
 
     Parameters
     ----------
-    address : tuple of (str, int)
+    address : tuple of (str, int) or None
+        Without an address, every call fails as during an outage.
     domain : str
         Failure domain of this process, sent with each call.
     clock_source : clock.Clock or None
@@ -193,6 +194,9 @@
         return self._call("GET", "/hosts", deadline)
 
     def _call(self, method, path, deadline, body=b"", headers=None, query=""):
+        if self._address is None:
+            detail = "no address of the platform is configured"
+            raise errors.PlatformUnavailable(detail, may_have_run="no")
         headers = {**(headers or {}), "Domain": self._domain}
         request = http1.Request(method, path, query, headers, body)
         try:
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -83,6 +83,12 @@
         self.assertEqual(caught.exception.may_have_run, "unknown")
         self.assertEqual(self.store.get("c", "x", self.deadline()).value, b"1")
 
+    def test_no_address(self):
+        """Guards against a drain that never ends because storing figures fails."""
+        store = objects.HttpObjectStore(None)
+        with self.assertRaises(errors.PlatformUnavailable):
+            store.get("c", "x", self.deadline())
+
     def test_refused_connection_is_not_run(self):
         """Guards against an unknown outcome where nothing was sent."""
         store = objects.HttpObjectStore(("127.0.0.1", 1))
