--- /dev/null
+++ b/bench/failover_gap.py
@@ -0,0 +1,388 @@
+"""Measures the failover gap, false promotions and lost acknowledged writes.
+
+Each run starts three ``standins.database`` processes, three observers and one writer,
+and injects one fault. Run ``python -m bench.failover_gap --seed 1 --runs 20``.
+"""
+
+import argparse
+import concurrent.futures
+import math
+import multiprocessing
+import random
+import signal
+import subprocess
+import sys
+from concurrent.futures import Future
+
+import attrs
+import msgspec
+
+from bench import naive_failover
+from cassiahill import (
+    acknowledgement,
+    backend,
+    backend_http,
+    clock,
+    errors,
+    failover,
+    freshness,
+    http1,
+    settings,
+)
+from cassiahill import loop as event_loop
+
+SERVERS = ("s1", "s2", "s3")
+PROXY_DELAY = 0.001  # seconds between observers, one way
+FAST_LAG_MS = 1
+SLOW_LAG_MS = 40  # of one replica, so that the choice of the log matters
+POLL_WAIT = 0.1
+RETURN_AFTER = 3.5  # seconds after the fault; then frozen and isolated primaries return
+RUN_AFTER_FAULT = 5.0
+WRITE_TIMEOUT = 0.5
+SCENARIOS = {
+    "killed": True,
+    "frozen": True,
+    "isolated": True,  # from the databases and observers of the other domains
+    "unfollowed": True,  # from its replicas only; all observers reach it
+    "killed, platform down": True,
+    "slow": False,
+    "silent connections": False,
+    "platform down": False,
+}
+
+
+@attrs.define
+class RunResult:
+    """What one run showed; ``gap`` is in seconds."""
+
+    gap: float = math.nan
+    acknowledged: int = 0
+    lost: int = 0
+    promotions: int = 0
+    returned: bool = False
+
+
+class Group:
+    """Three database processes."""
+
+    def __init__(self, rng):
+        self.processes = {}
+        self.ports = {}
+        slow = rng.choice(SERVERS[1:])
+        for name in SERVERS:
+            lag = SLOW_LAG_MS if name == slow else FAST_LAG_MS
+            self._start(name, lag)
+
+    def _start(self, name, lag):
+        command = [sys.executable, "-m", "standins.database", "--bootstrap"]
+        command += ["--group", "g", "--port", "0", "--name", name]
+        command += ["--domain", name.replace("s", "d"), "--lag-ms", str(lag)]
+        if name == "s1":
+            command += ["--role", "primary"]
+        else:
+            command += ["--follow", f"127.0.0.1:{self.ports['s1']}"]
+            command += ["--follow-name", "s1"]
+        process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+        self.processes[name] = process
+        self.ports[name] = int(process.stdout.readline().split()[1])
+
+    def settings(self):
+        """Return the settings of the group."""
+        servers = {
+            name: settings.ServerSettings(
+                name, "g", ("127.0.0.1", port), name.replace("s", "d"), 3, 25
+            )
+            for name, port in self.ports.items()
+        }
+        return settings.GroupSettings("g", servers)
+
+    def close(self):
+        """End the processes."""
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+            process.stdout.close()
+
+
+class Poller:
+    """Keeps a view current, as the daemon does."""
+
+    def __init__(self, loop, group_settings, domain, on_status=lambda status: None):
+        self.loop = loop
+        self.view = freshness.GroupView("g", SERVERS)
+        self.on_status = on_status
+        self.backends = {
+            name: backend_http.HttpBackend(loop, name, "g", server.address, domain)
+            for name, server in group_settings.servers_by_name.items()
+        }
+        for database in self.backends.values():
+            loop.spawn(self._poll(database))
+
+    def _poll(self, database):
+        known = None
+        while True:
+            deadline = self.loop.clock.now() + POLL_WAIT + 0.5
+            try:
+                known = yield database.status(known, POLL_WAIT, deadline)
+            except errors.CassiahillError:
+                known = None
+                yield self.loop.sleep_until(self.loop.clock.now() + 0.1)
+                continue
+            self.view.observe(known)
+            self.on_status(known)
+
+
+class Writer:
+    """Writes to the primary one row after another and records what is acknowledged."""
+
+    def __init__(self, loop, group_settings):
+        self.loop = loop
+        self.tracker = acknowledgement.AckTracker(SERVERS)
+        self.acknowledged = []  # (write id, term, instant)
+        self.next_id = 0
+        self.workers = 0
+        self._waiting = {}
+        self._terms_by_id = {}
+        self.poller = Poller(loop, group_settings, "clients", self._on_status)
+
+    def _on_status(self, status):
+        self._settle(self.tracker.observe(status))
+        view = self.poller.view
+        if view.primary and view.term > self.workers:
+            self.workers = view.term
+            self.loop.spawn(self._work(view.term, view.primary))
+
+    def _settle(self, decisions):
+        now = self.loop.clock.now()
+        for decision in decisions:
+            if isinstance(decision, acknowledgement.Acknowledge):
+                term = self._terms_by_id[decision.write_id]
+                self.acknowledged.append((decision.write_id, term, now))
+            self._waiting.pop(decision.write_id).set_result(None)
+
+    def _work(self, term, primary):
+        connection = None
+        while self.workers == term:
+            deadline = self.loop.clock.now() + WRITE_TIMEOUT
+            try:
+                if connection is None or connection.closed:
+                    database = self.poller.backends[primary]
+                    connection = yield database.connect(1, "bench", deadline)
+                yield from self._write(connection, term, primary, deadline)
+            except errors.CassiahillError:
+                yield self.loop.sleep_until(self.loop.clock.now() + 0.02)
+            yield self.loop.sleep_until(self.loop.clock.now() + 0.003)
+
+    def _write(self, connection, term, primary, deadline):
+        self.next_id += 1
+        write_id = self.next_id
+        statements = (
+            {"sql": "CREATE TABLE IF NOT EXISTS w (id INTEGER)", "params": []},
+            {"sql": "INSERT INTO w VALUES (?)", "params": [write_id]},
+        )
+        batch = backend.Batch(statements, term, False, WRITE_TIMEOUT)
+        result = yield connection.execute(batch, deadline)
+        self._waiting[write_id] = confirmed = Future()
+        self._terms_by_id[write_id] = result.term
+        now = self.loop.clock.now()
+        self.loop.call_at(
+            deadline, lambda: self._settle(self.tracker.expire(self.loop.clock.now()))
+        )
+        self._settle(
+            self.tracker.written(
+                write_id, primary, result.term, result.position, now, deadline
+            )
+        )
+        yield confirmed
+
+
+class Run:
+    """One run of one scenario."""
+
+    def __init__(self, scenario, policy, seed):
+        self.scenario = scenario
+        self.rng = random.Random(f"{scenario}/{seed}")
+        self.loop = event_loop.EventLoop(clock.SystemClock())
+        self.group = Group(self.rng)
+        self.settings = self.group.settings()
+        self.changes = []
+        self.claims = {}
+        self.drivers = []
+        self.writer = Writer(self.loop, self.settings)
+        if policy == "naive":
+            poller = Poller(self.loop, self.settings, "d2")
+            naive = naive_failover.NaiveDriver(
+                self.loop,
+                self.settings,
+                poller.backends,
+                poller.view,
+                self.changes.append,
+            )
+            self.drivers.append(naive)
+        else:
+            self._start_observers()
+
+    def _start_observers(self):
+        prefix = "e" if self.scenario == "unfollowed" else "d"
+        domains_by_proxy = {f"p{n}": f"{prefix}{n}" for n in (1, 2, 3)}
+        for name, domain in domains_by_proxy.items():
+            poller = Poller(self.loop, self.settings, domain)
+            driver = failover.FailoverDriver(
+                self.loop,
+                {"g": self.settings},
+                poller.backends,
+                {"g": poller.view},
+                name,
+                domain,
+                random.Random(self.rng.random()),
+                self._claim,
+                self._spread,
+                self.changes.append,
+            )
+            driver.set_members(domains_by_proxy)
+            self.drivers.append(driver)
+
+    def _claim(self, group, term, by):
+        future = Future()
+        if "platform down" not in self.scenario:
+            future.set_result(self.claims.setdefault((group, term), by) == by)
+        return future
+
+    def _spread(self, observation):
+        for driver in self.drivers:
+            if driver.own_name != observation.observer:
+                self.loop.call_at(
+                    self.loop.clock.now() + PROXY_DELAY,
+                    lambda driver=driver: driver.observe_report(observation),
+                )
+
+    def execute(self):
+        """Run the scenario and return a ``RunResult``."""
+        try:
+            done = self.loop.spawn(self._steps())
+            done.add_done_callback(lambda _: self.loop.stop())
+            self.loop.run()
+            return done.result()
+        finally:
+            for driver in self.drivers:
+                driver.close()
+            self.group.close()
+            self.loop.close()
+
+    def _steps(self):
+        warm_up = self.loop.clock.now() + 1.0 + self.rng.uniform(0, 0.5)
+        yield self.loop.sleep_until(warm_up)
+        yield from self._inject()
+        failed_at = self.loop.clock.now()
+        yield self.loop.sleep_until(failed_at + RETURN_AFTER)
+        yield from self._heal()
+        yield self.loop.sleep_until(failed_at + RUN_AFTER_FAULT)
+        self.writer.workers = math.inf
+        yield self.loop.sleep_until(self.loop.clock.now() + 0.2)
+        return (yield from self._result())
+
+    def _inject(self):
+        match self.scenario:
+            case "killed" | "killed, platform down":
+                self.group.processes["s1"].kill()
+            case "frozen":
+                self.group.processes["s1"].send_signal(signal.SIGSTOP)
+            case "isolated" | "unfollowed":
+                yield from self._set_faults(cut=["d2", "d3"])
+            case "slow":
+                yield from self._set_faults(service_ms=400)
+            case "silent connections":
+                yield from self._set_faults(silence_open=True)
+
+    def _heal(self):
+        if self.scenario == "frozen":
+            self.group.processes["s1"].send_signal(signal.SIGCONT)
+        elif self.scenario in ("isolated", "unfollowed"):
+            yield from self._set_faults(cut=[])
+
+    def _set_faults(self, **faults):
+        address = ("127.0.0.1", self.group.ports["s1"])
+        client = http1.ClientConnection(self.loop, address)
+        yield client.request("POST", "/fault", msgspec.json.encode(faults))
+        client.close()
+
+    def _result(self):
+        view = self.writer.poller.view
+        acknowledged = self.writer.acknowledged
+        result = RunResult(acknowledged=len(acknowledged))
+        result.promotions = len({change.term for change in self.changes})
+        old_end = max((at for _, term, at in acknowledged if term == 1), default=0)
+        new = [at for _, term, at in acknowledged if term > 1]
+        result.gap = min(new) - old_end if new else math.nan
+        deadline = self.loop.clock.now() + 2.0
+        connection = yield self.writer.poller.backends[view.primary].connect(
+            1, "check", deadline
+        )
+        statements = ({"sql": "SELECT id FROM w", "params": []},)
+        answer = yield connection.execute(
+            backend.Batch(statements, view.term, True, 1.0), deadline
+        )
+        kept = {row[0] for row in answer.results[0].rows}
+        result.lost = sum(write_id not in kept for write_id, _, _ in acknowledged)
+        old = view.status_by_server["s1"]
+        result.returned = (old.role, old.primary) == ("replica", view.primary)
+        return result
+
+
+def run_once(arguments):
+    """Run one scenario in a process of its own."""
+    return Run(*arguments).execute()
+
+
+def percentile(values, share):
+    """Return the nearest-rank percentile; NaN when there are no values."""
+    ordered = sorted(values)
+    if not ordered:
+        return math.nan
+    return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
+
+
+def print_row(policy, scenario, results):
+    """Print one row of the table."""
+    must_promote = SCENARIOS[scenario]
+    gaps = [r.gap for r in results if not math.isnan(r.gap)]
+    false = sum(max(0, r.promotions - must_promote) for r in results)
+    missed = sum(must_promote and math.isnan(r.gap) for r in results)
+    figures = " ".join(
+        f"{percentile(gaps, share):7.3f}" if must_promote else "      -"
+        for share in (0.5, 0.99, 1.0)
+    )
+    print(
+        f"{policy:9} {scenario:22} {len(results):4} {figures} {missed:6} {false:6}"
+        f" {sum(r.acknowledged for r in results):8}"
+        f" {sum(r.lost for r in results):5} {sum(r.returned for r in results):8}",
+        flush=True,
+    )
+
+
+def main(argv=None):
+    """Run all scenarios and print the table."""
+    parser = argparse.ArgumentParser(prog="bench.failover_gap", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--runs", type=int, default=20)
+    parser.add_argument("--parallel", type=int, default=4)
+    parser.add_argument("--scenario", action="append", choices=SCENARIOS)
+    parser.add_argument("--policy", action="append", choices=("majority", "naive"))
+    options = parser.parse_args(argv)
+    print("gaps in seconds; missed: runs without acknowledgement in a new term;")
+    print("false: promotions beyond the expected ones; returned: old primary follows")
+    print(
+        f"{'policy':9} {'scenario':22} {'runs':>4} {'median':>7} {'99th':>7} {'max':>7}"
+        f" {'missed':>6} {'false':>6} {'acked':>8} {'lost':>5} {'returned':>8}"
+    )
+    context = multiprocessing.get_context("spawn")
+    with concurrent.futures.ProcessPoolExecutor(options.parallel, context) as pool:
+        for policy in options.policy or ("majority", "naive"):
+            for scenario in options.scenario or SCENARIOS:
+                seeds = range(options.seed, options.seed + options.runs)
+                runs = [(scenario, policy, seed) for seed in seeds]
+                print_row(policy, scenario, list(pool.map(run_once, runs)))
+
+
+if __name__ == "__main__":
+    main()
