--- a/bench/failover_gap.py
+++ b/bench/failover_gap.py
@@ -203,13 +203,17 @@
         self.scenario = scenario
         self.rng = random.Random(f"{scenario}/{seed}")
         self.loop = event_loop.EventLoop(clock.SystemClock())
-        self.group = Group(self.rng)
-        self.settings = self.group.settings()
+        self.policy = policy
         self.changes = []
         self.claims = {}
         self.drivers = []
+        self.group = Group(self.rng)
+        self.settings = self.group.settings()
+
+    def start(self):
+        """Start the writer and the observers."""
         self.writer = Writer(self.loop, self.settings)
-        if policy == "naive":
+        if self.policy == "naive":
             poller = Poller(self.loop, self.settings, "d2")
             naive = naive_failover.NaiveDriver(
                 self.loop,
@@ -258,16 +262,17 @@
 
     def execute(self):
         """Run the scenario and return a ``RunResult``."""
-        try:
-            done = self.loop.spawn(self._steps())
-            done.add_done_callback(lambda _: self.loop.stop())
-            self.loop.run()
-            return done.result()
-        finally:
-            for driver in self.drivers:
-                driver.close()
-            self.group.close()
-            self.loop.close()
+        done = self.loop.spawn(self._steps())
+        done.add_done_callback(lambda _: self.loop.stop())
+        self.loop.run()
+        return done.result()
+
+    def close(self):
+        """End the observers and the databases."""
+        for driver in self.drivers:
+            driver.close()
+        self.group.close()
+        self.loop.close()
 
     def _steps(self):
         warm_up = self.loop.clock.now() + 1.0 + self.rng.uniform(0, 0.5)
@@ -331,7 +336,12 @@
 
 def run_once(arguments):
     """Run one scenario in a process of its own."""
-    return Run(*arguments).execute()
+    run = Run(*arguments)
+    try:
+        run.start()
+        return run.execute()
+    finally:
+        run.close()
 
 
 def percentile(values, share):
--- a/cassiahill/suspicion.py
+++ b/cassiahill/suspicion.py
@@ -69,7 +69,7 @@
     ranked_by_domain = {}
     for proxy in sorted(
         domains_by_proxy,
-        key=lambda name: (-xxhash.xxh3_64_intdigest(f"{group}\0{name}"), name),
+        key=lambda name: (-xxhash.xxh3_64_intdigest(f"{group}\0{name}".encode()), name),
     ):
         ranked_by_domain.setdefault(domains_by_proxy[proxy], []).append(proxy)
     turns = sorted(
