--- a/cassiahill/suspicion.py
+++ b/cassiahill/suspicion.py
@@ -178,7 +178,7 @@
         if not self.primary:
             return self._verdict_without_primary(now)
         silences = self._replica_silences(now)
-        if not silences or len(self.reachable(now) | set(silences)) < self._majority:
+        if not silences or len(self.reachable(now)) < self._majority:
             return Healthy()  # A promotion could not reach a majority.
         if (
             self._silent_observers(now) > len(self._observers) // 2
