--- a/bench/failover_gap.py
+++ b/bench/failover_gap.py
@@ -71,8 +71,7 @@
         self.ports = {}
         slow = rng.choice(SERVERS[1:])
         for name in SERVERS:
-            lag = SLOW_LAG_MS if name == slow else FAST_LAG_MS
-            self._start(name, lag)
+            self._start(name, SLOW_LAG_MS if name == slow else FAST_LAG_MS)
 
     def _start(self, name, lag):
         command = [sys.executable, "-m", "standins.database", "--bootstrap"]
@@ -110,8 +109,7 @@
 
     def __init__(self, loop, group_settings, domain, on_status=None):
         self.loop = loop
-        # An observer needs no position, so it need not follow every write.
-        self.interval = 0.05 if on_status is None else 0.002
+        self.interval = 0.05 if on_status is None else 0.002  # Writers need positions.
         self.view = freshness.GroupView("g", SERVERS)
         self.on_status = on_status or (lambda status: None)
         self.backends = {
