--- /dev/null
+++ b/tests/test_swim.py
@@ -0,0 +1,37 @@
+"""Tests of ``cassiahill.swim``."""
+
+import unittest
+
+from cassiahill import swim
+
+
+class NewsQueueTest(unittest.TestCase):
+    def test_retransmission_is_bounded_and_fair(self):
+        """Guards against news that is sent for ever, or starved by other news."""
+        members = {
+            f"p{n}": swim.Member(f"p{n}", ("10.0.0.1", n), "d") for n in range(40)
+        }
+        queue = swim.NewsQueue()
+        for name in members:
+            queue.add(name, 40)
+        sent = []
+        for _ in range(3):
+            sent += [member.name for member in queue.fill([], members)]
+        self.assertEqual(set(sent), set(members))
+        while queue:
+            sent += [member.name for member in queue.fill([], members)]
+        self.assertEqual({sent.count(name) for name in members}, {18})
+
+
+class HostListFilterTest(unittest.TestCase):
+    def test_a_host_that_is_not_listed_yet_is_kept(self):
+        """Guards against the removal of new members because the list lags."""
+        hosts = swim.HostList(frozenset({"a", "b", "c"}))
+        host_filter = swim.HostListFilter()
+        self.assertEqual(host_filter.read(hosts, {"a", "b", "c", "new"}), set())
+        fewer = swim.HostList(frozenset({"a", "b"}))
+        self.assertEqual(host_filter.read(fewer, {"a", "b", "c", "new"}), {"c"})
+
+
+if __name__ == "__main__":
+    unittest.main()
