--- a/cassiahill/peers.py
+++ b/cassiahill/peers.py
@@ -1,144 +1,23 @@
-"""Links between proxies over TCP: authenticated calls, many at a time.
-
-Both ends first send a random nonce. The hashes of the link are keyed with both nonces,
-so that a recorded link cannot be replayed, and its sequence numbers have no gaps.
-"""
+"""Calls between proxies over TCP, many at a time on one authenticated link."""
 
 import collections
-import secrets
-import struct
 from concurrent.futures import Future
 
 import attrs
 import msgspec
 
-from cassiahill import envelopes, errors, transport
+from cassiahill import errors, links, transport
 from cassiahill.datagrams import DatagramEndpoint
 
 __all__ = ["DatagramEndpoint", "PeerClient", "PeerListener"]
 
-MAX_FRAME_BYTES = 4 * 1024 * 1024
-MAX_HELLO_BYTES = 1024  # Limits what an unauthenticated connection can occupy.
-HELLO_SECONDS = 5.0
+MAX_PAYLOAD_BYTES = links.MAX_FRAME_BYTES - links.MAX_HELLO_BYTES
 MAX_PENDING_CALLS = 10_000
 MAX_QUEUED_BYTES = 4 * 1024 * 1024
 SILENT_SECONDS = 2.0  # A link without any answer for this long is replaced.
 CONNECT_PAUSE_SECONDS = 0.1
-NONCE_BYTES = 16
 OK = "ok"
 PROBLEM = "problem"
-HELLO = "hello"
-_LENGTH = struct.Struct(">I")
-
-
-class _Link:
-    """Framing, authentication and sequence numbers of one connection."""
-
-    def __init__(self, loop, own_name, fleet_secret, role, owner):
-        self._loop = loop
-        self._own_name = own_name
-        self._fleet_key = envelopes.fleet_key(fleet_secret)
-        self._role = role
-        self._owner = owner
-        self._nonce = secrets.token_bytes(NONCE_BYTES)
-        self._buffer = bytearray()
-        self._out = []
-        self._send_key = self._receive_key = None
-        self._sent = self._received = 0
-        self.peer = None
-        self.stream = None
-
-    def start(self, stream):
-        self.stream = stream
-        self._loop.call_at(self._loop.clock.now() + HELLO_SECONDS, self._expire_hello)
-        self._write(
-            envelopes.encode(self._fleet_key, self._own_name, 0, 0, HELLO, self._nonce)
-        )
-
-    def send(self, call, kind, payload):
-        """Queue one message for this turn's write and return its sequence."""
-        self._sent += 1
-        self._write(
-            envelopes.encode(
-                self._send_key, self._own_name, self._sent, call, kind, payload
-            )
-        )
-        return self._sent
-
-    def on_data(self, data):
-        self._buffer += data
-        buffer, offset = self._buffer, 0
-        while len(buffer) - offset >= _LENGTH.size and not self.stream.closed:
-            (length,) = _LENGTH.unpack_from(buffer, offset)
-            if length > (MAX_FRAME_BYTES if self.peer else MAX_HELLO_BYTES):
-                self._refuse("oversized")
-                return
-            end = offset + _LENGTH.size + length
-            if end > len(buffer):
-                break
-            self._on_frame(bytes(memoryview(buffer)[offset + _LENGTH.size : end]))
-            offset = end
-        del buffer[:offset]
-
-    def _on_frame(self, frame):
-        try:
-            message = envelopes.decode(self._receive_key or self._fleet_key, frame)
-        except errors.PeerRejected as error:
-            self._refuse(error.detail)
-            return
-        if self.peer is None:
-            self._on_hello(message)
-        elif message.sender != self.peer:
-            self._refuse("another sender")
-        elif message.sequence != self._received + 1:
-            self._refuse("replayed sequence")
-        else:
-            self._received = message.sequence
-            self._owner.on_message(self, message)
-
-    def _on_hello(self, message):
-        if message.kind != HELLO or len(message.payload) != NONCE_BYTES:
-            self._refuse("no hello")
-            return
-        if self.stream.peer_name not in (None, message.sender):
-            self._refuse("certificate of another proxy")
-            return
-        client, server = self._nonce, message.payload
-        if self._role == b"server":
-            client, server = server, client
-        keys = [
-            envelopes.keyed(_link_key(self._fleet_key, client + server + role))
-            for role in (b"client", b"server")
-        ]
-        self._send_key, self._receive_key = (
-            keys if self._role == b"client" else reversed(keys)
-        )
-        self.peer = message.sender
-        self._owner.on_open(self)
-
-    def _write(self, envelope):
-        if not self._out:
-            self._loop.call_soon(self._flush)
-        self._out += (_LENGTH.pack(len(envelope)), envelope)
-
-    def _flush(self):
-        data = b"".join(self._out)
-        self._out.clear()
-        self.stream.write(data)
-
-    def _expire_hello(self):
-        if self.peer is None and not self.stream.closed:
-            self._refuse("no hello in time")
-
-    def _refuse(self, reason):
-        self._owner.refusals_by_reason[reason] += 1
-        self.stream.close()
-
-
-def _link_key(fleet_key, nonces):
-    state = fleet_key.copy()
-    state.update(nonces)
-    return state.digest()
 
 
 class PeerListener:
@@ -196,7 +75,9 @@
         )
 
     def _accept(self, sock):
-        link = _Link(self._loop, self._own_name, self._fleet_secret, b"server", self)
+        link = links.Link(
+            self._loop, self._own_name, self._fleet_secret, b"server", self
+        )
         self._pending_by_link[link] = 0
         link.start(
             transport.Stream(
@@ -216,7 +97,7 @@
         error = future.exception()
         if error is not None:
             self._answer_problem(link, sequence, error)
-        elif len(future.result()) > MAX_FRAME_BYTES - MAX_HELLO_BYTES:
+        elif len(future.result()) > MAX_PAYLOAD_BYTES:
             self._answer_problem(link, sequence, errors.CassiahillError("too large"))
         else:
             link.send(sequence, OK, future.result())
@@ -319,7 +200,7 @@
     def _refusal(self, payload, now, deadline):
         if deadline <= now:
             return errors.DeadlinePassed("the deadline passed before the call")
-        if len(payload) > MAX_FRAME_BYTES - MAX_HELLO_BYTES:
+        if len(payload) > MAX_PAYLOAD_BYTES:
             return errors.RequestTooLarge("larger than a frame")
         pending = len(self._calls_by_sequence) + len(self._queued)
         if pending >= MAX_PENDING_CALLS or (
@@ -332,7 +213,9 @@
 
     def _connect(self):
         self._connect_after = self._loop.clock.now() + CONNECT_PAUSE_SECONDS
-        link = _Link(self._loop, self._own_name, self._fleet_secret, b"client", self)
+        link = links.Link(
+            self._loop, self._own_name, self._fleet_secret, b"client", self
+        )
         self._link = link
         try:
             stream = transport.connect(
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -104,7 +104,7 @@
         """Guards against a replay of a whole recorded link, and of one frame."""
         call = self.call()
         link = self.client._link
-        recorded = list(link._out)  # The hello, which waits for the connection.
+        recorded = [bytes(link.stream._out)]  # The hello waits for the connection.
         write = link._write
 
         def record(envelope):
