--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -43,7 +43,3 @@
         self.assertTrue(self.endpoint.send(address, "k", b"x" * 1000))
         self.loop._run_once()
         self.assertEqual(self.received, [b"x" * 1000])
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -21,7 +21,3 @@
         other.toggle("n7", 8)
         other.toggle("n7", 7)
         self.assertEqual(one.root, other.root)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_envelopes.py
+++ b/tests/test_envelopes.py
@@ -33,7 +33,3 @@
             return
         # Padding and unused pointer bits do not change the message.
         self.assertEqual(decoded, envelopes.decode(self.KEY, self.DATA))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_first_values.py
+++ b/tests/test_first_values.py
@@ -35,7 +35,3 @@
             self.first.answered(peer, offer(generation))
         chosen = self.first.offers(["a", "b", "c"], 100)
         self.assertEqual([rumor.generation for _, rumor in chosen], [9, 7])
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -106,7 +106,3 @@
         for message in messages:
             payload = msgspec.msgpack.encode(message)
             self.assertTrue(part._endpoint.send(self.seed, "m", payload), len(payload))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -195,7 +195,3 @@
         self.assertIn("p2", made.usable())
         made.step(swim.HostList(frozenset({"p2"}), frozenset({"p1"})), 3.0)
         self.assertEqual(made.own.state, LEAVING)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -140,7 +140,3 @@
         self.assertIsInstance(call.exception(), errors.OutcomeUnknown)
         late = self.call(seconds=-1.0)
         self.assertIsInstance(late.exception(), errors.DeadlinePassed)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -219,7 +219,3 @@
         self.assertEqual(len(set(chosen)), 3)
         others = [name for name in names if name != chosen[0]]
         self.assertEqual(spreading.readers("domain", others)[:2], chosen[1:])
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -31,7 +31,3 @@
         self.assertEqual(host_filter.read(hosts, {"a", "b", "c", "new"}), set())
         fewer = swim.HostList(frozenset({"a", "b"}))
         self.assertEqual(host_filter.read(fewer, {"a", "b", "c", "new"}), {"c"})
-
-
-if __name__ == "__main__":
-    unittest.main()
