--- a/cassiahill/spreading.py
+++ b/cassiahill/spreading.py
@@ -21,7 +21,7 @@
 MAX_KEYS = 50_000
 MAX_GENERATION_STEP = 65_536  # Nine days of configuration changes.
 FETCH_SECONDS = 1.0
-MAX_SOURCES = 8
+MAX_SOURCES = 8  # Peers remembered for one value.
 FORGET_SECONDS = 60.0  # A generation is remembered for this long after its life.
 READERS = 3
 
@@ -133,11 +133,8 @@
 
     def names(self, kind):
         """Return the names of one kind that have a value."""
-        return [
-            name
-            for (held_kind, name), held in self._held_by_key.items()
-            if held_kind == kind and held.value is not None
-        ]
+        items = self._held_by_key.items()
+        return [key[1] for key, h in items if key[0] == kind and h.value is not None]
 
     @property
     def digest(self):
@@ -291,8 +288,7 @@
             held.expires_at == math.inf
         ):
             reason = "generation too high"
-        if reason:
-            self.refusals_by_reason[reason] += 1
+        self.refusals_by_reason[reason] += bool(reason)
         return not reason
 
     def _want_body(self, sender, rumor, now):
