--- a/bench/flood.py
+++ b/bench/flood.py
@@ -88,8 +88,12 @@
     try:
         yield ("127.0.0.1", int(process.stdout.readline().split()[1]))
     finally:
-        process.terminate()
-        process.wait()
+        # A signal that arrives just before the loop waits is only seen at its next
+        # event, so one SIGTERM is not always enough.
+        while process.poll() is None:
+            process.terminate()
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                process.wait(timeout=1.0)
 
 
 class Run:
