--- a/bench/failover_gap.py
+++ b/bench/failover_gap.py
@@ -33,10 +33,9 @@
 
 SERVERS = ("s1", "s2", "s3")
 PROXY_DELAY = 0.001  # seconds between observers, one way
-FAST_LAG_MS = 1
-SLOW_LAG_MS = 40  # of one replica, so that the choice of the log matters
+FAST_LAG_MS, SLOW_LAG_MS = 1, 40  # One slow replica makes the choice of log matter.
 POLL_WAIT = 0.1  # seconds
-RETURN_AFTER = 3.5  # seconds after the fault; then frozen and isolated primaries return
+RETURN_AFTER = {"stalled": 0.7}  # seconds after the fault, when it can end
 RUN_AFTER_FAULT = 5.0
 WRITE_TIMEOUT = 0.5
 WRITE_INTERVAL = 0.02  # seconds; bounds the load of a run and the resolution of a gap
@@ -47,6 +46,7 @@
     "unfollowed": True,  # from its replicas only; all observers reach it
     "killed, platform down": True,
     "slow": False,
+    "stalled": False,
     "silent connections": False,
     "platform down": False,
 }
@@ -281,7 +281,7 @@
         yield self.loop.sleep_until(warm_up)
         yield from self._inject()
         failed_at = self.loop.clock.now()
-        yield self.loop.sleep_until(failed_at + RETURN_AFTER)
+        yield self.loop.sleep_until(failed_at + RETURN_AFTER.get(self.scenario, 3.5))
         yield from self._heal()
         yield self.loop.sleep_until(failed_at + RUN_AFTER_FAULT)
         self.writer.workers = math.inf
@@ -292,7 +292,7 @@
         match self.scenario:
             case "killed" | "killed, platform down":
                 self.group.processes["s1"].kill()
-            case "frozen":
+            case "frozen" | "stalled":
                 self.group.processes["s1"].send_signal(signal.SIGSTOP)
             case "isolated" | "unfollowed":
                 yield from self._set_faults(cut=["d2", "d3"])
@@ -302,7 +302,7 @@
                 yield from self._set_faults(silence_open=True)
 
     def _heal(self):
-        if self.scenario == "frozen":
+        if self.scenario in ("frozen", "stalled"):
             self.group.processes["s1"].send_signal(signal.SIGCONT)
         elif self.scenario in ("isolated", "unfollowed"):
             yield from self._set_faults(cut=[])
