--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,6 +1,7 @@
 """Fleets of the real decision modules in one process, with direct calls."""
 
 import collections
+import copy
 import random
 
 import msgspec
@@ -221,7 +222,7 @@
         first.step(swim.Received("", everyone), self.now)
         for other in others:
             other.members_by_name = dict(first.members_by_name)
-            other._digests._digests = list(first._digests._digests)
+            other._digests = copy.deepcopy(first._digests)
 
 
 def address(number):
--- a/cassiahill/digests.py
+++ b/cassiahill/digests.py
@@ -15,17 +15,21 @@
 
     def __init__(self):
         self._digests = [0] * BUCKETS
+        self._root = None
 
     def toggle(self, name, content):
         """Add an item, or remove it when it was added with the same content."""
+        self._root = None
         self._digests[bucket_of(name)] ^= xxhash.xxh3_64_intdigest(
             f"{name}\0{content}".encode()
         )
 
     @property
     def root(self):
-        """Hash of all buckets."""
-        return xxhash.xxh3_64_intdigest(repr(self._digests).encode())
+        """Hash of all buckets; kept, because every probe's answer carries it."""
+        if self._root is None:
+            self._root = xxhash.xxh3_64_intdigest(repr(self._digests).encode())
+        return self._root
 
     def to_tuple(self):
         """Return the hashes of all buckets."""
