--- a/cassiahill/membership.py
+++ b/cassiahill/membership.py
@@ -103,12 +103,9 @@
     def answer_sync(self, request):
         """Return the ``SyncAnswer`` to a ``SyncRequest``."""
         differing = self._digests.differing(request.digests)
+        members = self.members_by_name.values() if differing else ()
         return swim.SyncAnswer(
-            tuple(
-                member
-                for name, member in self.members_by_name.items()
-                if digests.bucket_of(name) in differing
-            )
+            tuple(m for m in members if digests.bucket_of(m.name) in differing)
         )
 
     # Probes and timers.
