--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -77,6 +77,23 @@
         """Set faults of a database stand-in."""
         return post(self.addresses_by_server[server], "/fault", faults)
 
+    def groups_document(self):
+        """Return the ``groups`` table of the configuration."""
+        return {
+            group: {
+                "servers": {
+                    server: {
+                        "address": "{}:{}".format(*self.addresses_by_server[server]),
+                        "failure_domain": domain,
+                        "slots": self.shape.slots,
+                        "connections": self.shape.connections,
+                    }
+                    for server, domain in servers
+                }
+            }
+            for group, servers in self.servers_by_group.items()
+        }
+
     def dump(self, proxy):
         """Return the state dump of a proxy."""
         return get(self.operators_by_proxy[proxy], "/dump")
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -1,11 +1,16 @@
 """Tests of ``cassiahill.proxy`` over real processes on loopback."""
 
+import http.client
+import threading
+import time
 import unittest
 import urllib.error
 
 from bench import deployment
+from cassiahill import client, configuration, errors, objects
 
 GROUP = "fees"
+WAIT_SECONDS = 60.0
 
 
 class WholePathTest(unittest.TestCase):
@@ -55,6 +60,118 @@
                 call(self.first, **fields)
             self.assertEqual(caught.exception.code, code)
 
+    def test_transactions_are_isolated_and_end_with_their_connection(self):
+        """Guards against uncommitted rows that others see, or that outlive a caller."""
+        connection = http.client.HTTPConnection(*self.first, timeout=WAIT_SECONDS)
+        begun = send(connection, "/v1/transactions", {"group": GROUP})
+        path = f"/v1/transactions/{begun['transaction']}/statements"
+        sql = "insert into fees (vendor) values ('open')"
+        self.assertEqual(send(connection, path, {"sql": sql})["row_count"], 1)
+        with self.client() as caller:
+            session = caller.session()
+            self.assertEqual(self.count(session, "open"), 0)
+            connection.close()
+            # The write waits for the lock, which the rollback releases.
+            written = session.write(GROUP, "insert into fees (vendor) values ('next')")
+            self.assertEqual(written.row_count, 1)
+            self.assertEqual(self.count(session, "open"), 0)
+
+    def test_key_runs_once_through_two_proxies(self):
+        """Guards against a retry through another proxy that runs the write again."""
+        fields = {
+            "kind": "write",
+            "sql": "insert into fees (vendor) values (?)",
+            "params": ["keyed"],
+            "key": "payment-1",
+        }
+        first, second = call(self.first, **fields), call(self.second, **fields)
+        self.assertEqual((first["row_count"], second["row_count"]), (1, 1))
+        with self.client() as caller:
+            session = caller.session(second["session"])
+            self.assertEqual(self.count(session, "keyed"), 1)
+
+    def test_settled_key_never_runs(self):
+        """Guards against "not run" for a write whose first attempt arrives late."""
+        body = {"group": GROUP, "key": "payment-2"}
+        answer = deployment.post(
+            self.second, "/v1/outcomes", body, {"Caller": "vendor-1"}
+        )
+        self.assertEqual(answer["outcome"], "not_run")
+        with self.assertRaises(Problem) as caught:
+            call(
+                self.first,
+                kind="write",
+                sql="insert into fees (vendor) values ('late')",
+                key="payment-2",
+            )
+        self.assertEqual(caught.exception.code, "key_closed")
+
+    def test_accepted_configuration_reaches_every_proxy(self):
+        """Guards against a proxy that keeps an older configuration."""
+        store = objects.HttpObjectStore(self.running.platform_address)
+        deadline = time.monotonic() + WAIT_SECONDS
+        document = {"groups": self.running.groups_document()}
+        document["admission"] = {"floors": {"routine": 0.1}}
+        update = configuration.Update(document, 0, "operator", 0, "update-1")
+        accepted = configuration.apply(store, update, deadline)
+        for address in self.running.operators_by_proxy.values():
+            while deployment.get(address, "/status")["generation"] == 0:
+                self.assertLess(time.monotonic(), deadline)
+            status = deployment.get(address, "/status")
+            self.assertEqual(status["generation"], accepted.generation)
+        answer = call(self.first, kind="read", sql="select 1")
+        self.assertEqual(answer["rows"], [[1]])
+
+    def client(self):
+        """Return a client of both proxies."""
+        return client.Client([self.first, self.second], "vendor-1")
+
+    def count(self, session, vendor):
+        """Return how many rows of a vendor a session sees."""
+        sql = "select count(*) from fees where vendor = ?"
+        return session.read(GROUP, sql, (vendor,)).rows[0][0]
+
+
+class DrainTest(unittest.TestCase):
+    def test_drain_cuts_no_request(self):
+        """Guards against requests and transactions that a shutdown cuts off."""
+        with deployment.running(deployment.SAFEPLATE, proxy_count=2) as running:
+            addresses = list(running.callers_by_proxy.values())
+            stop, failures = threading.Event(), []
+            done = threading.Semaphore(0)
+
+            def work(number):
+                with client.Client(addresses, f"vendor-{number}") as caller:
+                    session = caller.session()
+                    while not stop.is_set():
+                        try:
+                            session.read(GROUP, "select 1")
+                            done.release()
+                        except errors.CassiahillError as error:
+                            failures.append(error)
+                            done.release()
+
+            threads = [threading.Thread(target=work, args=(n,)) for n in range(4)]
+            for thread in threads:
+                thread.start()
+            running.kill("proxy-1", deployment.signal.SIGTERM)
+            code = running.processes_by_name["proxy-1"].wait(WAIT_SECONDS)
+            while done.acquire(blocking=False):
+                pass
+            for _ in range(10):
+                self.assertTrue(done.acquire(timeout=WAIT_SECONDS))
+            stop.set()
+            for thread in threads:
+                thread.join()
+        self.assertEqual((code, failures), (0, []))
+
+
+def send(connection, path, body):
+    """Send one request on a connection of its own and return the answer."""
+    headers = {"Caller": "vendor-1"}
+    connection.request("POST", path, deployment.json.dumps(body), headers)
+    return deployment.json.load(connection.getresponse())
+
 
 class Problem(Exception):
     """A problem answer; ``code`` is its stable code."""
