--- a/cassiahill/gateway.py
+++ b/cassiahill/gateway.py
@@ -451,6 +451,11 @@
 
     # Operators
 
+    def owns(self, server):
+        """Return whether this process owns a backend server now."""
+        owned_server = self._owned_by_server.get(server)
+        return owned_server is not None and owned_server.state == "owned"
+
     def owner(self, server):
         """Return the proxy that owns a backend server, as known here, or None."""
         return self._owner_by_server[server]
--- a/cassiahill/proxy.py
+++ b/cassiahill/proxy.py
@@ -19,6 +19,7 @@
     fleet,
     frontend,
     gateway,
+    housekeeping,
     http1,
     kernel,
     loop,
@@ -88,7 +89,7 @@
         )
         self.dispatcher = dispatch.Dispatcher(self._environment())
         self.transactions = transactions.Transactions(
-            self.loop, self.dispatcher, self.gateway
+            self.loop, self.dispatcher, self.gateway, time.time
         )
         self.peer_listener = peers.PeerListener(
             self.loop,
@@ -242,6 +243,11 @@
         logging.info("event=started proxy=%s", self.settings.name)
         on_ready()
         self.loop.spawn(self._publish_figures())
+        self.loop.spawn(
+            housekeeping.drop_old_keys(
+                self.loop, self.topology, self.gateway, time.time
+            )
+        )
 
     def _knows_configuration(self):
         return self.platform.was_read or self.fleet.gossip.ready.done()
@@ -250,9 +256,11 @@
 
     def _on_configuration_news(self, _name, _generation, value):
         try:
-            self._install(configuration.decode(value))
+            accepted = configuration.decode(value)
         except errors.InvalidSettings as error:
             logging.warning("event=configuration_refused detail=%s", error)
+            return
+        self._install(accepted)
 
     def _on_accepted(self, accepted):
         if self._install(accepted):
@@ -266,13 +274,25 @@
     def _install(self, accepted):
         if accepted.generation <= self.installed.generation:
             return False
-        document = settings.with_configuration(self._document, accepted.document)
-        self.settings = settings.proxy_settings(document)
+        try:
+            self.settings = settings.updated(
+                self.settings,
+                self._document,
+                self.installed.accepted.document,
+                accepted.document,
+            )
+        except errors.InvalidSettings as error:
+            logging.warning("event=configuration_refused detail=%s", error)
+            return False
         self.installed.offer(accepted)
         self.topology.update(self.settings.groups_by_name)
         self.gateway.update_servers()
         self.fleet.restart_failover()
-        logging.info("event=configuration_installed %s", accepted.describe())
+        logging.info(
+            "event=configuration_installed generation=%d by=%s",
+            accepted.generation,
+            accepted.by,
+        )
         return True
 
     def _on_primary_change(self, change):
--- a/cassiahill/transactions.py
+++ b/cassiahill/transactions.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from cassiahill import errors, messages
+from cassiahill import errors, messages, outcomes
 
 ID_BYTES = 12
 MAX_TRANSACTIONS = 10_000
@@ -30,9 +30,12 @@
     loop : loop.EventLoop
     dispatcher : dispatch.Dispatcher
     gateway : gateway.Gateway
+    wall_clock : callable
+        Returns Unix time in seconds, to date idempotency keys.
     """
 
-    def __init__(self, loop, dispatcher, gateway):
+    def __init__(self, loop, dispatcher, gateway, wall_clock):
+        self._wall_clock = wall_clock
         self._loop = loop
         self._dispatcher = dispatcher
         self._gateway = gateway
@@ -59,12 +62,52 @@
         server = yield from self._dispatcher.primary(turn)
         term = turn.monitor.view.term
         owner, remote_id = yield from self._gateway.begin(server, turn.work, term)
+        if request.key is not None:
+            owner, remote_id = yield from self._insert_key(
+                turn, server, term, owner, remote_id
+            )
         transaction_id = secrets.token_hex(ID_BYTES)
         self._open_by_id[transaction_id] = _Open(
             owner, remote_id, server, turn, connection
         )
         return transaction_id
 
+    def _insert_key(self, turn, server, term, owner, remote_id):
+        """Make the key part of the transaction, so that it settles a lost commit.
+
+        Returns
+        -------
+        tuple of (str, str)
+            Owner and remote id; another transaction when the table was missing.
+        """
+        request, deadline = turn.request, turn.request.deadline
+        key = outcomes.stored_key(request.caller, request.key)
+        statement = outcomes.transaction_key_statement(
+            key, server, term, self._wall_clock()
+        )
+        for _ in range(2):
+            try:
+                yield from self._gateway.execute(
+                    owner, remote_id, (statement,), deadline
+                )
+                return owner, remote_id
+            except errors.StatementFailed:
+                timeout = deadline - self._loop.clock.now()
+            try:
+                yield from self._gateway.submit(
+                    server, turn.work, outcomes.create_batch(term, timeout), True
+                )
+                found = yield from self._gateway.submit(
+                    server, turn.work, outcomes.lookup_batch(key, term, timeout), True
+                )
+            except errors.CassiahillError as error:
+                # The transaction holds nothing but its key, which was refused.
+                raise errors.NotRunError(error.detail, retry_after=0.1) from error
+            if found.results[0].rows:
+                raise errors.KeyConflict("the key belongs to an earlier transaction")
+            owner, remote_id = yield from self._gateway.begin(server, turn.work, term)
+        raise errors.NotRunError("the key could not be stored", retry_after=0.1)
+
     def execute(self, transaction_id, caller, statement, deadline):
         """Run one statement; return its ``messages.Answer``."""
         opened = self._take(transaction_id, caller)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -106,6 +106,22 @@
             )
         self.assertEqual(caught.exception.code, "key_closed")
 
+    def test_key_of_a_committed_transaction_settles_as_done(self):
+        """Guards against "not run" for a transaction whose commit answer was lost."""
+        with self.client() as caller:
+            session = caller.session()
+            with session.transaction(GROUP, key="transfer-1") as transaction:
+                transaction.execute("insert into fees (vendor) values ('moved')")
+            session.resolve(GROUP, "transfer-1")
+            with (
+                self.assertRaises(errors.KeyConflict),
+                session.transaction(GROUP, key="transfer-1"),
+            ):
+                self.fail("a key was used for two transactions")
+            with self.assertRaises(errors.KeyClosed):
+                session.resolve(GROUP, "transfer-2")
+            self.assertEqual(self.count(session, "moved"), 1)
+
     def test_accepted_configuration_reaches_every_proxy(self):
         """Guards against a proxy that keeps an older configuration."""
         store = objects.HttpObjectStore(self.running.platform_address)
