--- a/bench/demo.py
+++ b/bench/demo.py
@@ -12,16 +12,7 @@
 
 from bench import deployment, workload
 
-SHAPE = deployment.Shape(
-    groups=("renewals", "reports"),
-    domains=("a", "b", "c"),
-    slots=3,
-    connections=25,
-    open_ms=10,
-    service_ms=4,
-    lag_ms=1,
-    proxies=4,
-)
+SHAPE = deployment.MIXED
 KILLED_GROUP = "renewals"
 FLOOD_CALLERS = 300
 URGENT_TARGET = 0.99
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -55,6 +55,16 @@
     lag_ms=1,
     proxies=7,
 )
+MIXED = Shape(
+    groups=("renewals", "reports"),
+    domains=("a", "b", "c"),
+    slots=3,
+    connections=25,
+    open_ms=10,
+    service_ms=4,
+    lag_ms=1,
+    proxies=4,
+)
 
 
 @attrs.define
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -14,16 +14,7 @@
 
 from bench import deployment, workload
 
-SHAPE = deployment.Shape(
-    groups=("renewals", "reports"),
-    domains=("a", "b", "c"),
-    slots=3,
-    connections=25,
-    open_ms=10,
-    service_ms=2,
-    lag_ms=1,
-    proxies=4,
-)
+SHAPE = attrs.evolve(deployment.MIXED, service_ms=2)
 GROUP = "renewals"
 PRIMARY = "renewals-1"
 CALLERS = 8
--- a/cassiahill/dispatch.py
+++ b/cassiahill/dispatch.py
@@ -5,13 +5,13 @@
 from cassiahill import (
     backend,
     errors,
-    gateway,
     messages,
     outcomes,
     retries,
     routing,
     tokens,
 )
+from cassiahill.work import Work
 
 NO_MARK = tokens.Mark(0, 0)
 # Refusals that were decided before a statement was passed to a database connection.
@@ -51,7 +51,7 @@
     monitor: object
     request: messages.StatementRequest
     token: tokens.SessionToken
-    work: gateway.Work
+    work: Work
 
     @property
     def mark(self):
@@ -119,7 +119,7 @@
         if monitor is None:
             raise errors.UnknownGroup(f"group {request.group!r} is not configured")
         token = self._env.signer.decode(request.session, request.caller)
-        work = gateway.Work(request.rank, request.caller, request.deadline)
+        work = Work(request.rank, request.caller, request.deadline)
         return Turn(monitor, request, token, work)
 
     def advanced_session(self, turn, term, position):
--- a/cassiahill/gateway.py
+++ b/cassiahill/gateway.py
@@ -1,21 +1,17 @@
 """Runs statements at backend servers: at the own ones, else through their owners."""
 
 import collections
-import itertools
 
 import attrs
 
-from cassiahill import backend, errors, forwarding, messages, owned, ownership
+from cassiahill import errors, forwarding, hosting, owned, ownership
 
 TICK = 0.1  # seconds between two looks at the ownership
 PING_INTERVAL = 0.25  # seconds between two probes of an unreachable owner
 PING_TIMEOUT = 0.3
 DRAIN_TIMEOUT = 5.0  # seconds for the queue of a server that another proxy will own
-TRANSACTION_IDLE = 10.0  # seconds after which a silent transaction is rolled back
 FORWARD_GRACE = 0.05  # seconds for the way back of an answer
 
-Work = collections.namedtuple("Work", "rank caller deadline")
-
 
 class WaitingWork:
     """Waiting work by backend server, read when it is asked for."""
@@ -29,17 +25,6 @@
         return owned_server.waiting if owned_server.state == "owned" else default
 
 
-@attrs.define(eq=False)
-class _Hosted:
-    """A transaction that runs at a backend server of this proxy."""
-
-    transaction: object
-    server: str
-    term: int
-    expires_at: float = 0.0
-    timer: object = None
-
-
 class Gateway:
     """Sends work to the owner of each backend server.
 
@@ -82,8 +67,9 @@
         self._owner_by_server = {}
         self._refused_until_by_rank = {}
         self._claims = ownership.Claims(own.name, loop.clock.now())
-        self._hosted_by_id = {}
-        self._ids = itertools.count(1)
+        self.hosting = hosting.Hosting(
+            loop, own.name, topology, self._own_server, self.counts
+        )
         self._closed = False
         self.update_servers()
         loop.call_soon(self._tick)
@@ -174,17 +160,21 @@
 
     def _ping(self, name):
         self._ping_at_by_name[name] = self._loop.clock.now() + PING_INTERVAL
+        if (yield from self._answers(name)):
+            self._ping_at_by_name.pop(name, None)
+            self._refresh()
+
+    def _answers(self, name):
+        """Return whether another proxy answers a ping; True when it is not known."""
         client = self._client(name)
         if client is None:
-            return
+            return True
+        deadline = self._loop.clock.now() + PING_TIMEOUT
         try:
-            yield client.call(
-                forwarding.PING, b"", self._loop.clock.now() + PING_TIMEOUT
-            )
+            yield client.call(forwarding.PING, b"", deadline)
         except errors.CassiahillError:
-            return
-        self._ping_at_by_name.pop(name, None)
-        self._refresh()
+            return False
+        return True
 
     def _suspect(self, name):
         """Leave out a proxy that cannot be reached until it answers a ping."""
@@ -222,7 +212,7 @@
         log up to the result's position.
         """
         if self._owner_by_server[server] == self._own.name:
-            return (yield from self._submit_here(server, work, batch, confirm))
+            return (yield from self.hosting.submit(server, work, batch, confirm))
         call = forwarding.SubmitCall(
             server,
             int(work.rank),
@@ -248,7 +238,7 @@
         """Open a transaction; return ``(owner, transaction id)``."""
         owner = self._owner_by_server[server]
         if owner == self._own.name:
-            return owner, (yield from self._begin_here(server, work, term))
+            return owner, (yield from self.hosting.begin(server, work, term))
         call = forwarding.BeginCall(
             server, int(work.rank), work.caller, self._left(work.deadline), term
         )
@@ -258,7 +248,7 @@
     def execute(self, owner, transaction, statements, deadline):
         """Run statements of a transaction at its owner."""
         if owner == self._own.name:
-            return (yield from self._execute_here(transaction, statements, deadline))
+            return (yield from self.hosting.execute(transaction, statements, deadline))
         call = forwarding.ExecuteCall(
             transaction,
             self._left(deadline),
@@ -270,7 +260,7 @@
     def end(self, owner, transaction, commit, deadline):
         """Commit or roll back a transaction at its owner."""
         if owner == self._own.name:
-            return (yield from self._end_here(transaction, commit, deadline))
+            return (yield from self.hosting.end(transaction, commit, deadline))
         call = forwarding.EndCall(transaction, self._left(deadline), commit)
         payload = yield from self._forward(owner, forwarding.END, call, deadline)
         return forwarding.decode_result(payload)
@@ -308,25 +298,6 @@
             self._suspect(owner)
             raise
 
-    # Work at the own backend servers
-
-    def _submit_here(self, server, work, batch, confirm):
-        pending = self._own_server(server).submit(work, batch)
-        if confirm:
-            group = self._topology.servers_by_name[server].group
-            monitor = self._topology.monitors_by_group[group]
-            pending = monitor.while_in_term(pending, batch.term)
-        result = yield pending
-        if confirm:
-            yield self._confirm(server, result, work.deadline)
-        return result
-
-    def _confirm(self, server, result, deadline):
-        group = self._topology.servers_by_name[server].group
-        return self._topology.monitors_by_group[group].confirm(
-            server, result.term, result.position, deadline
-        )
-
     def _own_server(self, server):
         owned_server = self._owned_by_server.get(server)
         if owned_server is None or owned_server.state not in ("owned", "draining"):
@@ -338,116 +309,12 @@
         return owned_server
 
     def _check_owner(self, name):
-        client = self._client(name)
-        if client is None:
-            return
-        try:
-            yield client.call(
-                forwarding.PING, b"", self._loop.clock.now() + PING_TIMEOUT
-            )
-        except errors.CassiahillError:
+        if not (yield from self._answers(name)):
             self._suspect(name)
 
-    def _begin_here(self, server, work, term):
-        transaction = yield self._own_server(server).open_transaction(work, term)
-        transaction_id = f"{self._own.name}/{next(self._ids)}"
-        hosted = _Hosted(transaction, server, term)
-        self._hosted_by_id[transaction_id] = hosted
-        self._keep(transaction_id, hosted)
-        return transaction_id
-
-    def _keep(self, transaction_id, hosted):
-        """Move the instant at which a silent transaction is rolled back."""
-        if hosted.timer is not None:
-            hosted.timer.cancel()
-        hosted.expires_at = self._loop.clock.now() + TRANSACTION_IDLE
-        hosted.timer = self._loop.call_at(
-            hosted.expires_at, lambda: self._abandon(transaction_id)
-        )
-
-    def _abandon(self, transaction_id):
-        hosted = self._hosted_by_id.pop(transaction_id, None)
-        if hosted is not None:
-            self.counts["transactions_abandoned"] += 1
-            hosted.timer.cancel()
-            hosted.transaction.close()
-
-    def _hosted(self, transaction_id):
-        hosted = self._hosted_by_id.get(transaction_id)
-        if hosted is None:
-            raise errors.NoTransaction("the transaction has ended or was rolled back")
-        return hosted
-
-    def _execute_here(self, transaction_id, statements, deadline):
-        hosted = self._hosted(transaction_id)
-        self._keep(transaction_id, hosted)
-        batch = backend.Batch(statements, hosted.term, False, self._left(deadline))
-        try:
-            return (yield hosted.transaction.execute(batch, deadline))
-        except errors.CassiahillError:
-            if hosted.transaction.ended:
-                self._abandon(transaction_id)
-            raise
-
-    def _end_here(self, transaction_id, commit, deadline):
-        hosted = self._hosted(transaction_id)
-        del self._hosted_by_id[transaction_id]
-        hosted.timer.cancel()
-        if not commit:
-            yield hosted.transaction.rollback(deadline)
-            return backend.BatchResult(0, 0, ())
-        result = yield hosted.transaction.commit(deadline)
-        yield self._confirm(hosted.server, result, deadline)
-        return result
-
-    # Calls of other proxies
-
     def handle_peer(self, _sender, kind, payload):
         """Return the future of the answer to another proxy's call."""
-        return self._loop.spawn(self._handle_peer(kind, payload))
-
-    def _handle_peer(self, kind, payload):
-        now = self._loop.clock.now()
-        match kind:
-            case forwarding.PING:
-                return b""
-            case forwarding.SUBMIT:
-                call = forwarding.decode(payload, forwarding.SubmitCall)
-                work = _work(call, now)
-                batch = backend.Batch(
-                    forwarding.statements_of(call.statements),
-                    call.term,
-                    call.read_only,
-                    call.timeout,
-                )
-                return forwarding.encode_result(
-                    (
-                        yield from self._submit_here(
-                            call.server, work, batch, call.confirm
-                        )
-                    )
-                )
-            case forwarding.BEGIN:
-                call = forwarding.decode(payload, forwarding.BeginCall)
-                transaction = yield from self._begin_here(
-                    call.server, _work(call, now), call.term
-                )
-                return forwarding.encode(forwarding.BeginResult(transaction))
-            case forwarding.EXECUTE:
-                call = forwarding.decode(payload, forwarding.ExecuteCall)
-                result = yield from self._execute_here(
-                    call.transaction,
-                    forwarding.statements_of(call.statements),
-                    now + call.timeout,
-                )
-                return forwarding.encode_result(result)
-            case forwarding.END:
-                call = forwarding.decode(payload, forwarding.EndCall)
-                result = yield from self._end_here(
-                    call.transaction, call.commit, now + call.timeout
-                )
-                return forwarding.encode_result(result)
-        raise errors.PeerRejected(f"unknown call {kind!r}")
+        return self._loop.spawn(self.hosting.handle_peer(kind, payload))
 
     # Operators
 
@@ -470,7 +337,7 @@
                 for name, owned_server in self._owned_by_server.items()
                 if owned_server.state != "released"
             },
-            "transactions": len(self._hosted_by_id),
+            "transactions": self.hosting.count,
             "counts": dict(self.counts),
         }
 
@@ -489,10 +356,6 @@
             client.close()
 
 
-def _work(call, now):
-    return Work(messages.Rank(call.rank), call.caller, now + call.timeout)
-
-
 def _ignore(future):
     """Read the error of a call that is repeated while it is needed."""
     future.exception()
--- a/cassiahill/housekeeping.py
+++ b/cassiahill/housekeeping.py
@@ -1,6 +1,7 @@
 """Background work at the primaries that this process owns."""
 
-from cassiahill import errors, gateway, messages, outcomes
+from cassiahill import errors, messages, outcomes
+from cassiahill.work import Work
 
 INTERVAL = 600.0  # seconds between two clean-ups of a group
 BATCH_TIMEOUT = 5.0
@@ -28,7 +29,7 @@
 def _drop(loop, view, own_gateway, wall_clock):
     for _ in range(MAX_BATCHES):
         deadline = loop.clock.now() + BATCH_TIMEOUT
-        work = gateway.Work(messages.Rank.ROUTINE, "housekeeping", deadline)
+        work = Work(messages.Rank.ROUTINE, "housekeeping", deadline)
         batch = outcomes.drop_batch(view.term, wall_clock(), BATCH_TIMEOUT)
         try:
             result = yield from own_gateway.submit(view.primary, work, batch, False)
--- /dev/null
+++ b/cassiahill/work.py
@@ -0,0 +1,6 @@
+"""What admission needs to know of a statement."""
+
+import collections
+
+# A named tuple, because one is made for each statement and attrs classes cost more.
+Work = collections.namedtuple("Work", "rank caller deadline")
