Expose only metrics that are counted; answer a failing handler with 500

A handler of the HTTP server that raised an unexpected error was reported as malformed input, because the parser wrapped it.

--- a/cassiahill/http1.py
+++ b/cassiahill/http1.py
@@ -6,6 +6,7 @@
 import attrs
 import httptools
 import msgspec
+from absl import logging
 
 from cassiahill import errors, transport
 from cassiahill.loop import LoopFuture
@@ -165,6 +166,10 @@
         except errors.CassiahillError as error:
             self._finish(problem_response(error), keep_alive)
             return
+        except Exception as error:  # noqa: BLE001 answered instead of raised in the parser
+            logging.exception("event=handler_failed path=%s", request.path)
+            self._finish(problem_response(error), keep_alive)
+            return
         if isinstance(future, Response):
             self._finish(future, keep_alive)
             return
--- a/cassiahill/metrics.py
+++ b/cassiahill/metrics.py
@@ -24,7 +24,6 @@
     10.0,
     30.0,
 )
-FAILOVER_BUCKETS = (0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 6.0, 10.0, 30.0)
 
 
 class Metrics:
@@ -61,50 +60,28 @@
             "whether a replica was allowed to (yes, no).",
             "role eligible",
         )
-        self.retries = self._new(
-            Counter, "cassiahill_retries_total", "Repeated requests.", "reason"
-        )
         self.forwarded = self._new(
             Counter,
             "cassiahill_forwarded_total",
-            "Requests that were sent to the owner of a backend server.",
+            "Requests for the owner of a backend server (sent, refused here).",
             "result",
         )
-        self.failover_seconds = self._new(
-            Histogram,
-            "cassiahill_failover_seconds",
-            "Time from the start of a promotion to its end.",
-            "group",
-            FAILOVER_BUCKETS,
-        )
         self.promotions = self._new(
             Counter,
             "cassiahill_promotions_total",
-            "Promotions that this process started.",
+            "Promotions that this process finished.",
             "group result",
         )
         self.platform_calls = self._new(
             Counter,
             "cassiahill_platform_calls_total",
-            "Calls to the platform.",
-            "call result",
-        )
-        self.figure_batches = self._new(
-            Counter,
-            "cassiahill_figure_batches_total",
-            "Batches of report figures (stored, waiting, dropped).",
-            "result",
-        )
-        self.datagrams = self._new(
-            Counter,
-            "cassiahill_datagrams_total",
-            "Datagrams between proxies (sent, received, refused).",
-            "result",
+            "Calls to the platform (watches, claims) and failed ones (failures).",
+            "call",
         )
         self.connections = self._new(
             Gauge,
             "cassiahill_connections",
-            "Open connections by side (caller, peer, backend).",
+            "Open connections by side (caller, backend).",
             "side",
         )
         self.queue_length = self._new(
--- a/cassiahill/proxy.py
+++ b/cassiahill/proxy.py
@@ -24,8 +24,8 @@
     kernel,
     loop,
     messages,
-    metrics,
     objects,
+    operatorapi,
     ownership,
     peers,
     platformlink,
@@ -102,7 +102,7 @@
         self.operators = http1.Server(
             self.loop,
             self.settings.operator_address,
-            self._handle_operator,
+            operatorapi.OperatorApi(self).handle,
             tls.server_context(self._tls.get("operators")),
         )
         self.callers = None
@@ -153,7 +153,7 @@
         """Return the state of the process as plain values."""
         return {
             **self.status(),
-            "callers": self._caller_count(),
+            "callers": self.caller_count(),
             "requests_in_flight": self._requests_in_flight(),
             "transactions": self.transactions.count,
             "groups": {
@@ -343,44 +343,13 @@
             self._requests_in_flight() or self.transactions.count or self.gateway.busy()
         )
 
-    def _caller_count(self):
+    def caller_count(self):
+        """Return the number of callers' connections."""
         return 0 if self.callers is None else self.callers.connection_count
 
     def _requests_in_flight(self):
         return 0 if self.callers is None else self.callers.requests_in_flight
 
-    # Operators
-
-    def _handle_operator(self, request, _connection):
-        match (request.method, request.path):
-            case ("GET", "/status"):
-                return http1.json_response(self.status())
-            case ("GET", "/dump"):
-                return http1.json_response(self.dump())
-            case ("GET", "/metrics"):
-                return self._metrics_response()
-            case ("POST", "/drain"):
-                self.drain()
-                return http1.json_response({"draining": True})
-        if request.method == "POST" and request.path.startswith("/approve/"):
-            self.fleet.approve(request.path.removeprefix("/approve/"))
-            return http1.json_response({"approved": True})
-        raise errors.NotFound(f"{request.method} {request.path}")
-
-    def _metrics_response(self):
-        now = self.loop.clock.now()
-        gauges = self.accounting.metrics
-        gauges.connections.labels("caller").set(self._caller_count())
-        gauges.generation.set(self.installed.generation)
-        gauges.draining.set(self.draining)
-        gauges.members.labels("live").set(len(self.fleet.domains_by_proxy()))
-        for name, monitor in self.topology.monitors_by_group.items():
-            gauges.term.labels(name).set(monitor.view.term)
-            for server in monitor.view.servers:
-                age = monitor.view.age(server, now)
-                gauges.replica_age_seconds.labels(server).set(age)
-        return http1.Response(200, gauges.exposition(), metrics.CONTENT_TYPE)
-
 
 def _by_rank(values_by_name):
     return {
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -5,6 +5,7 @@
 import time
 import unittest
 import urllib.error
+import urllib.request
 
 from bench import deployment
 from cassiahill import client, configuration, errors, objects
@@ -122,6 +123,15 @@
                 session.resolve(GROUP, "transfer-2")
             self.assertEqual(self.count(session, "moved"), 1)
 
+    def test_operator_port_shows_state_and_metrics(self):
+        """Guards against an operator who cannot see what a process decided on."""
+        address = self.running.operators_by_proxy["proxy-1"]
+        dump = deployment.get(address, "/dump")
+        self.assertEqual(dump["groups"][GROUP]["primary"], "fees-1")
+        self.assertEqual(dump["proxies"], ["proxy-1", "proxy-2"])
+        with urllib.request.urlopen("http://{}:{}/metrics".format(*address)) as answer:
+            self.assertIn(b'cassiahill_term{group="fees"} 1.0', answer.read())
+
     def test_accepted_configuration_reaches_every_proxy(self):
         """Guards against a proxy that keeps an older configuration."""
         store = objects.HttpObjectStore(self.running.platform_address)
