--- a/cassiahill/gateway.py
+++ b/cassiahill/gateway.py
@@ -297,6 +297,9 @@
         except errors.ConnectionLost:
             self._suspect(owner)
             raise
+        except errors.OutcomeUnknown:
+            self._loop.spawn(self._check_owner(owner))
+            raise
 
     def _own_server(self, server):
         owned_server = self._owned_by_server.get(server)
--- a/cassiahill/messages.py
+++ b/cassiahill/messages.py
@@ -1,6 +1,7 @@
 """Requests and answers of callers as attrs classes, and their JSON form."""
 
 import enum
+import re
 
 import attrs
 import msgspec
@@ -13,6 +14,13 @@
 DEFAULT_TIMEOUT_MS = 5_000
 
 
+_TRANSACTION_CONTROL = re.compile(
+    r"(?:\s|--[^\n]*\n|/\*.*?\*/)*"
+    r"(?:begin|start|commit|end|rollback|abort|savepoint|release)\b",
+    re.IGNORECASE | re.DOTALL,
+)
+
+
 class Rank(enum.IntEnum):
     """Rank of a request; a lower number is served first."""
 
@@ -207,10 +215,14 @@
     Raises
     ------
     errors.MalformedRequest
-        When the SQL is empty or too long, or a parameter is not a JSON scalar.
+        When the SQL is empty or too long, controls a transaction, or a parameter is
+        not a JSON scalar.
     """
     if not sql.strip() or len(sql) > MAX_SQL_CHARACTERS:
         raise errors.MalformedRequest("sql is empty or too long")
+    if _TRANSACTION_CONTROL.match(sql):
+        # It would end the batch that keeps a write and its key together.
+        raise errors.MalformedRequest("transactions are controlled by their own calls")
     for param in params:
         if not isinstance(param, str | int | float | bool | None):
             raise errors.MalformedRequest("params must be JSON scalars")
