Let a transaction outlive the connection that opened it on request

Cause: curl opens a connection for each call, so the tutorial's transaction was rolled back before its first statement. An entry proxy now also forgets transactions that have been silent.

--- a/cassiahill/frontend.py
+++ b/cassiahill/frontend.py
@@ -62,7 +62,9 @@
     def _begin(self, request, caller, connection):
         body = messages.decode_body(request.body, messages.TransactionBody)
         parsed = self._write_request(body, caller, body.rank)
-        transaction = yield from self._transactions.begin(parsed, connection)
+        transaction = yield from self._transactions.begin(
+            parsed, None if body.survives_connection else connection
+        )
         return http1.json_response({"transaction": transaction})
 
     def _transaction(self, request, caller, transaction, action):
--- a/cassiahill/messages.py
+++ b/cassiahill/messages.py
@@ -120,13 +120,18 @@
 
 
 class TransactionBody(msgspec.Struct, forbid_unknown_fields=True):
-    """JSON form of ``POST /v1/transactions``."""
+    """JSON form of ``POST /v1/transactions``.
+
+    A transaction ends with the connection that opened it unless ``survives_connection``
+    is set; then it ends after it has been silent for ten seconds.
+    """
 
     group: str
     rank: str = "routine"
     timeout_ms: int = DEFAULT_TIMEOUT_MS
     session: str | None = None
     key: str | None = None
+    survives_connection: bool = False
 
 
 class TransactionStatementBody(msgspec.Struct, forbid_unknown_fields=True):
--- a/cassiahill/transactions.py
+++ b/cassiahill/transactions.py
@@ -8,6 +8,7 @@
 
 ID_BYTES = 12
 MAX_TRANSACTIONS = 10_000
+FORGET_AFTER = 15.0  # seconds of silence; the owner has rolled back before that
 
 
 @attrs.define(eq=False)
@@ -17,6 +18,7 @@
     server: str
     turn: object
     connection: object
+    used_at: float
     busy: bool = False
 
 
@@ -53,8 +55,8 @@
         ----------
         request : messages.StatementRequest
             A write request whose statement is ignored.
-        connection : object
-            The caller's connection; the transaction ends with it.
+        connection : object or None
+            The caller's connection; the transaction ends with it unless it is None.
         """
         if len(self._open_by_id) >= MAX_TRANSACTIONS:
             raise errors.Overloaded("too many open transactions")
@@ -68,8 +70,9 @@
             )
         transaction_id = secrets.token_hex(ID_BYTES)
         self._open_by_id[transaction_id] = _Open(
-            owner, remote_id, server, turn, connection
+            owner, remote_id, server, turn, connection, self._loop.clock.now()
         )
+        self._forget_when_silent(transaction_id)
         return transaction_id
 
     def _insert_key(self, turn, server, term, owner, remote_id):
@@ -155,6 +158,19 @@
                 if not opened.busy:
                     self._loop.spawn(self._roll_back(opened))
 
+    def _forget_when_silent(self, transaction_id):
+        opened = self._open_by_id.get(transaction_id)
+        if opened is None:
+            return
+        forget_at = opened.used_at + FORGET_AFTER
+        if self._loop.clock.now() >= forget_at and not opened.busy:
+            del self._open_by_id[transaction_id]
+            return
+        self._loop.call_at(
+            max(forget_at, self._loop.clock.now() + 1.0),
+            lambda: self._forget_when_silent(transaction_id),
+        )
+
     def _roll_back(self, opened):
         try:
             yield from self._gateway.end(
@@ -170,4 +186,5 @@
         if opened.busy:
             raise errors.MalformedRequest("a statement of the transaction is running")
         opened.busy = True
+        opened.used_at = self._loop.clock.now()
         return opened
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -77,6 +77,19 @@
             self.assertEqual(written.row_count, 1)
             self.assertEqual(self.count(session, "open"), 0)
 
+    def test_transaction_over_several_connections(self):
+        """Guards against curl examples whose transaction ends with the first call."""
+        body = {"group": GROUP, "survives_connection": True}
+        headers = {"Caller": "vendor-1"}
+        begun = deployment.post(self.first, "/v1/transactions", body, headers)
+        path = f"/v1/transactions/{begun['transaction']}"
+        sql = {"sql": "insert into fees (vendor) values ('several')"}
+        deployment.post(self.first, path + "/statements", sql, headers)
+        ended = deployment.post(self.first, path + "/commit", {}, headers)
+        with self.client() as caller:
+            session = caller.session(ended["session"])
+            self.assertEqual(self.count(session, "several"), 1)
+
     def test_key_runs_once_through_two_proxies(self):
         """Guards against a retry through another proxy that runs the write again."""
         fields = {
