--- a/cassiahill/runner.py
+++ b/cassiahill/runner.py
@@ -95,18 +95,7 @@
         return len(self._calls)
 
     def submit(self, work, batch):
-        """Run a batch.
-
-        Parameters
-        ----------
-        work : object
-            Has ``rank``, ``caller`` and ``deadline``.
-        batch : backend.Batch
-
-        Returns
-        -------
-        Future of backend.BatchResult
-        """
+        """Serve ``owned.OwnedServer.submit``."""
         return self._offer(
             calls.Call(
                 next(self._work_ids),
@@ -120,12 +109,7 @@
         )
 
     def open_transaction(self, work, term):
-        """Begin a transaction on a connection of its own.
-
-        Returns
-        -------
-        Future of calls.Transaction
-        """
+        """Serve ``owned.OwnedServer.open_transaction``."""
         count = len(self.transactions) + self._opening_transactions
         if count >= self._max_transactions:
             return failed(errors.Overloaded("too many transactions are open"))
