--- a/cassiahill/clock.py
+++ b/cassiahill/clock.py
@@ -19,6 +19,17 @@
         return time.monotonic()
 
 
+class BootClock(Clock):
+    """The clock of the operating system that also counts time spent suspended.
+
+    Ages of what a process knows go on growing while its machine is suspended.
+    """
+
+    def now(self):
+        """Return ``CLOCK_BOOTTIME``."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock(Clock):
     """A clock that tests move by hand.
 
--- a/cassiahill/errors.py
+++ b/cassiahill/errors.py
@@ -250,6 +250,13 @@
     retry_after = 1.0
 
 
+class HistoryLost(NotRunError):
+    """The shared store no longer has the changes after a revision."""
+
+    code = "history_lost"
+    http_status = 410
+
+
 class InvalidSettings(NotRunError):
     """The settings have findings; all of them are reported together."""
 
--- /dev/null
+++ b/cassiahill/groupwork.py
@@ -0,0 +1,447 @@
+"""Work of this process at one group of backend servers.
+
+Keeps the connections, the requests that wait, the proofs of freshness and the belief
+about the primary; decides through ``placement``, ``waiting``, ``evidence`` and
+``primaries``.
+"""
+
+from cassiahill import (
+    errors,
+    eventlog,
+    evidence,
+    placement,
+    primaries,
+    serverpool,
+    statements,
+    takeover,
+    waiting,
+)
+from cassiahill.loop import LoopFuture
+from cassiahill.statements import Code
+
+PROBE_SECONDS = 0.25  # A read of any age that clients ask for finds a proof this young.
+SEARCH_SECONDS = 0.1  # Between questions for the primary while none is known.
+PROBE_TIMEOUT_SECONDS = 0.4
+TICK_SECONDS = 0.02
+STOOD_STILL_SECONDS = 0.3
+STUCK_WRITES = 2  # A single answer may be lost on its way.
+BUSY_PAUSE_SECONDS = 0.02  # A full server has answered some statements after this.
+SHARE_FACTOR = 2  # Connections are open where the load is, so shares may overlap.
+LEAST_CONNECTIONS = 2
+# A draining server takes requests until it has left; new ones stop long before that.
+DRAINING_PRIMARY_SECONDS = 5.0
+
+
+class GroupWork:
+    """Connections, waiting requests and knowledge of one group.
+
+    Parameters
+    ----------
+    loop : loop.EventLoop
+    dialect : dialect.Dialect
+    group : str
+    own_name, own_domain : str
+    draining_since : callable
+        Returns the instant at which a server was seen to drain, by server id.
+    """
+
+    def __init__(self, loop, dialect, group, own_name, own_domain, draining_since):
+        self._loop = loop
+        self._dialect = dialect
+        self._own_name = own_name
+        self._own_domain = own_domain
+        self._draining_since = draining_since
+        self._waiting = waiting.WaitingList()
+        self._connection_limit = LEAST_CONNECTIONS
+        self._proxies = 1
+        self._probing = set()
+        self._busy_until_by_id = {}
+        self._pumping = False
+        self._timer = None
+        self.name = group
+        self.primary = primaries.PrimaryView()
+        self.evidence = evidence.GroupEvidence()
+        self.pools_by_id = {}
+        self.progress_by_id = {}
+        self.probe_failed_since = None
+        self._writes_outstanding = 0
+        self._writes_unanswered = 0
+        self._writes_stuck_since = None
+        self._ticked_at = loop.clock.now()
+        self._tick()
+
+    # Members of the group
+
+    def put_server(self, server, before):
+        """Take a server that registered or changed."""
+        now = self._loop.clock.now()
+        pool = self.pools_by_id.get(server.server_id)
+        restarted = before is not None and (
+            before.address != server.address or before.born != server.born
+        )
+        if pool is not None and restarted:
+            pool.close()
+            pool = None
+        if pool is None:
+            self.pools_by_id[server.server_id] = serverpool.ServerPool(
+                self._loop,
+                self._dialect,
+                server,
+                self._own_name,
+                self._most(),
+                self._pump_soon,
+            )
+            self.progress_by_id[server.server_id] = evidence.ReplicaProgress()
+        else:
+            pool.server = server
+        if self.primary.registered(server, before, now):
+            self._log_primary("registered")
+        self._pump_soon()
+
+    def remove_server(self, server_id):
+        """Stop using a server."""
+        pool = self.pools_by_id.pop(server_id, None)
+        self.progress_by_id.pop(server_id, None)
+        if pool is not None:
+            pool.close()
+        if self.primary.removed(server_id, self._loop.clock.now()):
+            self._log_primary("removed")
+
+    def set_limits(self, connection_limit, proxies):
+        """Take the connection limit of each server and the number of proxies."""
+        self._connection_limit = connection_limit
+        self._proxies = max(1, proxies)
+        for pool in self.pools_by_id.values():
+            pool.most = self._most()
+
+    def close(self):
+        """Close all connections."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for pool in self.pools_by_id.values():
+            pool.close()
+
+    def dump(self):
+        """Return the state as plain values."""
+        now = self._loop.clock.now()
+        latest = self.evidence.latest
+        return {
+            "primary": self.primary.believed,
+            "proof": None if latest is None else str(latest.position),
+            "proof_age": None if latest is None else now - latest.asked_at,
+            "waiting": len(self._waiting),
+            "servers": {
+                server_id: {
+                    "connections": pool.size,
+                    "idle": pool.idle,
+                    "running": pool.running,
+                    "latency": pool.latency,
+                    "position": str(self.progress_by_id[server_id].position),
+                    "draining": pool.server.draining,
+                }
+                for server_id, pool in self.pools_by_id.items()
+            },
+        }
+
+    # Requests
+
+    def acquire(self, request):
+        """Return the future of a lease, or of None when the request is refused.
+
+        Parameters
+        ----------
+        request : waiting.WaitingRequest
+        """
+        future = LoopFuture()
+        request.settle = future.set_result
+        self._waiting.add(request)
+        self._pump()
+        return future
+
+    def read_need(self, oldest, own_commit):
+        """Return the need of a read that must see commits acknowledged before."""
+        position = self.evidence.required(oldest, own_commit)
+        if position is None:
+            return placement.NotProvable()
+        return placement.AtPosition(position)
+
+    # Answers
+
+    def observe(self, connection, reply):
+        """Take the position that a reply stated."""
+        progress = self.progress_by_id.get(connection.server.server_id)
+        if progress is not None:
+            progress.observe(reply.position)
+
+    def proved(self, connection, asked_at, reply):
+        """Take an answer that only a primary gives."""
+        server_id = connection.server.server_id
+        self.probe_failed_since = None
+        if self.primary.proved(server_id, asked_at):
+            self._log_primary("proved")
+        if reply.position is not None and self.primary.believed == server_id:
+            self.evidence.record(evidence.Proof(asked_at, server_id, reply.position))
+
+    def refused(self, connection, code):
+        """Take the refusal of a statement that did not run."""
+        now = self._loop.clock.now()
+        server_id = connection.server.server_id
+        match code:
+            case Code.NOT_PRIMARY:
+                if self.primary.refuted(server_id, now):
+                    self._log_primary("refused")
+            case Code.NOT_CURRENT:
+                if self.progress_by_id.get(server_id) is not None:
+                    self.progress_by_id[server_id].refused_at = now
+                if self.primary.refuted(server_id, now):
+                    # A primary has every position that was proved, unless its term
+                    # has ended or it has lost its log.
+                    self.evidence = evidence.GroupEvidence()
+                    self._log_primary("behind")
+            case Code.BUSY:
+                self._busy_until_by_id[server_id] = now + BUSY_PAUSE_SECONDS
+            case Code.UNKNOWN_STATEMENT:
+                connection.names_by_shape.clear()
+
+    # Questions to one server
+
+    def ask_report(self, server_id, statement, deadline):
+        """Send a status or replication statement on a free connection; a task.
+
+        Returns
+        -------
+        statements.ServerReport, Code.BUSY or None
+            ``Code.BUSY`` when the server or all its connections are busy; None when
+            it does not answer.
+        """
+        loop = self._loop
+        pool = self.pools_by_id.get(server_id)
+        if pool is None:
+            return None
+        connection = pool.lend({}, loop.clock.now())
+        if connection is None:
+            pool.open_if_needed(1, loop.clock.now())
+            return Code.BUSY
+        late = errors.ConnectionLost("no answer to a status")
+        try:
+            reply = yield loop.with_deadline(connection.ask(statement), deadline, late)
+        except errors.CassiahillError as error:
+            eventlog.event("status_lost", server=server_id, cause=error.detail)
+            connection.close()
+            pool.finished(loop.clock.now())
+            return None
+        pool.heard(loop.clock.now())
+        pool.finished(loop.clock.now())
+        pool.give_back(connection)
+        if reply.code is not None:
+            return Code.BUSY if reply.code is Code.BUSY else None
+        return self._dialect.decode_report(reply)
+
+    def symptoms(self, now, reported_since=None):
+        """Return what this process knows of the primary's health."""
+        server_id = self.primary.believed
+        pool = self.pools_by_id.get(server_id)
+        draining = pool is not None and pool.server.draining
+        stuck_since = None
+        if self._writes_unanswered >= STUCK_WRITES:
+            stuck_since = self._writes_stuck_since
+        unknown_since = None
+        if server_id is None and self.pools_by_id:
+            unknown_since = self.primary.lost_at
+        return takeover.Symptoms(
+            primary=server_id,
+            draining=draining,
+            unreachable_since=self.probe_failed_since,
+            refuses=pool is not None and pool.refuses,
+            unknown_since=unknown_since,
+            writes_stuck_since=stuck_since,
+            reported_since=reported_since,
+        )
+
+    def write_sent(self):
+        """Count a write or commit that a primary is to acknowledge."""
+        self._writes_outstanding += 1
+        self._writes_unanswered += 1
+        if self._writes_stuck_since is None:
+            self._writes_stuck_since = self._loop.clock.now()
+
+    def write_ended(self, answered):
+        """Count its end; without an answer, the time since the last one goes on."""
+        self._writes_outstanding -= 1
+        if answered:
+            now = self._loop.clock.now()
+            self._writes_unanswered = self._writes_outstanding
+            self._writes_stuck_since = now if self._writes_outstanding else None
+
+    # Decisions
+
+    def _most(self):
+        share = SHARE_FACTOR * self._connection_limit // self._proxies
+        return max(LEAST_CONNECTIONS, min(share, self._connection_limit))
+
+    def _candidates(self, need, now, avoid):
+        for server_id, pool in self.pools_by_id.items():
+            is_primary = server_id == self.primary.believed
+            if not self._takes_requests(pool, is_primary, now):
+                continue
+            position = need.position if isinstance(need, placement.AtPosition) else None
+            yield placement.Candidate(
+                server_id=server_id,
+                is_primary=is_primary,
+                has_room=pool.has_room(pool.server.slots)
+                and now >= self._busy_until_by_id.get(server_id, 0.0),
+                may_have_position=position is None
+                or self.progress_by_id[server_id].may_have(position, now),
+                latency=pool.latency,
+                running=pool.running,
+                same_domain=pool.server.failure_domain == self._own_domain,
+                suspect=server_id in avoid or pool.suspect(now),
+            )
+
+    def _takes_requests(self, pool, is_primary, now):
+        if not pool.server.draining:
+            return True
+        since = self._draining_since(pool.server.server_id)
+        return is_primary and now - (since or now) < DRAINING_PRIMARY_SECONDS
+
+    def _pump_soon(self):
+        if not self._pumping:
+            self._pumping = True
+            self._loop.call_soon(self._pump)
+
+    def _pump(self):
+        """Grant what can be granted, refuse what cannot be served, open connections."""
+        self._pumping = False
+        now = self._loop.clock.now()
+        wanted_by_id = dict.fromkeys(self.pools_by_id, 1)
+        for request in self._waiting:
+            need = request.placement()
+            server_id = placement.choose(
+                need, self._candidates(need, now, request.avoid)
+            )
+            if server_id is None:
+                self._want(need, wanted_by_id)
+                continue
+            self._waiting.remove(request)
+            self._grant(request, need, self.pools_by_id[server_id], now)
+        expected_at = self.primary.expected_at(now)
+        for request in self._waiting.overdue(now, expected_at, _needs_primary):
+            self._waiting.remove(request)
+            request.settle(None)
+        for server_id, wanted in wanted_by_id.items():
+            pool = self.pools_by_id.get(server_id)
+            if pool is not None:
+                pool.open_if_needed(wanted, now)
+
+    def _want(self, need, wanted_by_id):
+        match need:
+            case placement.OnPrimary() if self.primary.believed in wanted_by_id:
+                wanted_by_id[self.primary.believed] += 1
+            case placement.AtPosition():
+                for server_id in wanted_by_id:
+                    wanted_by_id[server_id] = max(2, wanted_by_id[server_id])
+
+    def _grant(self, request, need, pool, now):
+        connection = pool.lend(request.values_by_name, now)
+        after = need.position if isinstance(need, placement.AtPosition) else None
+        request.settle(serverpool.Lease(connection, pool, after))
+
+    def withdraw(self, request_id):
+        """Drop a waiting request, because its client has gone."""
+        for request in self._waiting:
+            if request.request_id == request_id:
+                self._waiting.remove(request)
+                request.settle(None)
+
+    # Background
+
+    def _tick(self):
+        now = self._loop.clock.now()
+        if now - self._ticked_at > STOOD_STILL_SECONDS:
+            # This process stood still: the silence of others proves nothing.
+            self.probe_failed_since = None
+            self._writes_stuck_since = None
+        self._ticked_at = now
+        self._pump()
+        for pool in self.pools_by_id.values():
+            pool.trim(now)
+        self._probe(now)
+        self._timer = self._loop.call_at(now + TICK_SECONDS, self._tick)
+
+    def _probe(self, now):
+        believed = self.primary.believed
+        if believed is not None:
+            latest = self.evidence.latest
+            if latest is None or now - latest.asked_at > PROBE_SECONDS:
+                self._probe_server(believed, now)
+            return
+        for server_id in self.pools_by_id:
+            self._probe_server(server_id, now)
+
+    def _probe_server(self, server_id, now):
+        pool = self.pools_by_id.get(server_id)
+        if pool is None or server_id in self._probing:
+            return
+        connection = pool.lend({}, now)
+        if connection is None:
+            if server_id == self.primary.believed and pool.failures:
+                self.probe_failed_since = self.probe_failed_since or now
+            return
+        self._probing.add(server_id)
+        self._loop.spawn(self._ask_whether_primary(pool, connection))
+
+    def _ask_whether_primary(self, pool, connection):
+        """Begin and end an empty transaction, which only a primary allows."""
+        loop = self._loop
+        server_id = pool.server.server_id
+        asked_at = loop.clock.now()
+        late = errors.ConnectionLost("no answer to a probe")
+        try:
+            reply = yield loop.with_deadline(
+                connection.ask(statements.Begin(read_only=False)),
+                asked_at + PROBE_TIMEOUT_SECONDS,
+                late,
+            )
+        except errors.CassiahillError:
+            connection.close()
+            pool.finished(loop.clock.now())
+            self._probing.discard(server_id)
+            if server_id == self.primary.believed:
+                self.probe_failed_since = self.probe_failed_since or asked_at
+            return
+        pool.heard(loop.clock.now())
+        pool.finished(loop.clock.now())
+        self.observe(connection, reply)
+        if reply.code is None:
+            self.proved(connection, asked_at, reply)
+            yield from self._end(connection)
+        else:
+            self.refused(connection, reply.code)
+        pool.give_back(connection)
+        pause_until = asked_at + SEARCH_SECONDS
+        yield loop.sleep_until(pause_until)
+        self._probing.discard(server_id)
+
+    def _end(self, connection):
+        try:
+            yield connection.ask(statements.Rollback())
+        except errors.CassiahillError as error:
+            eventlog.event(
+                "probe_lost", server=connection.server.server_id, cause=error.detail
+            )
+
+    def _log_primary(self, source):
+        self.probe_failed_since = None
+        self._writes_stuck_since = None
+        latest = self.evidence.latest
+        eventlog.event(
+            "primary_changed",
+            group=self.name,
+            primary=self.primary.believed,
+            source=source,
+            proof=None if latest is None else str(latest.position),
+        )
+
+
+def _needs_primary(request):
+    return isinstance(request.placement(), placement.OnPrimary)
--- /dev/null
+++ b/cassiahill/placement.py
@@ -0,0 +1,100 @@
+"""Which backend server a statement goes to; a decision without I/O.
+
+It answers the load of the heaviest days: slots are scarce, replicas lag, a server goes
+dark, and one kind of request arrives at several times its usual rate.
+"""
+
+import attrs
+
+from cassiahill.positions import LogPosition
+
+OTHER_DOMAIN_SECONDS = 0.002  # A round trip to another failure domain.
+# Writes and urgent reads have nowhere else to go, so other reads use the primary last.
+PRIMARY_FACTOR = 2.0
+SUSPECT_SECONDS = 0.5  # Added to a server that has left statements unanswered.
+
+
+@attrs.frozen
+class OnPrimary:
+    """The statement must run on the server that leads the group."""
+
+
+@attrs.frozen
+class AtPosition:
+    """The statement may run on any server whose log has a position."""
+
+    position: LogPosition
+
+
+@attrs.frozen
+class NotProvable:
+    """Nothing proves yet how fresh any server is."""
+
+
+@attrs.frozen
+class Candidate:
+    """What is known of one server at the moment of the decision.
+
+    Attributes
+    ----------
+    server_id : str
+    is_primary : bool
+    has_room : bool
+        Whether a connection is free or can be opened, below the limit of statements.
+    may_have_position : bool
+    latency : float
+        Recent time of a statement in seconds, waiting in the server included.
+    running : int
+        Statements of this process that run there.
+    same_domain : bool
+    suspect : bool
+    """
+
+    server_id: str
+    is_primary: bool
+    has_room: bool
+    may_have_position: bool
+    latency: float
+    running: int
+    same_domain: bool
+    suspect: bool
+
+
+def expected_seconds(candidate):
+    """Return the time that one more statement would take."""
+    seconds = candidate.latency * (1 + candidate.running)
+    if candidate.is_primary:
+        seconds *= PRIMARY_FACTOR
+    if not candidate.same_domain:
+        seconds += OTHER_DOMAIN_SECONDS
+    if candidate.suspect:
+        seconds += SUSPECT_SECONDS
+    return seconds
+
+
+def choose(need, candidates):
+    """Return the id of the server to use, or None to wait.
+
+    Parameters
+    ----------
+    need : OnPrimary, AtPosition or NotProvable
+    candidates : iterable of Candidate
+
+    Returns
+    -------
+    str or None
+    """
+    match need:
+        case OnPrimary():
+            eligible = [one for one in candidates if one.is_primary and one.has_room]
+        case AtPosition():
+            eligible = [
+                one
+                for one in candidates
+                if one.has_room and (one.may_have_position or one.is_primary)
+            ]
+        case NotProvable():
+            return None
+    if not eligible:
+        return None
+    return min(eligible, key=expected_seconds).server_id
--- /dev/null
+++ b/cassiahill/positions.py
@@ -0,0 +1,22 @@
+"""Positions in the log of a group of backend servers."""
+
+import attrs
+
+
+@attrs.frozen(order=True)
+class LogPosition:
+    """A place in a group's log; positions of a later term are greater.
+
+    Attributes
+    ----------
+    term : int
+        Number of the primary that wrote the entry; grows with each promotion.
+    number : int
+        Number of the commit; it goes on across terms.
+    """
+
+    term: int
+    number: int
+
+    def __str__(self):
+        return f"{self.term}.{self.number}"
--- /dev/null
+++ b/cassiahill/primaries.py
@@ -0,0 +1,71 @@
+"""Which backend server of a group leads, as far as this process knows."""
+
+import attrs
+
+# A promotion takes about a second, and some hundred ms pass before it is ordered.
+USUAL_GAP_SECONDS = 2.0
+
+
+@attrs.define
+class PrimaryView:
+    """Belief about the primary of one group.
+
+    Attributes
+    ----------
+    believed : str or None
+        Id of the server that is taken for the primary.
+    proved_at : float
+        Instant of the newest question that the believed primary answered as primary.
+    lost_at : float or None
+        Instant at which the last primary was found not to lead; None while one is
+        believed.
+    """
+
+    believed: str | None = None
+    proved_at: float = float("-inf")
+    lost_at: float | None = None
+
+    def proved(self, server_id, asked_at):
+        """Take an answer that only a primary gives; return whether belief changed."""
+        if server_id == self.believed:
+            self.proved_at = max(self.proved_at, asked_at)
+            return False
+        if asked_at < self.proved_at:
+            return False
+        self.believed = server_id
+        self.proved_at = asked_at
+        self.lost_at = None
+        return True
+
+    def refuted(self, server_id, now):
+        """Take an answer that a primary does not give."""
+        if server_id != self.believed:
+            return False
+        self.believed = None
+        self.lost_at = now
+        return True
+
+    def registered(self, server, before, now):
+        """Take a server's own statement of its role; return whether belief changed."""
+        if self.believed is None and self.lost_at is None:
+            self.lost_at = now
+        if server.says_primary:
+            became = before is None or not before.says_primary
+            if self.believed is None or (became and self.believed != server.server_id):
+                self.believed = server.server_id
+                self.lost_at = None
+                return True
+            return False
+        if before is not None and before.says_primary:
+            return self.refuted(server.server_id, now)
+        return False
+
+    def removed(self, server_id, now):
+        """Forget a server that has gone."""
+        return self.refuted(server_id, now)
+
+    def expected_at(self, now):
+        """Return the instant at which a primary is likely to be known again."""
+        if self.believed is not None or self.lost_at is None:
+            return now
+        return max(now, self.lost_at + USUAL_GAP_SECONDS)
--- /dev/null
+++ b/cassiahill/serverpool.py
@@ -0,0 +1,261 @@
+"""Connections of this process to one backend server.
+
+The limit of a backend server is shared by all proxies. Each opens what its load needs,
+up to ``most``; the server refuses what is too much, and a refused proxy waits. Idle
+connections beyond the few that stay warm are closed, so that others can have them.
+"""
+
+import attrs
+
+from cassiahill import errors, eventlog, lineconnections
+from cassiahill.statements import Code, TransactionState
+
+WARM_CONNECTIONS = 1  # One spares a request the opening; more would take others' share.
+OPENING_AT_ONCE = 2  # An opening takes a slot of the server.
+OPEN_SECONDS = 0.5
+IDLE_SECONDS = 4.0
+LIMIT_PAUSE_SECONDS = 0.2  # After a refusal by the server's connection limit.
+RETRY_BASE_SECONDS = 0.05
+RETRY_CAP_SECONDS = 0.5
+SUSPECT_AFTER_SECONDS = 0.25  # Unanswered for this long while nothing else is answered.
+LATENCY_WEIGHT = 0.15
+FIRST_LATENCY_SECONDS = 0.02
+
+
+@attrs.define(eq=False)
+class Lease:
+    """A connection lent to one request or one transaction.
+
+    Attributes
+    ----------
+    connection : lineconnections.LineConnection
+    pool : ServerPool
+    after : positions.LogPosition or None
+        Position that the log must have before a read runs.
+    """
+
+    connection: lineconnections.LineConnection
+    pool: object
+    after: object = None
+    _counted: bool = True
+
+    def start(self, now):
+        """Count a statement that starts to run."""
+        if not self._counted:
+            self._counted = True
+            self.pool.started(now)
+
+    def finish(self, now, seconds=None):
+        """Count the statement as ended; see ``ServerPool.finished``."""
+        if self._counted:
+            self._counted = False
+            self.pool.finished(now, seconds)
+
+
+class ServerPool:
+    """Connections to one backend server.
+
+    Parameters
+    ----------
+    loop : loop.EventLoop
+    dialect : dialect.Dialect
+    server : catalog.BackendServer
+    caller : str
+        Name of this process for the server.
+    most : int
+        Connections that this process may open.
+    on_change : callable
+        Called without arguments when a connection has become free or has ended.
+    """
+
+    def __init__(self, loop, dialect, server, caller, most, on_change):
+        self._loop = loop
+        self._dialect = dialect
+        self._caller = caller
+        self._on_change = on_change
+        self.server = server
+        self.most = most
+        self.latency = FIRST_LATENCY_SECONDS
+        self.running = 0
+        self.failures = 0
+        self.answered_at = float("-inf")
+        self.refuses = False
+        self.closed = False
+        self._idle = []
+        self._connections = set()
+        self._opening = 0
+        self._next_opening_at = 0.0
+        self._asked_since = None
+
+    # State
+
+    @property
+    def size(self):
+        """Number of open connections, those being opened included."""
+        return len(self._connections)
+
+    @property
+    def idle(self):
+        """Number of connections that are free."""
+        return len(self._idle)
+
+    def suspect(self, now):
+        """Return whether the server has left statements unanswered for a while."""
+        since = self._asked_since
+        return self.failures > 0 or (
+            since is not None and now - since > SUSPECT_AFTER_SECONDS
+        )
+
+    def has_room(self, slots):
+        """Return whether a request can start now, with at most ``slots`` running."""
+        return bool(self._idle) and self.running < slots
+
+    # Lending
+
+    def lend(self, values_by_name, now):
+        """Return a free connection, or None; one with the session's values first."""
+        if not self._idle:
+            return None
+        for connection in reversed(self._idle):
+            if connection.values_by_name == values_by_name:
+                break
+        self._idle.remove(connection)
+        self.running += 1
+        self._asked_since = self._asked_since or now
+        return connection
+
+    def give_back(self, connection):
+        """Take a connection back; one that is not at rest is closed."""
+        if connection.closed:
+            return
+        at_rest = connection.state is TransactionState.IDLE and not connection.awaits
+        if self.closed or not at_rest:
+            connection.close()
+            return
+        self._idle.append(connection)
+        self._on_change()
+
+    def started(self, now):
+        """Count a statement of a transaction that starts to run."""
+        self.running += 1
+        self._asked_since = self._asked_since or now
+
+    def finished(self, now, seconds=None):
+        """Count a statement that has ended.
+
+        Parameters
+        ----------
+        now : float
+        seconds : float or None
+            How long the server took; None when it gave no answer.
+        """
+        self.running -= 1
+        if seconds is not None:
+            self.latency += LATENCY_WEIGHT * (seconds - self.latency)
+            self.answered_at = now
+            self._asked_since = now
+        if not self.running:
+            self._asked_since = None
+
+    def heard(self, now):
+        """Take a sign of life that says nothing about the time of a statement."""
+        self.answered_at = now
+        if self._asked_since is not None:
+            self._asked_since = now
+
+    # Opening and closing
+
+    def open_if_needed(self, wanted, now):
+        """Open connections while fewer are free than are wanted."""
+        while (
+            not self.closed
+            and len(self._idle) + self._opening < wanted
+            and self._opening < OPENING_AT_ONCE
+            and self.size < self.most
+            and now >= self._next_opening_at
+        ):
+            self._loop.spawn(self._open())
+
+    def trim(self, now):
+        """Close connections that have been idle for long, all but the warm ones."""
+        for connection in list(self._idle):
+            if self.size <= WARM_CONNECTIONS:
+                return
+            if now - connection.used_at > IDLE_SECONDS:
+                connection.close()
+
+    def close(self):
+        """Close the free connections now and the lent ones as they come back."""
+        self.closed = True
+        for connection in list(self._idle):
+            connection.close()
+
+    def _open(self):
+        loop = self._loop
+        self._opening += 1
+        try:
+            connection = lineconnections.LineConnection(
+                loop, self._dialect, self.server, self._forget
+            )
+        except errors.CassiahillError as error:
+            self._opening -= 1
+            self._opening_failed(error.code, refused=True)
+            return
+        self._connections.add(connection)
+        deadline = loop.clock.now() + OPEN_SECONDS
+        late = errors.ConnectionLost("no answer to a new connection")
+        try:
+            reply = yield loop.with_deadline(
+                connection.open(self._caller), deadline, late
+            )
+        except errors.CassiahillError as error:
+            refused = connection.closed
+            connection.close()
+            self._opening_failed(error.detail, refused)
+            return
+        finally:
+            self._opening -= 1
+        if reply.code is not None:
+            connection.close()
+            self._opening_refused(reply)
+            return
+        self.failures = 0
+        self.refuses = False
+        self._next_opening_at = 0.0
+        self.answered_at = loop.clock.now()
+        self.give_back(connection)
+
+    def _opening_refused(self, reply):
+        now = self._loop.clock.now()
+        if reply.code is Code.CONNECTION_LIMIT:
+            self._next_opening_at = now + LIMIT_PAUSE_SECONDS
+            self.answered_at = now
+        else:
+            self._opening_failed(reply.code.value)
+        eventlog.event(
+            "connection_refused",
+            server=self.server.server_id,
+            code=reply.code.value,
+            open=self.size,
+        )
+
+    def _opening_failed(self, cause, refused=False):
+        now = self._loop.clock.now()
+        self.failures += 1
+        self.refuses = refused and self.failures > 1
+        pause = RETRY_BASE_SECONDS * 2 ** min(self.failures, 10)
+        self._next_opening_at = now + min(RETRY_CAP_SECONDS, pause)
+        if self.failures in {1, 2, 10}:
+            eventlog.event(
+                "connection_failed",
+                server=self.server.server_id,
+                cause=cause,
+                failures=self.failures,
+            )
+        self._on_change()
+
+    def _forget(self, connection):
+        self._connections.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        self._on_change()
--- /dev/null
+++ b/cassiahill/sessionfleet.py
@@ -0,0 +1,439 @@
+"""The session proxies of a deployment: who they are, and which one orders promotions.
+
+Each proxy registers itself in the shared store. One object there names the promoter,
+the only proxy that orders promotions; its revision gives the fencing token. Every proxy
+sends pulses to the promoter, also to learn of a newer configuration when the store
+turns it away. When the promoter is silent, the next proxy takes its place with a
+conditional write. A promoter that still acts is then refused by its lower token.
+"""
+
+import attrs
+import msgspec
+import xxhash
+
+from cassiahill import errors, eventlog, following, http1, takeover
+
+KIND = "proxies"
+MEMBER_PREFIX = "proxy."
+PROMOTER_NAME = "promoter"
+PULSE_PATH = "/v1/pulse"
+VIEW_PATH = "/v1/view"
+PULSE_SECONDS = 0.4
+PULSE_TIMEOUT_SECONDS = 0.4
+SILENT_SECONDS = 1.3  # Three pulses; a restart of the promoter takes longer.
+RANK_SECONDS = 0.4  # The next proxy waits this long for the one before it.
+FIRST_RANK_SECONDS = 0.05
+REPORT_LIFE_SECONDS = 1.2
+# One token for each order of a promoter: its tokens stay below the next promoter's.
+TOKENS_PER_REVISION = 1000
+
+
+class Pulse(msgspec.Struct):
+    """What a proxy tells the promoter, or a peer while the store is away.
+
+    ``lacking`` names the groups whose primary it does not reach.
+    """
+
+    name: str
+    version: int
+    servers_revision: int
+    lacking: list[str] = []
+
+
+class PulseAnswer(msgspec.Struct):
+    """Answer to a pulse."""
+
+    version: int
+    servers_revision: int
+    promoter: bool
+
+
+class View(msgspec.Struct):
+    """What a proxy has learned from the shared store, as it was written there."""
+
+    configuration: object
+    servers_revision: int
+    servers: dict[str, object]
+
+
+_pulse_decoder = msgspec.json.Decoder(Pulse)
+_answer_decoder = msgspec.json.Decoder(PulseAnswer)
+_view_decoder = msgspec.json.Decoder(View)
+
+
+@attrs.frozen
+class Member:
+    """A registered proxy."""
+
+    name: str
+    address: tuple
+    incarnation: str
+
+
+@attrs.frozen
+class Promoter:
+    """The proxy that orders promotions, as the store names it."""
+
+    name: str
+    incarnation: str
+    revision: int
+
+
+@attrs.define
+class Tokens:
+    """Fencing tokens of one promoter's term; each is given once."""
+
+    revision: int
+    given: int = 0
+
+    def take(self):
+        """Return the next token, or None when the term has none left."""
+        if self.given >= TOKENS_PER_REVISION - 1:
+            return None
+        self.given += 1
+        return self.revision * TOKENS_PER_REVISION + self.given
+
+
+class SessionFleet:
+    """The part of one process among the session proxies.
+
+    Parameters
+    ----------
+    loop : loop.EventLoop
+    store : sharedstore.SharedStore
+    own : Member
+    rng : random.Random
+    versions : callable
+        Returns the versions held here: that of the configuration and the revision of
+        the list of servers.
+    lacking : callable
+        Returns the groups whose primary this process does not reach.
+    store_is_away : callable
+        Whether the store gives this process no answers.
+    on_view : callable
+        Called with a ``View`` of a peer that is newer in part.
+    on_members : callable
+        Called without arguments when members have come or gone.
+    """
+
+    def __init__(
+        self,
+        loop,
+        store,
+        own,
+        rng,
+        versions,
+        lacking,
+        store_is_away,
+        on_view,
+        on_members,
+    ):
+        self._loop = loop
+        self._store = store
+        self._own = own
+        self._rng = rng
+        self._versions = versions
+        self._lacking = lacking
+        self._store_is_away = store_is_away
+        self._on_view = on_view
+        self._on_members = on_members
+        self._clients_by_address = {}
+        self._reports_by_name = {}
+        self._reported_since_by_group = {}
+        self._tokens = None
+        self._claiming = False
+        self._registering = False
+        self._heard_at = loop.clock.now()
+        self._woken_at = loop.clock.now()
+        self._closed = False
+        self.leaving = False
+        self.members_by_name = {}
+        self.promoter = None
+        self.follower = following.KindFollower(
+            loop, store, KIND, rng, self._take_snapshot, self._take_change
+        )
+        self._timer = None
+        self._tick()
+
+    @property
+    def is_promoter(self):
+        """Whether this process may order promotions, as far as it knows."""
+        return self._tokens is not None and not self.leaving
+
+    def next_token(self):
+        """Return a fencing token for one order, or None."""
+        return self._tokens.take() if self.is_promoter else None
+
+    def reported_since(self, group):
+        """Return since when many proxies lack the group's primary, or None."""
+        return self._reported_since_by_group.get(group)
+
+    def dump(self):
+        """Return the state as plain values."""
+        return {
+            "members": sorted(self.members_by_name),
+            "promoter": None if self.promoter is None else self.promoter.name,
+            "is_promoter": self.is_promoter,
+            "tokens_given": 0 if self._tokens is None else self._tokens.given,
+        }
+
+    def close(self):
+        """Stop taking part."""
+        self._closed = True
+        self.follower.close()
+        if self._timer is not None:
+            self._timer.cancel()
+        for client in self._clients_by_address.values():
+            client.close()
+
+    def answer(self, body):
+        """Return the response to a peer's pulse.
+
+        Raises
+        ------
+        errors.MalformedRequest
+        """
+        try:
+            pulse = _pulse_decoder.decode(body)
+        except msgspec.DecodeError as error:
+            raise errors.MalformedRequest("not a pulse") from error
+        now = self._loop.clock.now()
+        self._reports_by_name[pulse.name] = (now, pulse.lacking)
+        version, revision = self._versions()
+        if pulse.version > version:
+            member = self.members_by_name.get(pulse.name)
+            if member is not None:
+                self._loop.spawn(self._fetch_view(member))
+        return http1.json_response(PulseAnswer(version, revision, self.is_promoter))
+
+    # Members and promoter, as the store has them
+
+    def _take_snapshot(self, snapshot):
+        self.members_by_name = {}
+        promoter = None
+        for stored in snapshot.objects:
+            self._take_stored(stored)
+            promoter = promoter or stored.name == PROMOTER_NAME
+        if not promoter:
+            self.promoter = None
+        self._on_members()
+        self._register_if_needed()
+        self._check_tokens()
+
+    def _take_change(self, change):
+        if not change.deleted:
+            self._take_stored(change.stored)
+        elif change.stored.name == PROMOTER_NAME:
+            self.promoter = None
+        else:
+            name = change.stored.name.removeprefix(MEMBER_PREFIX)
+            self.members_by_name.pop(name, None)
+        self._on_members()
+        self._check_tokens()
+
+    def _take_stored(self, stored):
+        value = stored.value if isinstance(stored.value, dict) else {}
+        incarnation = str(value.get("incarnation"))
+        if stored.name == PROMOTER_NAME:
+            known = self.promoter
+            if known is None or stored.revision > known.revision:
+                holder = str(value.get("holder"))
+                self.promoter = Promoter(holder, incarnation, stored.revision)
+                self._heard_at = self._loop.clock.now()
+                eventlog.event(
+                    "promoter_changed", holder=holder, revision=stored.revision
+                )
+            return
+        host, _, port = str(value.get("address")).rpartition(":")
+        if stored.name.startswith(MEMBER_PREFIX) and host and port.isdigit():
+            name = stored.name.removeprefix(MEMBER_PREFIX)
+            self.members_by_name[name] = Member(name, (host, int(port)), incarnation)
+
+    def _check_tokens(self):
+        """Stop ordering when the store names another promoter."""
+        promoter = self.promoter
+        if self._tokens is None or promoter is None:
+            return
+        own = (self._own.name, self._own.incarnation)
+        if (promoter.name, promoter.incarnation) == own:
+            return
+        if promoter.revision > self._tokens.revision:
+            self._tokens = None
+            eventlog.event("promoter_lost", to=promoter.name)
+
+    def _register_if_needed(self):
+        if self.members_by_name.get(self._own.name) != self._own:
+            self._loop.spawn(self._register())
+
+    def _register(self):
+        if self._registering:
+            return
+        self._registering = True
+        name = MEMBER_PREFIX + self._own.name
+        value = {
+            "address": f"{self._own.address[0]}:{self._own.address[1]}",
+            "incarnation": self._own.incarnation,
+        }
+        try:
+            stored = yield self._store.get(KIND, name)
+            if stored is None:
+                yield self._store.create(KIND, name, value)
+            elif stored.value != value:
+                yield self._store.replace(KIND, name, value, stored.revision)
+        except errors.CassiahillError as error:
+            eventlog.event("registration_failed", cause=error.detail)
+        self._registering = False
+
+    # Pulses
+
+    def _tick(self):
+        if self._closed:
+            return
+        now = self._loop.clock.now()
+        if now - self._woken_at > 2 * PULSE_SECONDS:
+            # This process stood still: the silence of others proves nothing.
+            self._heard_at = now
+        self._woken_at = now
+        if self.is_promoter:
+            self._heard_at = now
+            self._collect_reports(now)
+        else:
+            self._send_pulse(self._promoter_member())
+            self._consider_claim(now)
+        if self._store_is_away():
+            others = [one for one in self.members_by_name.values() if one != self._own]
+            if others:
+                self._send_pulse(self._rng.choice(others))
+        jitter = 0.9 + 0.2 * self._rng.random()
+        self._timer = self._loop.call_at(now + PULSE_SECONDS * jitter, self._tick)
+
+    def _promoter_member(self):
+        if self.promoter is None:
+            return None
+        return self.members_by_name.get(self.promoter.name)
+
+    def _send_pulse(self, member):
+        if member is not None and member.name != self._own.name:
+            self._loop.spawn(self._pulse(member))
+
+    def _pulse(self, member):
+        version, revision = self._versions()
+        pulse = Pulse(self._own.name, version, revision, self._lacking())
+        deadline = self._loop.clock.now() + PULSE_TIMEOUT_SECONDS
+        try:
+            client = self._client(member.address)
+            if client.busy:
+                return
+            response = yield client.request(
+                "POST", PULSE_PATH, msgspec.json.encode(pulse), (), deadline
+            )
+            answer = _answer_decoder.decode(response.body)
+        except (errors.CassiahillError, msgspec.DecodeError):
+            return  # The silence itself is what counts; see ``_consider_claim``.
+        promoter = self.promoter
+        if answer.promoter and promoter is not None and promoter.name == member.name:
+            self._heard_at = self._loop.clock.now()
+        newer_servers = answer.servers_revision > revision and self._store_is_away()
+        if answer.version > version or newer_servers:
+            yield from self._fetch_view(member)
+
+    def _fetch_view(self, member):
+        deadline = self._loop.clock.now() + 2 * PULSE_TIMEOUT_SECONDS
+        try:
+            client = http1.ClientConnection(self._loop, member.address)
+            response = yield client.request("GET", VIEW_PATH, b"", (), deadline)
+            view = _view_decoder.decode(response.body)
+            client.close()
+        except (errors.CassiahillError, msgspec.DecodeError) as error:
+            eventlog.event("view_failed", peer=member.name, cause=repr(error))
+            return
+        self._on_view(view, member.name)
+
+    def _client(self, address):
+        client = self._clients_by_address.get(address)
+        if client is None or client.closed:
+            client = http1.ClientConnection(self._loop, address)
+            self._clients_by_address[address] = client
+        return client
+
+    def _collect_reports(self, now):
+        fresh = {
+            name: lacking
+            for name, (at, lacking) in self._reports_by_name.items()
+            if now - at < REPORT_LIFE_SECONDS
+        }
+        groups = {group for lacking in fresh.values() for group in lacking}
+        for group in groups | set(self._reported_since_by_group):
+            share = sum(group in lacking for lacking in fresh.values()) / (
+                1 + len(fresh)
+            )
+            if share >= takeover.REPORTED_SHARE:
+                self._reported_since_by_group.setdefault(group, now)
+            else:
+                self._reported_since_by_group.pop(group, None)
+
+    # The promoter's place
+
+    def _rank(self):
+        """Return this proxy's place among those that may follow the promoter."""
+        gone = None if self.promoter is None else self.promoter.name
+        names = {name for name in self.members_by_name if name != gone}
+        names.add(self._own.name)
+        seed = 0 if self.promoter is None else self.promoter.revision
+        ordered = sorted(
+            names, key=lambda name: xxhash.xxh3_64_intdigest(name.encode(), seed)
+        )
+        return ordered.index(self._own.name)
+
+    def _consider_claim(self, now):
+        if self._claiming or self.leaving or not self.follower.revision:
+            return
+        promoter = self.promoter
+        if promoter is None:
+            wait = FIRST_RANK_SECONDS * self._rank()
+        elif promoter.name == self._own.name:
+            wait = 0.0
+        else:
+            wait = SILENT_SECONDS + RANK_SECONDS * self._rank()
+        if now - self._heard_at >= wait:
+            self._claiming = True
+            self._loop.spawn(self._claim(promoter))
+
+    def _claim(self, promoter):
+        value = {"holder": self._own.name, "incarnation": self._own.incarnation}
+        try:
+            if promoter is None:
+                stored = yield self._store.create(KIND, PROMOTER_NAME, value)
+            else:
+                stored = yield self._store.replace(
+                    KIND, PROMOTER_NAME, value, promoter.revision
+                )
+            self._own_claim(stored)
+        except errors.Conflict:
+            yield from self._learn_promoter()
+        except errors.CassiahillError as error:
+            eventlog.event("claim_failed", cause=error.detail)
+            yield from self._learn_promoter()
+        finally:
+            self._claiming = False
+
+    def _learn_promoter(self):
+        """Read who the promoter is; an unanswered claim may have succeeded."""
+        try:
+            stored = yield self._store.get(KIND, PROMOTER_NAME)
+        except errors.CassiahillError as error:
+            eventlog.event("promoter_unknown", cause=error.detail)
+            return
+        if stored is None:
+            return
+        self._take_stored(stored)
+        if stored.value == {
+            "holder": self._own.name,
+            "incarnation": self._own.incarnation,
+        }:
+            self._own_claim(stored)
+
+    def _own_claim(self, stored):
+        if self._tokens is None or stored.revision > self._tokens.revision:
+            self._tokens = Tokens(stored.revision)
+            eventlog.event("promoter_gained", revision=stored.revision)
--- /dev/null
+++ b/cassiahill/sessionproxy.py
@@ -0,0 +1,273 @@
+"""The session proxy: a daemon whose clients' connections are their sessions."""
+
+import secrets
+import signal
+
+import attrs
+
+from cassiahill import (
+    catalog,
+    catalogfeed,
+    errors,
+    eventlog,
+    groupwork,
+    http1,
+    sessionfleet,
+    sessionmetrics,
+    sessions,
+    takeover,
+)
+
+DRAIN_SESSIONS_SHARE = 0.4  # Of the grace: by then the balancer sends nobody new.
+DRAIN_TRANSACTIONS_SHARE = 0.5  # Open transactions may end by themselves until then.
+DRAIN_EXIT_SHARE = 0.85  # Of the grace; the rest is for the end of the process.
+DRAIN_STEP_SECONDS = 0.05
+SUPERVISE_SECONDS = 0.05
+METRICS_PATH = "/metrics"
+STATE_PATH = "/v1/state"
+
+
+@attrs.frozen
+class SessionProxySettings:
+    """Settings of one process.
+
+    Attributes
+    ----------
+    name : str
+    failure_domain : str
+    client_address : tuple of (str, int)
+    readiness_address : tuple of (str, int)
+    peer_address : tuple of (str, int)
+        For pulses of other proxies, metrics and the state dump.
+    grace_seconds : float
+        Time between the request to stop and the kill.
+    """
+
+    name: str
+    failure_domain: str
+    client_address: tuple
+    readiness_address: tuple
+    peer_address: tuple
+    grace_seconds: float
+
+
+class SessionProxy:
+    """All parts of one process.
+
+    Parameters
+    ----------
+    loop : loop.EventLoop
+    settings : SessionProxySettings
+    store : sharedstore.SharedStore
+    source : catalogfeed.CatalogSource
+    dialect : dialect.Dialect
+    orders : takeover.PromotionOrders
+    rng : random.Random
+    """
+
+    def __init__(self, loop, settings, store, source, dialect, orders, rng):
+        self._loop = loop
+        self._settings = settings
+        self._dialect = dialect
+        self._orders = orders
+        self._leaving_since = None
+        self._groups_by_name = {}
+        self._takeovers_by_group = {}
+        self.metrics = sessionmetrics.SessionMetrics()
+        self.catalog = catalog.Catalog()
+        self.feed = catalogfeed.CatalogFeed(
+            loop,
+            store,
+            self.catalog,
+            source,
+            rng,
+            self._update_limits,
+            self._take_server,
+        )
+        own = sessionfleet.Member(
+            settings.name, settings.peer_address, secrets.token_hex(8)
+        )
+        self.fleet = sessionfleet.SessionFleet(
+            loop,
+            store,
+            own,
+            rng,
+            versions=lambda: self.feed.versions,
+            lacking=self._lacking_groups,
+            store_is_away=lambda: self.feed.store_is_away,
+            on_view=self.feed.take_view,
+            on_members=self._update_limits,
+        )
+        self.sessions = sessions.SessionServer(
+            loop,
+            settings.client_address,
+            dialect,
+            self.catalog,
+            self.group_of,
+            self._count,
+        )
+        self._readiness = http1.Server(
+            loop, settings.readiness_address, self._answer_readiness
+        )
+        self._peers = http1.Server(loop, settings.peer_address, self._answer_peer)
+        self._supervise()
+
+    @property
+    def ready(self):
+        """Whether new clients should come here."""
+        return self._leaving_since is None and self.catalog.configuration is not None
+
+    def group_of(self, name):
+        """Return the work of a group, which is made when it is first needed."""
+        group = self._groups_by_name.get(name)
+        if group is None:
+            group = groupwork.GroupWork(
+                self._loop,
+                self._dialect,
+                name,
+                self._settings.name,
+                self._settings.failure_domain,
+                self.catalog.draining_since_by_id.get,
+            )
+            self._groups_by_name[name] = group
+            self._takeovers_by_group[name] = takeover.Takeover(
+                self._loop, group, self._orders, self.fleet.next_token
+            )
+            self._update_limits()
+        return group
+
+    def install_signals(self):
+        """Leave on SIGTERM; a change of the settings needs no action."""
+        signal.signal(signal.SIGTERM, lambda *_: self._loop.call_soon(self.leave))
+        signal.signal(signal.SIGINT, lambda *_: self._loop.call_soon(self.leave))
+        signal.signal(
+            signal.SIGHUP, lambda *_: self._loop.call_soon(eventlog.event, "reload")
+        )
+
+    def leave(self):
+        """Stop taking clients, let what is open end, and stop the loop."""
+        if self._leaving_since is None:
+            self._leaving_since = self._loop.clock.now()
+            self.fleet.leaving = True
+            eventlog.event("stop_begins", sessions=len(self.sessions))
+            self._loop.spawn(self._drain())
+
+    def dump(self):
+        """Return the state of the process as plain values."""
+        version, revision = self.feed.versions
+        return {
+            "name": self._settings.name,
+            "ready": self.ready,
+            "configuration": version,
+            "servers_revision": revision,
+            "store_is_away": self.feed.store_is_away,
+            "sessions": len(self.sessions),
+            "busy_sessions": self.sessions.busy,
+            "fleet": self.fleet.dump(),
+            "groups": {
+                name: group.dump() for name, group in self._groups_by_name.items()
+            },
+        }
+
+    # Changes of what is known
+
+    def _take_server(self, change):
+        match change:
+            case catalog.Added(server=server, before=before):
+                self.group_of(server.group).put_server(server, before)
+            case catalog.Removed(server=server):
+                self.group_of(server.group).remove_server(server.server_id)
+
+    def _update_limits(self):
+        configuration = self.catalog.configuration
+        if configuration is None:
+            return
+        proxies = len(self.fleet.members_by_name) if hasattr(self, "fleet") else 1
+        for name, group in self._groups_by_name.items():
+            limits = configuration.groups_by_name.get(name)
+            if limits is not None:
+                group.set_limits(limits.connections, proxies)
+
+    def _lacking_groups(self):
+        now = self._loop.clock.now()
+        return [
+            name
+            for name, group in self._groups_by_name.items()
+            if takeover.reason_to_switch(group.symptoms(now), now)
+            in {"unreachable", "writes are not acknowledged"}
+        ]
+
+    def _supervise(self):
+        now = self._loop.clock.now()
+        if self.fleet.is_promoter:
+            for name, group in self._groups_by_name.items():
+                reported_since = self.fleet.reported_since(name)
+                symptoms = group.symptoms(now, reported_since)
+                self._takeovers_by_group[name].consider(symptoms)
+        self._loop.call_at(now + SUPERVISE_SECONDS, self._supervise)
+
+    # Answers
+
+    def _answer_readiness(self, _request, _connection):
+        return http1.json_response({"ready": self.ready}, 200 if self.ready else 503)
+
+    def _answer_peer(self, request, _connection):
+        match (request.method, request.path):
+            case ("POST", sessionfleet.PULSE_PATH):
+                return self.fleet.answer(request.body)
+            case ("GET", sessionfleet.VIEW_PATH):
+                return http1.json_response(self.feed.view())
+            case ("GET", path) if path == METRICS_PATH:
+                body = self.metrics.render(self._gauges())
+                return http1.Response(200, body, sessionmetrics.CONTENT_TYPE)
+            case ("GET", path) if path == STATE_PATH:
+                return http1.json_response(self.dump())
+        raise errors.NotFound(request.path)
+
+    def _gauges(self):
+        return {
+            "open_sessions": len(self.sessions),
+            "busy_sessions": self.sessions.busy,
+            "configuration_version": self.feed.versions[0],
+            "promoter": int(self.fleet.is_promoter),
+            "store_away": int(self.feed.store_is_away),
+            "log_lines_dropped": eventlog.dropped_lines(),
+        }
+
+    def _count(self, request, database, reply, arrived_at):
+        seconds = self._loop.clock.now() - arrived_at
+        route = self.catalog.route(database)
+        priority = -1 if route is None else route.priority
+        outcome = "ok" if reply.code is None else reply.code.value
+        self.metrics.count_reply(priority, outcome, seconds)
+        if reply.code is not None or eventlog.is_sampled(request.request_id):
+            eventlog.event(
+                "answered",
+                request=request.request_id,
+                database=database,
+                statement=type(request.statement).__name__,
+                outcome=outcome,
+                detail=reply.detail,
+                seconds=seconds,
+                position=reply.position,
+            )
+
+    # Stop
+
+    def _drain(self):
+        grace = self._settings.grace_seconds
+        begun_at = self._leaving_since
+        yield self._loop.sleep_until(begun_at + DRAIN_SESSIONS_SHARE * grace)
+        self.sessions.stop_listening()
+        self.sessions.leave()
+        yield self._loop.sleep_until(begun_at + DRAIN_TRANSACTIONS_SHARE * grace)
+        self.sessions.abort_transactions()
+        while len(self.sessions):
+            now = self._loop.clock.now()
+            if now >= begun_at + DRAIN_EXIT_SHARE * grace:
+                break
+            yield self._loop.sleep_until(now + DRAIN_STEP_SECONDS)
+        eventlog.event("stopped", sessions_left=len(self.sessions))
+        for group in self._groups_by_name.values():
+            group.close()
+        self._loop.stop()
--- /dev/null
+++ b/cassiahill/sessions.py
@@ -0,0 +1,339 @@
+"""Sessions of clients: a connection is a session and runs one statement at a time."""
+
+import collections
+
+from cassiahill import errors, eventlog, sessionwork, statements, transport
+from cassiahill.sessionwork import Job, SessionState, SessionWork, Transaction
+from cassiahill.statements import Code, Reply, TransactionState
+
+MAX_LINE_BYTES = 1024 * 1024
+MAX_QUEUED_REQUESTS = 64  # Sent ahead by one client; reading pauses beyond that.
+OPEN_WAIT_SECONDS = 1.5  # Clients give up on an unopened session after 2 s.
+
+_FAILED = TransactionState.FAILED
+_OPEN = TransactionState.OPEN
+
+
+class Session:
+    """One client's connection.
+
+    Parameters
+    ----------
+    server : SessionServer
+    sock : socket.socket
+    """
+
+    def __init__(self, server, sock):
+        self._server = server
+        self._loop = server.loop
+        self._buffer = b""
+        self._queue = collections.deque()
+        self._running = None
+        self._state = SessionState()
+        self._transaction = None
+        self._work = None
+        self._idle_timer = None
+        self.database = None
+        self._stream = transport.Stream(
+            self._loop, sock, self._on_data, self._on_closed
+        )
+
+    @property
+    def at_rest(self):
+        """Whether nothing of the client is open or outstanding."""
+        return (
+            self._running is None
+            and not self._queue
+            and not self._buffer
+            and self._transaction is None
+        )
+
+    def close(self):
+        """Close the connection after what has been written to it."""
+        self._stream.close_when_sent()
+
+    def abort_transaction(self, cause):
+        """End an idle transaction; the next statement is told so."""
+        transaction = self._transaction
+        if transaction is None or self._running is not None:
+            return
+        if transaction.lease is not None:
+            self._work.roll_back(transaction)
+            transaction.failed = True
+            eventlog.event("transaction_ended", database=self.database, cause=cause)
+
+    # Receiving
+
+    def _on_data(self, data):
+        *lines, self._buffer = (self._buffer + data).split(b"\n")
+        arrived_at = self._loop.clock.now()
+        if len(self._buffer) > MAX_LINE_BYTES:
+            self._refuse(Code.TOO_LARGE, "the line is too long")
+            return
+        for line in lines:
+            self._queue.append((line.removesuffix(b"\r"), arrived_at))
+        if len(self._queue) > MAX_QUEUED_REQUESTS:
+            self._stream.pause_reading(True)
+        self._next()
+
+    def _on_closed(self):
+        self._server.forget(self)
+        self._queue.clear()
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+        if self._running is not None:
+            if self._work is not None:
+                self._work.withdraw(self._running)
+        elif self._transaction is not None and self._transaction.lease is not None:
+            self._work.roll_back(self._transaction)
+
+    def _next(self):
+        while self._queue and self._running is None and not self._stream.closed:
+            line, arrived_at = self._queue.popleft()
+            if len(self._queue) == MAX_QUEUED_REQUESTS // 2:
+                self._stream.pause_reading(False)
+            self._take(line, arrived_at)
+        if self._running is None and self._server.leaving and self.at_rest:
+            self.close()
+
+    def _take(self, line, arrived_at):
+        try:
+            message = self._server.dialect.decode_request(line)
+        except errors.MalformedRequest as error:
+            self._reject(error.detail)
+            return
+        match message:
+            case statements.OpenSession() if self.database is None:
+                self._start(self._open(message), "open")
+            case statements.Request() if self.database is not None:
+                self._handle(message, arrived_at)
+            case statements.CloseSession():
+                self.close()
+            case _:
+                self._reject("the message is out of order")
+
+    def _start(self, task, name):
+        self._running = name
+        future = self._loop.spawn(task)
+        self._loop.when_done(future, self._finish)
+
+    def _finish(self, future):
+        self._running = None
+        error = future.exception()
+        if error is not None:
+            eventlog.event("session_failed", cause=repr(error))
+            self._refuse(Code.ABORTED, "internal error")
+            return
+        if not self._stream.closed:
+            self._next()
+
+    # Opening
+
+    def _open(self, message):
+        deadline = self._loop.clock.now() + OPEN_WAIT_SECONDS
+        while not self._server.catalog.configuration:
+            if self._loop.clock.now() > deadline:
+                self._refuse(Code.BUSY, "no configuration yet")
+                return
+            yield self._loop.sleep_until(self._loop.clock.now() + 0.05)
+        if self._server.catalog.route(message.database) is None:
+            self._refuse(Code.UNKNOWN_DATABASE, message.database)
+            return
+        self.database = message.database
+        self._stream.write(self._server.dialect.encode_ready())
+
+    # Statements
+
+    def _handle(self, request, arrived_at):
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+            self._idle_timer = None
+        statement = request.statement
+        match statement:
+            case statements.Rollback():
+                self._answer(request, self._roll_back(), arrived_at)
+            case statements.Commit() if self._transaction is None:
+                self._reply_error(request, Code.MALFORMED, "no transaction", arrived_at)
+            case statements.Commit() if self._transaction.failed:
+                self._roll_back()
+                reply = Reply(code=Code.ABORTED, detail="the transaction had failed")
+                self._answer(request, reply, arrived_at)
+            case _ if self._transaction is not None and self._transaction.failed:
+                self._reply_error(
+                    request, Code.MALFORMED, "the transaction has failed", arrived_at
+                )
+            case statements.Begin():
+                self._begin(request, arrived_at)
+            case statements.SetValue(name=name, value=value):
+                self._state.values_by_name[name] = value
+                self._answer(request, Reply(), arrived_at)
+            case statements.Prepare(name=name, shape=shape):
+                self._state.shapes_by_name[name] = shape
+                self._answer(request, Reply(), arrived_at)
+            case statements.Deallocate(name=name):
+                self._state.shapes_by_name.pop(name, None)
+                self._answer(request, Reply(), arrived_at)
+            case statements.Run() | statements.Execute() | statements.Commit():
+                self._run(request, arrived_at)
+
+    def _begin(self, request, arrived_at):
+        if self._transaction is not None:
+            self._reply_error(request, Code.MALFORMED, "already begun", arrived_at)
+            return
+        if self._current_route() is None:
+            self._reply_no_database(request, arrived_at)
+            return
+        read_only = request.statement.read_only
+        if read_only and self._work.needs_primary_for_reads:
+            read_only = False
+        self._transaction = Transaction(read_only, arrived_at)
+        self._answer(request, Reply(), arrived_at)
+
+    def _roll_back(self):
+        transaction, self._transaction = self._transaction, None
+        if transaction is not None and transaction.lease is not None:
+            self._work.roll_back(transaction)
+        return Reply()
+
+    def _run(self, request, arrived_at):
+        statement = request.statement
+        shape = None
+        access = None
+        if isinstance(statement, statements.Execute):
+            shape = self._state.shapes_by_name.get(statement.name)
+            if shape is None:
+                self._reply_error(
+                    request, Code.UNKNOWN_STATEMENT, statement.name, arrived_at
+                )
+                return
+            access = shape.access
+        elif isinstance(statement, statements.Run):
+            access = statement.access
+        if self._transaction is None and self._current_route() is None:
+            self._reply_no_database(request, arrived_at)
+            return
+        deadline = arrived_at + self._work.route.timeout
+        job = Job(request.request_id, statement, shape, access, arrived_at, deadline)
+        self._start(self._run_job(request, job), request.request_id)
+
+    def _run_job(self, request, job):
+        transaction = self._transaction
+        if transaction is None:
+            reply = yield from self._work.run(job)
+        else:
+            reply = yield from self._work.run_in(transaction, job)
+            if job.access is None:
+                self._transaction = None
+            if self._stream.closed and transaction.lease is not None:
+                self._work.roll_back(transaction)
+        self._answer(request, reply, job.arrived_at)
+
+    def _current_route(self):
+        """Return the route for the next transaction, and use it from now on."""
+        route = self._server.catalog.route(self.database)
+        if route is None:
+            return None
+        if self._work is None or self._work.route != route:
+            group = self._server.group_of(route.group)
+            self._work = SessionWork(self._loop, group, route, self._state)
+        return route
+
+    # Answers
+
+    def _state_now(self):
+        if self._transaction is None:
+            return TransactionState.IDLE
+        return _FAILED if self._transaction.failed else _OPEN
+
+    def _answer(self, request, reply, arrived_at):
+        if self._stream.closed:
+            return
+        reply = sessionwork.with_state(reply, self._state_now())
+        self._stream.write(self._server.dialect.encode_reply(reply))
+        self._server.count(request, self.database, reply, arrived_at)
+        if self._transaction is not None:
+            self._await_next_statement()
+
+    def _reply_error(self, request, code, detail, arrived_at):
+        self._answer(request, Reply(code=code, detail=detail), arrived_at)
+
+    def _reply_no_database(self, request, arrived_at):
+        self._reply_error(request, Code.UNKNOWN_DATABASE, self.database, arrived_at)
+
+    def _reject(self, detail):
+        """Answer a line that cannot be understood."""
+        if self.database is None:
+            self._refuse(Code.MALFORMED, detail)
+            return
+        reply = Reply(code=Code.MALFORMED, detail=detail, state=self._state_now())
+        self._stream.write(self._server.dialect.encode_reply(reply))
+
+    def _refuse(self, code, detail):
+        if not self._stream.closed:
+            self._stream.write(self._server.dialect.encode_refusal(code, detail))
+            self._stream.close_when_sent()
+
+    def _await_next_statement(self):
+        configuration = self._server.catalog.configuration
+        at = self._loop.clock.now() + configuration.idle_transaction_seconds
+        self._idle_timer = self._loop.call_at(
+            at, lambda: self.abort_transaction("idle for too long")
+        )
+
+
+class SessionServer:
+    """Accepts clients and keeps their sessions.
+
+    Parameters
+    ----------
+    loop : loop.EventLoop
+    address : tuple of (str, int)
+    dialect : dialect.Dialect
+    catalog : catalog.Catalog
+    group_of : callable
+        Returns the ``groupwork.GroupWork`` of a group by name.
+    on_reply : callable
+        Called with ``(request, database, reply, arrived_at)`` for each answer.
+    """
+
+    def __init__(self, loop, address, dialect, catalog, group_of, on_reply):
+        self.loop = loop
+        self.dialect = dialect
+        self.catalog = catalog
+        self.group_of = group_of
+        self.count = on_reply
+        self.leaving = False
+        self._sessions = set()
+        self._listener = transport.Listener(loop, address, self._accept)
+
+    def __len__(self):
+        return len(self._sessions)
+
+    @property
+    def busy(self):
+        """Number of sessions with something open or outstanding."""
+        return sum(not session.at_rest for session in self._sessions)
+
+    def forget(self, session):
+        """Drop a session that has closed."""
+        self._sessions.discard(session)
+
+    def stop_listening(self):
+        """Accept no more clients."""
+        self._listener.close()
+
+    def leave(self):
+        """Close each session as soon as nothing of it is open."""
+        self.leaving = True
+        for session in list(self._sessions):
+            if session.at_rest:
+                session.close()
+
+    def abort_transactions(self):
+        """End the transactions that wait for their client's next statement."""
+        for session in list(self._sessions):
+            session.abort_transaction("the proxy stops")
+
+    def _accept(self, sock):
+        transport.detect_silence(sock)
+        self._sessions.add(Session(self, sock))
--- /dev/null
+++ b/cassiahill/sessionwork.py
@@ -0,0 +1,472 @@
+"""Runs the statements of one session at the backend servers of its group.
+
+A statement outside a transaction borrows a connection for itself. A transaction keeps
+one connection from its first statement to its end. What may be repeated is decided
+here: a refusal that proves that nothing ran, and a read whose answer was lost. A write
+or commit that has been passed on is never repeated.
+"""
+
+import attrs
+
+from cassiahill import (
+    errors,
+    eventlog,
+    lineconnections,
+    placement,
+    statements,
+    waiting,
+)
+from cassiahill.catalog import Consistency
+from cassiahill.statements import NOT_RUN_CODES, Access, Code, Reply, TransactionState
+
+MAX_ATTEMPTS = 8
+# A read that takes this many times as long as usual is sent to another server too.
+SLOW_FACTOR = 6.0
+SLOW_FLOOR_SECONDS = 0.12
+ABANDONED_SECONDS = 2.0  # How long a late answer is awaited before the connection goes.
+ROLLBACK_SECONDS = 1.0
+
+
+@attrs.define
+class SessionState:
+    """What a session has set and seen.
+
+    Attributes
+    ----------
+    values_by_name : dict
+    shapes_by_name : dict
+        Prepared statements.
+    own_commit : positions.LogPosition or None
+        Position of the session's last commit.
+    """
+
+    values_by_name: dict = attrs.field(factory=dict)
+    shapes_by_name: dict = attrs.field(factory=dict)
+    own_commit: object = None
+
+
+@attrs.define(eq=False)
+class Transaction:
+    """A transaction of a session.
+
+    Attributes
+    ----------
+    read_only : bool
+    began_at : float
+        Instant at which the client began it.
+    lease : serverpool.Lease or None
+        None until the first statement.
+    wrote : bool
+    changed_values : bool
+        Whether session values were set on the connection inside the transaction.
+    failed : bool
+    """
+
+    read_only: bool
+    began_at: float
+    lease: object = None
+    wrote: bool = False
+    changed_values: bool = False
+    failed: bool = False
+
+
+@attrs.frozen
+class Job:
+    """One statement on its way.
+
+    Attributes
+    ----------
+    request_id : str
+    statement : object
+    shape : statements.Shape or None
+        For a prepared statement.
+    access : statements.Access or None
+        None for a commit.
+    arrived_at, deadline : float
+    """
+
+    request_id: str
+    statement: object
+    shape: object
+    access: object
+    arrived_at: float
+    deadline: float
+
+
+@attrs.frozen
+class Retry:
+    """The attempt did not run, or may be repeated."""
+
+    cause: str
+
+
+class SessionWork:
+    """Statements of one session.
+
+    Parameters
+    ----------
+    loop : loop.EventLoop
+    group : groupwork.GroupWork
+    route : catalog.Route
+    state : SessionState
+    """
+
+    def __init__(self, loop, group, route, state):
+        self._loop = loop
+        self._group = group
+        self._route = route
+        self._state = state
+
+    @property
+    def route(self):
+        """The route that the session uses."""
+        return self._route
+
+    @property
+    def needs_primary_for_reads(self):
+        """Whether also reads must run on the server that leads the group."""
+        return self._reads_primary()
+
+    def withdraw(self, request_id):
+        """Drop a request that still waits, because its client has gone."""
+        self._group.withdraw(request_id)
+
+    # Outside a transaction
+
+    def run(self, job):
+        """Run one statement; a task that returns the ``Reply`` for the client."""
+        request = self._request(job, self._need(job, job.arrived_at))
+        for attempt in range(MAX_ATTEMPTS):
+            lease = yield self._group.acquire(request)
+            if lease is None:
+                return self._refusal(job, request)
+            if job.access is Access.WRITE:
+                outcome = yield from self._write(lease, job)
+            elif self._reads_primary():
+                outcome = yield from self._read_primary(lease, job)
+            else:
+                outcome = yield from self._read(lease, job)
+            if isinstance(outcome, Reply):
+                return outcome
+            self._log_retry(job, lease, outcome, attempt)
+            request.avoid.add(lease.connection.server.server_id)
+        return self._refusal(job, request)
+
+    def _write(self, lease, job):
+        asked_at = self._loop.clock.now()
+        ready = yield from self._set_up(lease, job)
+        if ready is not None:
+            self._give_back(lease)
+            return ready
+        self._group.write_sent()
+        reply = yield from self._ask(lease, job)
+        self._group.write_ended(reply is not None)
+        if reply is None:
+            self._drop(lease)
+            return Reply(code=Code.OUTCOME_UNKNOWN, detail="no answer to a write")
+        if reply.code in NOT_RUN_CODES:
+            self._group.refused(lease.connection, reply.code)
+            self._give_back(lease)
+            return Retry(reply.code.value)
+        if reply.code is None:
+            self._group.proved(lease.connection, asked_at, reply)
+            self._state.own_commit = reply.position or self._state.own_commit
+        self._give_back(lease)
+        return reply
+
+    def _read_primary(self, lease, job):
+        """Run a read inside an empty transaction, which only a primary allows.
+
+        A single read is not refused by a server that has lost its role.
+        """
+        transaction = Transaction(False, job.arrived_at, lease)
+        begun = yield from self._begin(transaction, job)
+        if begun is not None:
+            return begun
+        reply = yield from self._ask(lease, job)
+        if reply is None:
+            self._drop(lease)
+            return Retry("no answer to a read")
+        self._give_back(lease)
+        if reply.code in NOT_RUN_CODES:
+            self._group.refused(lease.connection, reply.code)
+            return Retry(reply.code.value)
+        return attrs.evolve(reply, state=TransactionState.IDLE)
+
+    def _read(self, lease, job):
+        ready = yield from self._set_up(lease, job)
+        if ready is not None:
+            self._give_back(lease)
+            return ready
+        reply = yield from self._ask(lease, job, after=lease.after, hedge=True)
+        if reply is None:
+            return Retry("no answer to a read")
+        if reply.code in NOT_RUN_CODES:
+            self._group.refused(lease.connection, reply.code)
+            self._give_back(lease)
+            return Retry(reply.code.value)
+        self._give_back(lease)
+        return reply
+
+    # Inside a transaction
+
+    def run_in(self, transaction, job):
+        """Run a statement or the commit of a transaction; a task."""
+        if transaction.lease is None:
+            failure = yield from self._start(transaction, job)
+            if failure is not None:
+                transaction.failed = True
+                return attrs.evolve(failure, state=TransactionState.FAILED)
+        else:
+            transaction.lease.start(self._loop.clock.now())
+        lease = transaction.lease
+        if job.access is None:
+            return (yield from self._commit(transaction, job))
+        had = dict(lease.connection.values_by_name)
+        ready = yield from self._set_up(lease, job)
+        transaction.changed_values |= lease.connection.values_by_name != had
+        if ready is not None:
+            return self._fail(transaction, Code.ABORTED, ready.cause)
+        asked_at = self._loop.clock.now()
+        reply = yield from self._ask(lease, job)
+        if reply is None:
+            return self._fail(transaction, Code.ABORTED, "the connection was lost")
+        transaction.wrote |= job.access is Access.WRITE and reply.code is None
+        if reply.code is None and not transaction.read_only:
+            self._group.proved(lease.connection, asked_at, reply)
+        if reply.code in NOT_RUN_CODES:
+            self._group.refused(lease.connection, reply.code)
+        if reply.state is not TransactionState.OPEN:
+            transaction.failed = True
+            reply = attrs.evolve(reply, state=TransactionState.FAILED)
+        return reply
+
+    def roll_back(self, transaction):
+        """End a transaction without keeping anything."""
+        lease = transaction.lease
+        transaction.lease = None
+        if lease is None:
+            return
+        if transaction.changed_values:
+            # Whether a rollback also takes values back is not known.
+            lease.connection.values_by_name = None
+        self._give_back(lease)
+
+    def _start(self, transaction, job):
+        """Find a connection and begin; return the reply of a failure, or None."""
+        request = self._request(job, self._need(job, transaction.began_at, transaction))
+        for attempt in range(MAX_ATTEMPTS):
+            lease = yield self._group.acquire(request)
+            if lease is None:
+                return self._refusal(job, request)
+            transaction.lease = lease
+            outcome = yield from self._begin(transaction, job)
+            if outcome is None:
+                return None
+            transaction.lease = None
+            if isinstance(outcome, Reply):
+                return outcome
+            self._log_retry(job, lease, outcome, attempt)
+        return self._refusal(job, request)
+
+    def _begin(self, transaction, job):
+        """Begin on the leased connection; return None, or why it did not begin."""
+        lease = transaction.lease
+        ready = yield from self._set_up(lease, job)
+        if ready is not None:
+            self._give_back(lease)
+            return ready
+        asked_at = self._loop.clock.now()
+        begin = statements.Begin(transaction.read_only)
+        reply = yield from self._own(lease, begin, job.deadline, lease.after)
+        if reply is None:
+            self._drop(lease)
+            return Retry("no answer to a begin")
+        if reply.code is not None:
+            self._group.refused(lease.connection, reply.code)
+            self._give_back(lease)
+            return Retry(reply.code.value)
+        if not transaction.read_only:
+            self._group.proved(lease.connection, asked_at, reply)
+        return None
+
+    def _commit(self, transaction, job):
+        lease = transaction.lease
+        asked_at = self._loop.clock.now()
+        if transaction.wrote:
+            self._group.write_sent()
+        reply = yield from self._ask(lease, job)
+        if transaction.wrote:
+            self._group.write_ended(reply is not None)
+        transaction.lease = None
+        if reply is None:
+            self._drop(lease)
+            if transaction.wrote:
+                return Reply(code=Code.OUTCOME_UNKNOWN, detail="no answer to a commit")
+            return Reply(code=Code.ABORTED, detail="no answer to an empty commit")
+        if reply.code is None and transaction.wrote:
+            self._group.proved(lease.connection, asked_at, reply)
+            self._state.own_commit = reply.position or self._state.own_commit
+        elif transaction.changed_values:
+            lease.connection.values_by_name = None
+        if reply.code in NOT_RUN_CODES:
+            self._group.refused(lease.connection, reply.code)
+        self._give_back(lease)
+        return attrs.evolve(reply, state=TransactionState.IDLE)
+
+    def _fail(self, transaction, code, detail):
+        self._drop(transaction.lease)
+        transaction.lease = None
+        transaction.failed = True
+        return Reply(code=code, detail=detail, state=TransactionState.FAILED)
+
+    # Steps
+
+    def _need(self, job, since, transaction=None):
+        """Return the function that tells what a statement needs now."""
+        if transaction is None:
+            on_primary = job.access is Access.WRITE or self._reads_primary()
+        else:
+            on_primary = not transaction.read_only
+        if on_primary:
+            return placement.OnPrimary
+        oldest = since - self._route.max_age
+        own_commit = None
+        if self._route.consistency is Consistency.OWN_WRITES:
+            own_commit = self._state.own_commit
+        return lambda: self._group.read_need(oldest, own_commit)
+
+    def _reads_primary(self):
+        return self._route.consistency is Consistency.PRIMARY
+
+    def _request(self, job, needed):
+        return waiting.WaitingRequest(
+            job.request_id,
+            self._route.priority,
+            job.arrived_at,
+            job.deadline,
+            needed,
+            self._state.values_by_name,
+        )
+
+    def _set_up(self, lease, job):
+        """Give the connection the session's values and the statement's preparation.
+
+        Returns None, or a ``Retry`` when a step failed; the statement has not been
+        sent then.
+        """
+        connection = lease.connection
+        steps = lineconnections.setup_statements(connection, self._state.values_by_name)
+        if job.shape is not None and job.shape not in connection.names_by_shape:
+            steps.append(statements.Prepare(connection.new_name(), job.shape))
+        for step in steps:
+            reply = yield from self._own(lease, step, job.deadline)
+            if reply is None or reply.code is not None:
+                connection.close()
+                return Retry("the session could not be set up")
+            lineconnections.apply_setup(connection, step)
+        return None
+
+    def _own(self, lease, statement, deadline, after=None):
+        """Send a statement of the proxy's own; return its reply, or None."""
+        loop = self._loop
+        late = errors.ConnectionLost("no answer before the deadline")
+        future = lease.connection.ask(statement, None, after)
+        try:
+            reply = yield loop.with_deadline(future, deadline, late)
+        except errors.CassiahillError:
+            return None
+        self._group.observe(lease.connection, reply)
+        return reply
+
+    def _ask(self, lease, job, after=None, hedge=False):
+        """Send the client's statement; return the reply, or None.
+
+        With ``hedge``, None may also mean that the answer is slow; the connection is
+        then given back when the answer comes.
+        """
+        loop = self._loop
+        pool = lease.pool
+        connection = lease.connection
+        statement = job.statement
+        if job.shape is not None:
+            name = connection.names_by_shape[job.shape]
+            statement = attrs.evolve(statement, name=name)
+        asked_at = loop.clock.now()
+        until = job.deadline
+        if hedge:
+            slow = max(SLOW_FLOOR_SECONDS, SLOW_FACTOR * pool.latency)
+            until = min(until, asked_at + slow)
+        late = errors.ConnectionLost("no answer before the deadline")
+        future = connection.ask(statement, job.request_id, after)
+        try:
+            reply = yield loop.with_deadline(future, until, late)
+        except errors.CassiahillError:
+            if hedge:
+                self._abandon(lease, future)
+            return None
+        now = loop.clock.now()
+        lease.finish(now, now - asked_at)
+        self._group.observe(connection, reply)
+        return reply
+
+    def _abandon(self, lease, future):
+        """Await a late answer, so that the connection can be used again."""
+        loop = self._loop
+        if not future.done():
+            loop.call_at(
+                loop.clock.now() + ABANDONED_SECONDS,
+                lambda: None if future.done() else lease.connection.close(),
+            )
+
+        def settle(_finished):
+            lease.finish(loop.clock.now())
+            lease.pool.give_back(lease.connection)
+
+        loop.when_done(future, settle)
+
+    def _give_back(self, lease):
+        """Return a connection to its pool, ending what is open on it first."""
+        lease.finish(self._loop.clock.now())
+        if lease.connection.state is TransactionState.IDLE:
+            lease.pool.give_back(lease.connection)
+        else:
+            self._loop.spawn(self._end_and_give_back(lease))
+
+    def _end_and_give_back(self, lease):
+        deadline = self._loop.clock.now() + ROLLBACK_SECONDS
+        reply = yield from self._own(lease, statements.Rollback(), deadline)
+        if reply is None:
+            lease.connection.close()
+        lease.pool.give_back(lease.connection)
+
+    def _drop(self, lease):
+        lease.connection.close()
+        lease.finish(self._loop.clock.now())
+
+    def _refusal(self, job, request):
+        eventlog.event(
+            "refused",
+            request=job.request_id,
+            priority=request.priority,
+            need=type(request.placement()).__name__,
+            waited=self._loop.clock.now() - job.arrived_at,
+            primary=self._group.primary.believed,
+        )
+        return Reply(code=Code.BUSY, detail="no backend server can take it now")
+
+    def _log_retry(self, job, lease, outcome, attempt):
+        eventlog.event(
+            "attempt_failed",
+            request=job.request_id,
+            server=lease.connection.server.server_id,
+            cause=outcome.cause,
+            attempt=attempt,
+            after=lease.after,
+            position=lease.connection.position,
+        )
+
+
+def with_state(reply, state):
+    """Return a reply with the state of the session that gets it."""
+    return reply if reply.state is state else attrs.evolve(reply, state=state)
--- /dev/null
+++ b/cassiahill/statements.py
@@ -0,0 +1,207 @@
+"""Requests of a session and the answers of backend servers, as typed messages."""
+
+import enum
+
+import attrs
+
+from cassiahill.positions import LogPosition
+
+
+class Access(enum.Enum):
+    """Whether a statement changes data."""
+
+    READ = "read"
+    WRITE = "write"
+
+
+class Code(enum.Enum):
+    """Why a statement did not succeed."""
+
+    BUSY = "busy"
+    NOT_CURRENT = "not_current"  # The log lacks the position that the read asks for.
+    NOT_PRIMARY = "not_primary"
+    WRONG_SERVER = "wrong_server"
+    CONNECTION_LIMIT = "connection_limit"
+    UNKNOWN_STATEMENT = "unknown_statement"
+    FAILED = "failed"
+    TIMED_OUT = "timed_out"
+    UNKNOWN_DATABASE = "unknown_database"
+    MALFORMED = "malformed"
+    TOO_LARGE = "too_large"
+    ABORTED = "aborted"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    OTHER = "other"
+
+
+# Refusals of a backend server after which a statement has provably not run.
+NOT_RUN_CODES = frozenset(
+    {Code.BUSY, Code.NOT_CURRENT, Code.NOT_PRIMARY, Code.UNKNOWN_STATEMENT}
+)
+
+
+class TransactionState(enum.Enum):
+    """State of a session or a connection between two statements."""
+
+    IDLE = "idle"
+    OPEN = "open"
+    FAILED = "failed"
+
+
+@attrs.frozen
+class Begin:
+    """Starts a transaction."""
+
+    read_only: bool
+
+
+@attrs.frozen
+class Commit:
+    """Ends a transaction and keeps its changes."""
+
+
+@attrs.frozen
+class Rollback:
+    """Ends a transaction and drops its changes."""
+
+
+@attrs.frozen
+class Run:
+    """A read or a write given as text.
+
+    Attributes
+    ----------
+    access : Access
+    text : str
+        The statement as the client sent it.
+    """
+
+    access: Access
+    text: str
+
+
+@attrs.frozen
+class SetValue:
+    """Sets a value of the session."""
+
+    name: str
+    value: str
+
+
+@attrs.frozen
+class Shape:
+    """What a prepared statement runs; equal shapes can share a preparation."""
+
+    access: Access
+    text: str
+
+
+@attrs.frozen
+class Prepare:
+    """Prepares a statement under a name of the session."""
+
+    name: str
+    shape: Shape
+
+
+@attrs.frozen
+class Execute:
+    """Runs a prepared statement with arguments."""
+
+    name: str
+    arguments: str
+
+
+@attrs.frozen
+class Deallocate:
+    """Forgets a prepared statement."""
+
+    name: str
+
+
+@attrs.frozen
+class ResetSession:
+    """Clears the values and prepared statements of a backend connection."""
+
+
+@attrs.frozen
+class ReadStatus:
+    """Asks a backend server for its role, term and position."""
+
+
+@attrs.frozen
+class PauseReceiving:
+    """Stops a replica from receiving the log, until it is resumed or promoted."""
+
+    term: int
+
+
+@attrs.frozen
+class ResumeReceiving:
+    """Lets a paused replica receive the log again."""
+
+
+@attrs.frozen
+class OpenSession:
+    """First message of a client: the database that it wants."""
+
+    database: str
+    caller: str
+
+
+@attrs.frozen
+class Request:
+    """One statement of a client with its id."""
+
+    request_id: str
+    statement: object
+
+
+@attrs.frozen
+class CloseSession:
+    """The client ends the session."""
+
+
+@attrs.frozen
+class Reply:
+    """The whole answer to one statement.
+
+    Attributes
+    ----------
+    rows : tuple of str
+    signature : str
+        Proof of the backend server that it ran the statement; empty after an error.
+    code : Code or None
+        None after success.
+    detail : str
+    state : TransactionState
+    position : LogPosition or None
+        Position of the server's log after the statement.
+    """
+
+    rows: tuple = ()
+    signature: str = ""
+    code: Code | None = None
+    detail: str = ""
+    state: TransactionState = TransactionState.IDLE
+    position: LogPosition | None = None
+
+
+@attrs.frozen
+class ServerReport:
+    """What a backend server says of itself.
+
+    Attributes
+    ----------
+    is_primary : bool
+    term : int
+        The highest term that it has heard of.
+    received : LogPosition or None
+        Last entry that it has received, applied or not.
+    connections : int
+        Open connections of all callers.
+    """
+
+    is_primary: bool
+    term: int
+    received: LogPosition | None
+    connections: int
--- a/cassiahill/transport.py
+++ b/cassiahill/transport.py
@@ -10,6 +10,11 @@
 RECEIVE_BYTES = 65_536
 MAX_WRITE_BUFFER_BYTES = 8 * 1024 * 1024
 LISTEN_BACKLOG = 1024
+# A connection that has gone silent is closed after about 4 s without a sign of life.
+KEEPALIVE_IDLE_SECONDS = 1
+KEEPALIVE_INTERVAL_SECONDS = 1
+KEEPALIVE_PROBES = 3
+UNACKNOWLEDGED_MILLISECONDS = 3000
 
 
 class Stream:
@@ -234,6 +239,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    detect_silence(sock)
     code = sock.connect_ex(address)
     if code not in (0, errno.EINPROGRESS):
         sock.close()
@@ -245,6 +251,16 @@
     return Stream(loop, sock, on_data, on_closed, connecting=True)
 
 
+def detect_silence(sock):
+    """Let the kernel close a connection whose other end has gone silent."""
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS)
+
+
 def _common_name(certificate):
     for attributes in (certificate or {}).get("subject", ()):
         for name, value in attributes:
--- /dev/null
+++ b/cassiahill/waiting.py
@@ -0,0 +1,92 @@
+"""Requests that wait for a backend server: their order, and when to refuse.
+
+It answers bursts of one kind of request and the time without a primary. The more urgent
+request goes first; within a priority the one that came first. A request is refused as
+soon as it is known that it cannot be served in time, and at the latest when it has
+waited for the larger part of its time.
+"""
+
+import itertools
+
+import attrs
+from sortedcontainers import SortedKeyList
+
+# A refusal after this share of the time leaves the client time for another attempt.
+WAIT_SHARE = 0.45
+
+
+@attrs.define(eq=False)
+class WaitingRequest:
+    """A statement that needs a backend server.
+
+    Attributes
+    ----------
+    request_id : str
+    priority : int
+        0 is the most urgent.
+    arrived_at : float
+    deadline : float
+        Instant at which the statement's time has run out.
+    placement : callable
+        Returns what the request needs, as one of the classes of ``placement``.
+    values_by_name : dict
+        Session values that its connection must have.
+    avoid : set of str
+        Ids of the servers that have failed this request.
+    settle : callable or None
+        Called once with a lease, or with None when the request is refused.
+    """
+
+    request_id: str
+    priority: int
+    arrived_at: float
+    deadline: float
+    placement: object
+    values_by_name: dict = attrs.field(factory=dict)
+    avoid: set = attrs.field(factory=set)
+    settle: object = None
+    order: int = attrs.field(factory=itertools.count().__next__)
+
+    @property
+    def refuse_at(self):
+        """Instant at which the request is refused if it still waits."""
+        return self.arrived_at + WAIT_SHARE * (self.deadline - self.arrived_at)
+
+
+class WaitingList:
+    """Requests in the order in which they are served."""
+
+    def __init__(self):
+        self._requests = SortedKeyList(key=lambda one: (one.priority, one.order))
+
+    def __len__(self):
+        return len(self._requests)
+
+    def __iter__(self):
+        return iter(list(self._requests))
+
+    def add(self, request):
+        """Add a request."""
+        self._requests.add(request)
+
+    def remove(self, request):
+        """Remove a request; nothing happens when it has gone already."""
+        self._requests.discard(request)
+
+    def overdue(self, now, primary_expected_at, needs_primary):
+        """Return the requests to refuse now.
+
+        Parameters
+        ----------
+        now : float
+        primary_expected_at : float
+            Instant at which a primary is likely to be known.
+        needs_primary : callable
+            Whether a request can only run on the primary.
+        """
+        return [
+            one
+            for one in self._requests
+            if now >= one.refuse_at
+            or (primary_expected_at > one.refuse_at and needs_primary(one))
+        ]
