Keep half of a server's connections free and borrow the rest on demand

Each proxy now keeps an equal share of half the limit, borrows only where the waiting request would go, and gives back what is idle. Ruled out: the limit of statements, which was not reached.

--- a/cassiahill/groupwork.py
+++ b/cassiahill/groupwork.py
@@ -24,10 +24,11 @@
 PROBE_TIMEOUT_SECONDS = 0.4
 TICK_SECONDS = 0.02
 STOOD_STILL_SECONDS = 0.3
+# Half of a server's connections is kept, the rest is borrowed as needed: after a loss
+# of power the server holds the lost connections for some seconds beside the new ones.
+SHARED_PART = 2
 STUCK_WRITES = 2  # A single answer may be lost on its way.
 BUSY_PAUSE_SECONDS = 0.02  # A full server has answered some statements after this.
-SHARE_FACTOR = 2  # Connections are open where the load is, so shares may overlap.
-LEAST_CONNECTIONS = 2
 # A draining server takes requests until it has left; new ones stop long before that.
 DRAINING_PRIMARY_SECONDS = 5.0
 
@@ -52,7 +53,7 @@
         self._own_domain = own_domain
         self._draining_since = draining_since
         self._waiting = waiting.WaitingList()
-        self._connection_limit = LEAST_CONNECTIONS
+        self._connection_limit = 1
         self._proxies = 1
         self._probing = set()
         self._busy_until_by_id = {}
@@ -88,7 +89,7 @@
                 self._dialect,
                 server,
                 self._own_name,
-                self._most(),
+                self._share(),
                 self._pump_soon,
             )
             self.progress_by_id[server.server_id] = evidence.ReplicaProgress()
@@ -112,7 +113,7 @@
         self._connection_limit = connection_limit
         self._proxies = max(1, proxies)
         for pool in self.pools_by_id.values():
-            pool.most = self._most()
+            pool.share = self._share()
 
     def close(self):
         """Close all connections."""
@@ -275,9 +276,8 @@
 
     # Decisions
 
-    def _most(self):
-        share = SHARE_FACTOR * self._connection_limit // self._proxies
-        return max(LEAST_CONNECTIONS, min(share, self._connection_limit))
+    def _share(self):
+        return max(1, self._connection_limit // (SHARED_PART * self._proxies))
 
     def _candidates(self, need, now, avoid):
         for server_id, pool in self.pools_by_id.items():
@@ -288,7 +288,8 @@
             yield placement.Candidate(
                 server_id=server_id,
                 is_primary=is_primary,
-                has_room=pool.has_room(pool.server.slots)
+                has_connection=pool.idle > 0,
+                has_slot=pool.running < pool.server.slots
                 and now >= self._busy_until_by_id.get(server_id, 0.0),
                 may_have_position=position is None
                 or self.progress_by_id[server_id].may_have(position, now),
@@ -313,17 +314,16 @@
         """Grant what can be granted, refuse what cannot be served, open connections."""
         self._pumping = False
         now = self._loop.clock.now()
-        wanted_by_id = dict.fromkeys(self.pools_by_id, 1)
+        wanted_by_id = dict.fromkeys(self.pools_by_id, 0)
         for request in self._waiting:
             need = request.placement()
-            server_id = placement.choose(
-                need, self._candidates(need, now, request.avoid)
-            )
-            if server_id is None:
-                self._want(need, wanted_by_id)
-                continue
-            self._waiting.remove(request)
-            self._grant(request, need, self.pools_by_id[server_id], now)
+            candidates = self._candidates(need, now, request.avoid)
+            choice = placement.choose(need, candidates)
+            if choice.server_id is not None:
+                self._waiting.remove(request)
+                self._grant(request, need, self.pools_by_id[choice.server_id], now)
+            elif choice.open_at is not None:
+                wanted_by_id[choice.open_at] += 1
         expected_at = self.primary.expected_at(now)
         for request in self._waiting.overdue(now, expected_at, _needs_primary):
             self._waiting.remove(request)
@@ -331,15 +331,7 @@
         for server_id, wanted in wanted_by_id.items():
             pool = self.pools_by_id.get(server_id)
             if pool is not None:
-                pool.open_if_needed(wanted, now)
-
-    def _want(self, need, wanted_by_id):
-        match need:
-            case placement.OnPrimary() if self.primary.believed in wanted_by_id:
-                wanted_by_id[self.primary.believed] += 1
-            case placement.AtPosition():
-                for server_id in wanted_by_id:
-                    wanted_by_id[server_id] = max(2, wanted_by_id[server_id])
+                pool.open_if_needed(wanted if pool.size else 1, now)
 
     def _grant(self, request, need, pool, now):
         connection = pool.lend(request.values_by_name, now)
--- a/cassiahill/lineconnections.py
+++ b/cassiahill/lineconnections.py
@@ -111,19 +111,26 @@
             future.set_exception(errors.ConnectionLost("the connection closed"))
 
 
-def setup_statements(connection, values_by_name):
-    """Return the statements that give a connection the values of a session."""
+def next_setup(connection, values_by_name, shape):
+    """Return the next statement that gives a connection what a session needs, or None.
+
+    Parameters
+    ----------
+    connection : LineConnection
+    values_by_name : dict
+        Values of the session; the connection must have these and no others.
+    shape : statements.Shape or None
+        What the session's next statement runs, when it is a prepared one.
+    """
     held = connection.values_by_name
-    steps = []
     if held is None or any(name not in values_by_name for name in held):
-        steps.append(statements.ResetSession())
-        held = {}
-    steps.extend(
-        statements.SetValue(name, value)
-        for name, value in values_by_name.items()
-        if held.get(name) != value
-    )
-    return steps
+        return statements.ResetSession()
+    for name, value in values_by_name.items():
+        if held.get(name) != value:
+            return statements.SetValue(name, value)
+    if shape is not None and shape not in connection.names_by_shape:
+        return statements.Prepare(connection.new_name(), shape)
+    return None
 
 
 def apply_setup(connection, statement):
--- a/cassiahill/placement.py
+++ b/cassiahill/placement.py
@@ -39,8 +39,10 @@
     ----------
     server_id : str
     is_primary : bool
-    has_room : bool
-        Whether a connection is free or can be opened, below the limit of statements.
+    has_connection : bool
+        Whether a connection is free.
+    has_slot : bool
+        Whether one more statement of this process may run there.
     may_have_position : bool
     latency : float
         Recent time of a statement in seconds, waiting in the server included.
@@ -52,7 +54,8 @@
 
     server_id: str
     is_primary: bool
-    has_room: bool
+    has_connection: bool
+    has_slot: bool
     may_have_position: bool
     latency: float
     running: int
@@ -72,8 +75,24 @@
     return seconds
 
 
+@attrs.frozen
+class Choice:
+    """Where a statement goes.
+
+    Attributes
+    ----------
+    server_id : str or None
+        The server to use now; None to wait.
+    open_at : str or None
+        The server that should get another connection for it.
+    """
+
+    server_id: str | None = None
+    open_at: str | None = None
+
+
 def choose(need, candidates):
-    """Return the id of the server to use, or None to wait.
+    """Return where a statement goes.
 
     Parameters
     ----------
@@ -82,19 +101,22 @@
 
     Returns
     -------
-    str or None
+    Choice
     """
     match need:
         case OnPrimary():
-            eligible = [one for one in candidates if one.is_primary and one.has_room]
+            eligible = [one for one in candidates if one.is_primary and one.has_slot]
         case AtPosition():
             eligible = [
                 one
                 for one in candidates
-                if one.has_room and (one.may_have_position or one.is_primary)
+                if one.has_slot and (one.may_have_position or one.is_primary)
             ]
         case NotProvable():
-            return None
+            return Choice()
     if not eligible:
-        return None
-    return min(eligible, key=expected_seconds).server_id
+        return Choice()
+    connected = [one for one in eligible if one.has_connection]
+    if connected:
+        return Choice(min(connected, key=expected_seconds).server_id)
+    return Choice(open_at=min(eligible, key=expected_seconds).server_id)
--- a/cassiahill/serverpool.py
+++ b/cassiahill/serverpool.py
@@ -1,8 +1,9 @@
 """Connections of this process to one backend server.
 
-The limit of a backend server is shared by all proxies. Each opens what its load needs,
-up to ``most``; the server refuses what is too much, and a refused proxy waits. Idle
-connections beyond the few that stay warm are closed, so that others can have them.
+The limit of a backend server is shared by all proxies. Each has an equal share that it
+may keep. While requests wait it borrows beyond its share what the others leave, and
+closes what it has borrowed as soon as it is free, so that no proxy goes without. The
+server refuses what is too much.
 """
 
 import attrs
@@ -13,8 +14,13 @@
 WARM_CONNECTIONS = 1  # One spares a request the opening; more would take others' share.
 OPENING_AT_ONCE = 2  # An opening takes a slot of the server.
 OPEN_SECONDS = 0.5
+BORROW_FACTOR = 3  # One proxy's transactions must not take all that others leave.
 IDLE_SECONDS = 4.0
-LIMIT_PAUSE_SECONDS = 0.2  # After a refusal by the server's connection limit.
+BORROWED_IDLE_SECONDS = 0.05  # The next request of a burst still finds it.
+# After a refusal by the server's connection limit: a borrowed connection of another
+# proxy is free within some statements; borrowing oneself can wait.
+SHARE_PAUSE_SECONDS = 0.06
+BORROW_PAUSE_SECONDS = 0.3
 RETRY_BASE_SECONDS = 0.05
 RETRY_CAP_SECONDS = 0.5
 SUSPECT_AFTER_SECONDS = 0.25  # Unanswered for this long while nothing else is answered.
@@ -62,19 +68,19 @@
     server : catalog.BackendServer
     caller : str
         Name of this process for the server.
-    most : int
-        Connections that this process may open.
+    share : int
+        Connections that this process may keep.
     on_change : callable
         Called without arguments when a connection has become free or has ended.
     """
 
-    def __init__(self, loop, dialect, server, caller, most, on_change):
+    def __init__(self, loop, dialect, server, caller, share, on_change):
         self._loop = loop
         self._dialect = dialect
         self._caller = caller
         self._on_change = on_change
         self.server = server
-        self.most = most
+        self.share = share
         self.latency = FIRST_LATENCY_SECONDS
         self.running = 0
         self.failures = 0
@@ -106,10 +112,6 @@
             since is not None and now - since > SUSPECT_AFTER_SECONDS
         )
 
-    def has_room(self, slots):
-        """Return whether a request can start now, with at most ``slots`` running."""
-        return bool(self._idle) and self.running < slots
-
     # Lending
 
     def lend(self, values_by_name, now):
@@ -171,17 +173,19 @@
             not self.closed
             and len(self._idle) + self._opening < wanted
             and self._opening < OPENING_AT_ONCE
-            and self.size < self.most
+            and self.size < BORROW_FACTOR * self.share
             and now >= self._next_opening_at
         ):
             self._loop.spawn(self._open())
 
     def trim(self, now):
-        """Close connections that have been idle for long, all but the warm ones."""
+        """Close connections that have been idle, the borrowed ones first."""
         for connection in list(self._idle):
             if self.size <= WARM_CONNECTIONS:
                 return
-            if now - connection.used_at > IDLE_SECONDS:
+            borrowed = self.size > self.share
+            limit = BORROWED_IDLE_SECONDS if borrowed else IDLE_SECONDS
+            if now - connection.used_at > limit:
                 connection.close()
 
     def close(self):
@@ -228,7 +232,10 @@
     def _opening_refused(self, reply):
         now = self._loop.clock.now()
         if reply.code is Code.CONNECTION_LIMIT:
-            self._next_opening_at = now + LIMIT_PAUSE_SECONDS
+            within_share = self.size < self.share
+            self._next_opening_at = now + (
+                SHARE_PAUSE_SECONDS if within_share else BORROW_PAUSE_SECONDS
+            )
             self.answered_at = now
         else:
             self._opening_failed(reply.code.value)
--- a/cassiahill/sessionwork.py
+++ b/cassiahill/sessionwork.py
@@ -356,10 +356,9 @@
         sent then.
         """
         connection = lease.connection
-        steps = lineconnections.setup_statements(connection, self._state.values_by_name)
-        if job.shape is not None and job.shape not in connection.names_by_shape:
-            steps.append(statements.Prepare(connection.new_name(), job.shape))
-        for step in steps:
+        while step := lineconnections.next_setup(
+            connection, self._state.values_by_name, job.shape
+        ):
             reply = yield from self._own(lease, step, job.deadline)
             if reply is None or reply.code is not None:
                 connection.close()
