Leave the rotation when cut off; repeat a slow read once

Cause: a proxy in a cut failure domain stayed in the balancer's rotation and failed most of its clients for the whole cut; a heavy read was given up after 120 ms and run up to eight times. Ruled out: keeping clients in the cut domain with reads of its own replicas only.

--- a/cassiahill/groupwork.py
+++ b/cassiahill/groupwork.py
@@ -11,6 +11,7 @@
     evidence,
     placement,
     primaries,
+    reachability,
     serverpool,
     statements,
     takeover,
@@ -22,7 +23,10 @@
 PROBE_SECONDS = 0.25  # A read of any age that clients ask for finds a proof this young.
 SEARCH_SECONDS = 0.1  # Between questions for the primary while none is known.
 PROBE_TIMEOUT_SECONDS = 0.4
+CONTACT_SECONDS = 0.4  # A server that nothing was heard of for this long is asked.
 TICK_SECONDS = 0.02
+FIRST_READ_SECONDS = 0.03
+READ_WEIGHT = 0.1
 STOOD_STILL_SECONDS = 0.3
 # Half of a server's connections is kept, the rest is borrowed as needed: after a loss
 # of power the server holds the lost connections for some seconds beside the new ones.
@@ -65,6 +69,7 @@
         self.pools_by_id = {}
         self.progress_by_id = {}
         self.probe_failed_since = None
+        self._usual_seconds_by_database = {}
         self._writes_outstanding = 0
         self._writes_unanswered = 0
         self._writes_stuck_since = None
@@ -159,6 +164,16 @@
         self._pump()
         return future
 
+    def usual_seconds(self, database):
+        """Return how long a read of a database takes of late."""
+        return self._usual_seconds_by_database.get(database, FIRST_READ_SECONDS)
+
+    def observe_seconds(self, database, seconds):
+        """Take the time of one read."""
+        usual = self.usual_seconds(database)
+        usual += READ_WEIGHT * (seconds - usual)
+        self._usual_seconds_by_database[database] = usual
+
     def read_need(self, oldest, own_commit):
         """Return the need of a read that must see commits acknowledged before."""
         position = self.evidence.required(oldest, own_commit)
@@ -238,6 +253,15 @@
             return Code.BUSY if reply.code is Code.BUSY else None
         return self._dialect.decode_report(reply)
 
+    def contacts(self, now):
+        """Return what is known of the path to each server."""
+        return [
+            reachability.Contact(
+                pool.server.failure_domain, pool.answered_at, pool.suspect(now)
+            )
+            for pool in self.pools_by_id.values()
+        ]
+
     def symptoms(self, now, reported_since=None):
         """Return what this process knows of the primary's health."""
         server_id = self.primary.believed
@@ -324,7 +348,7 @@
                 self._grant(request, need, self.pools_by_id[choice.server_id], now)
             elif choice.open_at is not None:
                 wanted_by_id[choice.open_at] += 1
-        expected_at = self.primary.expected_at(now)
+        expected_at = self.primary.expected_at(now, self.probe_failed_since)
         for request in self._waiting.overdue(now, expected_at, _needs_primary):
             self._waiting.remove(request)
             request.settle(None)
@@ -353,6 +377,8 @@
             # This process stood still: the silence of others proves nothing.
             self.probe_failed_since = None
             self._writes_stuck_since = None
+            for pool in self.pools_by_id.values():
+                pool.heard(now)
         self._ticked_at = now
         self._pump()
         for pool in self.pools_by_id.values():
@@ -362,13 +388,14 @@
 
     def _probe(self, now):
         believed = self.primary.believed
-        if believed is not None:
-            latest = self.evidence.latest
-            if latest is None or now - latest.asked_at > PROBE_SECONDS:
-                self._probe_server(believed, now)
-            return
-        for server_id in self.pools_by_id:
-            self._probe_server(server_id, now)
+        latest = self.evidence.latest
+        if believed is not None and (
+            latest is None or now - latest.asked_at > PROBE_SECONDS
+        ):
+            self._probe_server(believed, now)
+        for server_id, pool in self.pools_by_id.items():
+            if believed is None or now - pool.answered_at > CONTACT_SECONDS:
+                self._probe_server(server_id, now)
 
     def _probe_server(self, server_id, now):
         pool = self.pools_by_id.get(server_id)
--- a/cassiahill/loop.py
+++ b/cassiahill/loop.py
@@ -167,6 +167,18 @@
         self.call_at(at, lambda: future.set_result(None))
         return future
 
+    def first_done(self, *futures):
+        """Return a future that completes with the first of the futures that is done."""
+        first = LoopFuture()
+
+        def settle(finished):
+            if not first.done():
+                first.set_result(finished)
+
+        for future in futures:
+            self.when_done(future, settle)
+        return first
+
     def with_deadline(self, future, deadline, error):
         """Return a future with the same result, or ``error`` at the deadline.
 
--- a/cassiahill/primaries.py
+++ b/cassiahill/primaries.py
@@ -4,6 +4,7 @@
 
 # A promotion takes about a second, and some hundred ms pass before it is ordered.
 USUAL_GAP_SECONDS = 2.0
+DOUBT_SECONDS = 0.25  # A single lost answer is no loss of the primary.
 
 
 @attrs.define
@@ -64,8 +65,16 @@
         """Forget a server that has gone."""
         return self.refuted(server_id, now)
 
-    def expected_at(self, now):
-        """Return the instant at which a primary is likely to be known again."""
-        if self.believed is not None or self.lost_at is None:
+    def expected_at(self, now, unreachable_since=None):
+        """Return the instant at which a primary is likely to be known again.
+
+        Parameters
+        ----------
+        now : float
+        unreachable_since : float or None
+            Since when the believed primary does not answer.
+        """
+        since = self.lost_at if self.believed is None else unreachable_since
+        if since is None or now - since < DOUBT_SECONDS:
             return now
-        return max(now, self.lost_at + USUAL_GAP_SECONDS)
+        return max(now + DOUBT_SECONDS, since + USUAL_GAP_SECONDS)
--- /dev/null
+++ b/cassiahill/reachability.py
@@ -0,0 +1,49 @@
+"""Whether this process is cut off from the other failure domains.
+
+It answers the cut of a failure domain or of one host: clients still reach the process,
+but it can serve little. It then asks the balancer for no more clients and lets idle
+sessions go, so that they come back through a failure domain that is connected.
+"""
+
+import attrs
+
+# A server is asked every 0.4 s, so several questions have had no answer by then.
+SILENT_SECONDS = 0.7
+
+
+@attrs.frozen
+class Contact:
+    """What is known of the path to one backend server.
+
+    Attributes
+    ----------
+    failure_domain : str
+    answered_at : float
+        Instant of its last answer.
+    failing : bool
+        Whether something was asked since, without an answer.
+    """
+
+    failure_domain: str
+    answered_at: float
+    failing: bool
+
+
+def is_cut_off(own_domain, contacts, now):
+    """Return whether no server of another failure domain answers.
+
+    Parameters
+    ----------
+    own_domain : str
+    contacts : iterable of Contact
+    now : float
+
+    Returns
+    -------
+    bool
+        False also when there is no server in another failure domain.
+    """
+    others = [one for one in contacts if one.failure_domain != own_domain]
+    return bool(others) and all(
+        one.failing and now - one.answered_at > SILENT_SECONDS for one in others
+    )
--- a/cassiahill/sessionproxy.py
+++ b/cassiahill/sessionproxy.py
@@ -12,6 +12,7 @@
     eventlog,
     groupwork,
     http1,
+    reachability,
     sessionfleet,
     sessionmetrics,
     sessions,
@@ -71,6 +72,7 @@
         self._dialect = dialect
         self._orders = orders
         self._leaving_since = None
+        self._cut_off = False
         self._groups_by_name = {}
         self._takeovers_by_group = {}
         self.metrics = sessionmetrics.SessionMetrics()
@@ -115,7 +117,11 @@
     @property
     def ready(self):
         """Whether new clients should come here."""
-        return self._leaving_since is None and self.catalog.configuration is not None
+        return (
+            self._leaving_since is None
+            and self.catalog.configuration is not None
+            and not self._cut_off
+        )
 
     def group_of(self, name):
         """Return the work of a group, which is made when it is first needed."""
@@ -199,6 +205,7 @@
 
     def _supervise(self):
         now = self._loop.clock.now()
+        self._check_reachability(now)
         if self.fleet.is_promoter:
             for name, group in self._groups_by_name.items():
                 reported_since = self.fleet.reported_since(name)
@@ -206,6 +213,19 @@
                 self._takeovers_by_group[name].consider(symptoms)
         self._loop.call_at(now + SUPERVISE_SECONDS, self._supervise)
 
+    def _check_reachability(self, now):
+        contacts = [
+            contact
+            for group in self._groups_by_name.values()
+            for contact in group.contacts(now)
+        ]
+        cut_off = reachability.is_cut_off(self._settings.failure_domain, contacts, now)
+        if cut_off != self._cut_off:
+            self._cut_off = cut_off
+            eventlog.event("cut_off" if cut_off else "connected")
+        if cut_off:
+            self.sessions.close_idle()
+
     # Answers
 
     def _answer_readiness(self, _request, _connection):
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -325,6 +325,10 @@
     def leave(self):
         """Close each session as soon as nothing of it is open."""
         self.leaving = True
+        self.close_idle()
+
+    def close_idle(self):
+        """Close the sessions of which nothing is open."""
         for session in list(self._sessions):
             if session.at_rest:
                 session.close()
--- a/cassiahill/sessionwork.py
+++ b/cassiahill/sessionwork.py
@@ -20,10 +20,10 @@
 from cassiahill.statements import NOT_RUN_CODES, Access, Code, Reply, TransactionState
 
 MAX_ATTEMPTS = 8
-# A read that takes this many times as long as usual is sent to another server too.
+# A read that takes this many times as long as usual is sent once more; the first answer
+# counts. Its own answer may be lost, or its server may have gone silent.
 SLOW_FACTOR = 6.0
 SLOW_FLOOR_SECONDS = 0.12
-ABANDONED_SECONDS = 2.0  # How long a late answer is awaited before the connection goes.
 ROLLBACK_SECONDS = 1.0
 
 
@@ -142,10 +142,8 @@
                 return self._refusal(job, request)
             if job.access is Access.WRITE:
                 outcome = yield from self._write(lease, job)
-            elif self._reads_primary():
-                outcome = yield from self._read_primary(lease, job)
             else:
-                outcome = yield from self._read(lease, job)
+                outcome = yield from self._hedged_read(lease, job, request)
             if isinstance(outcome, Reply):
                 return outcome
             self._log_retry(job, lease, outcome, attempt)
@@ -174,6 +172,59 @@
         self._give_back(lease)
         return reply
 
+    def _hedged_read(self, lease, job, request):
+        """Read, and read once more elsewhere when the answer is slow."""
+        loop = self._loop
+        asked_at = loop.clock.now()
+        first = loop.spawn(self._read_once(lease, job))
+        usual = self._group.usual_seconds(self._route.database)
+        slow_at = asked_at + max(SLOW_FLOOR_SECONDS, SLOW_FACTOR * usual)
+        if slow_at < job.deadline:
+            yield loop.first_done(first, loop.sleep_until(slow_at))
+            if not first.done():
+                request.avoid.add(lease.connection.server.server_id)
+                return (yield from self._second_read(first, job, request))
+        outcome = yield first
+        self._group.observe_seconds(self._route.database, loop.clock.now() - asked_at)
+        return outcome
+
+    def _second_read(self, first, job, request):
+        loop = self._loop
+        granted = self._group.acquire(attrs.evolve(request, settle=None))
+        yield loop.first_done(first, granted)
+        if first.done():
+            self._return_unused(granted, request)
+            return first.result()
+        second_lease = granted.result()
+        if second_lease is None:
+            return (yield first)
+        eventlog.event(
+            "read_repeated",
+            request=job.request_id,
+            server=second_lease.connection.server.server_id,
+            after=loop.clock.now() - job.arrived_at,
+        )
+        second = loop.spawn(self._read_once(second_lease, job))
+        finished = yield loop.first_done(first, second)
+        if isinstance(finished.result(), Reply):
+            return finished.result()
+        return (yield second if finished is first else first)
+
+    def _return_unused(self, granted, request):
+        """Give back a lease that is granted after it is needed no more."""
+
+        def give_back(future):
+            if future.result() is not None:
+                self._give_back(future.result())
+
+        self._group.withdraw(request.request_id)
+        self._loop.when_done(granted, give_back)
+
+    def _read_once(self, lease, job):
+        if self._reads_primary():
+            return (yield from self._read_primary(lease, job))
+        return (yield from self._read(lease, job))
+
     def _read_primary(self, lease, job):
         """Run a read inside an empty transaction, which only a primary allows.
 
@@ -198,8 +249,9 @@
         if ready is not None:
             self._give_back(lease)
             return ready
-        reply = yield from self._ask(lease, job, after=lease.after, hedge=True)
+        reply = yield from self._ask(lease, job, after=lease.after)
         if reply is None:
+            self._drop(lease)
             return Retry("no answer to a read")
         if reply.code in NOT_RUN_CODES:
             self._group.refused(lease.connection, reply.code)
@@ -378,52 +430,26 @@
         self._group.observe(lease.connection, reply)
         return reply
 
-    def _ask(self, lease, job, after=None, hedge=False):
-        """Send the client's statement; return the reply, or None.
-
-        With ``hedge``, None may also mean that the answer is slow; the connection is
-        then given back when the answer comes.
-        """
+    def _ask(self, lease, job, after=None):
+        """Send the client's statement; return the reply, or None."""
         loop = self._loop
-        pool = lease.pool
         connection = lease.connection
         statement = job.statement
         if job.shape is not None:
             name = connection.names_by_shape[job.shape]
             statement = attrs.evolve(statement, name=name)
         asked_at = loop.clock.now()
-        until = job.deadline
-        if hedge:
-            slow = max(SLOW_FLOOR_SECONDS, SLOW_FACTOR * pool.latency)
-            until = min(until, asked_at + slow)
         late = errors.ConnectionLost("no answer before the deadline")
         future = connection.ask(statement, job.request_id, after)
         try:
-            reply = yield loop.with_deadline(future, until, late)
+            reply = yield loop.with_deadline(future, job.deadline, late)
         except errors.CassiahillError:
-            if hedge:
-                self._abandon(lease, future)
             return None
         now = loop.clock.now()
         lease.finish(now, now - asked_at)
         self._group.observe(connection, reply)
         return reply
 
-    def _abandon(self, lease, future):
-        """Await a late answer, so that the connection can be used again."""
-        loop = self._loop
-        if not future.done():
-            loop.call_at(
-                loop.clock.now() + ABANDONED_SECONDS,
-                lambda: None if future.done() else lease.connection.close(),
-            )
-
-        def settle(_finished):
-            lease.finish(loop.clock.now())
-            lease.pool.give_back(lease.connection)
-
-        loop.when_done(future, settle)
-
     def _give_back(self, lease):
         """Return a connection to its pool, ending what is open on it first."""
         lease.finish(self._loop.clock.now())
