--- a/cassiahill/groupwork.py
+++ b/cassiahill/groupwork.py
@@ -9,6 +9,7 @@
     errors,
     eventlog,
     evidence,
+    lineconnections,
     placement,
     primaries,
     reachability,
@@ -48,14 +49,26 @@
     own_name, own_domain : str
     draining_since : callable
         Returns the instant at which a server was seen to drain, by server id.
+    connect : callable
+        Makes a connection to a server; see ``serverpool.ServerPool``.
     """
 
-    def __init__(self, loop, dialect, group, own_name, own_domain, draining_since):
+    def __init__(
+        self,
+        loop,
+        dialect,
+        group,
+        own_name,
+        own_domain,
+        draining_since,
+        connect=lineconnections.LineConnection,
+    ):
         self._loop = loop
         self._dialect = dialect
         self._own_name = own_name
         self._own_domain = own_domain
         self._draining_since = draining_since
+        self._connect = connect
         self._waiting = waiting.WaitingList()
         self._connection_limit = 1
         self._proxies = 1
@@ -96,6 +109,7 @@
                 self._own_name,
                 self._share(),
                 self._pump_soon,
+                self._connect,
             )
             self.progress_by_id[server.server_id] = evidence.ReplicaProgress()
         else:
--- a/cassiahill/serverpool.py
+++ b/cassiahill/serverpool.py
@@ -72,13 +72,25 @@
         Connections that this process may keep.
     on_change : callable
         Called without arguments when a connection has become free or has ended.
+    connect : callable
+        Makes a connection; takes the arguments of ``LineConnection``.
     """
 
-    def __init__(self, loop, dialect, server, caller, share, on_change):
+    def __init__(
+        self,
+        loop,
+        dialect,
+        server,
+        caller,
+        share,
+        on_change,
+        connect=lineconnections.LineConnection,
+    ):
         self._loop = loop
         self._dialect = dialect
         self._caller = caller
         self._on_change = on_change
+        self._connect = connect
         self.server = server
         self.share = share
         self.latency = FIRST_LATENCY_SECONDS
@@ -198,9 +210,7 @@
         loop = self._loop
         self._opening += 1
         try:
-            connection = lineconnections.LineConnection(
-                loop, self._dialect, self.server, self._forget
-            )
+            connection = self._connect(loop, self._dialect, self.server, self._forget)
         except errors.CassiahillError as error:
             self._opening -= 1
             self._opening_failed(error.code, refused=True)
--- /dev/null
+++ b/tests/test_reachability.py
@@ -0,0 +1,29 @@
+"""Tests of ``cassiahill.reachability``."""
+
+import unittest
+
+from cassiahill.reachability import Contact, is_cut_off
+
+
+class CutOffTest(unittest.TestCase):
+    def test_cut_off_when_all_other_domains_are_silent(self):
+        """Guards against a proxy that takes clients it cannot serve."""
+        contacts = [Contact("x", 9.9, False), Contact("y", 9.0, True)]
+        self.assertTrue(is_cut_off("x", contacts, 10.0))
+
+    def test_one_answering_domain_is_enough(self):
+        """Guards against proxies that leave the rotation for one dead server."""
+        contacts = [Contact("y", 9.0, True), Contact("z", 9.9, False)]
+        self.assertFalse(is_cut_off("x", contacts, 10.0))
+
+    def test_quiet_servers_are_not_silent(self):
+        """Guards against a cut seen where nothing was asked."""
+        self.assertFalse(is_cut_off("x", [Contact("y", 1.0, False)], 10.0))
+
+    def test_single_domain_is_never_cut_off(self):
+        """Guards against a deployment of one domain that refuses everybody."""
+        self.assertFalse(is_cut_off("x", [Contact("x", 1.0, True)], 10.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,179 @@
+"""Tests of ``cassiahill.takeover``: which server is promoted, and when."""
+
+import itertools
+import unittest
+
+from cassiahill import takeover
+from cassiahill.loop import completed
+from cassiahill.positions import LogPosition
+from cassiahill.takeover import OrderResult, Standing, Symptoms
+from tests.session_builders import Bench
+
+
+class Orders(takeover.PromotionOrders):
+    """Carries orders out at a group in memory; some late, some never."""
+
+    def __init__(self, bench, results=()):
+        self._bench = bench
+        self._results = list(results)
+        self.given = []
+
+    def promote(self, group, server_id, token):
+        self.given.append((server_id, token))
+        result = self._results.pop(0) if self._results else OrderResult.ACCEPTED
+        if result is OrderResult.ACCEPTED:
+            self._bench.servers.promote(server_id)
+        return completed(result)
+
+
+def standing(server_id, number, draining=False):
+    """Return what a replica said; ``number`` None means that it did not answer."""
+    position = None if number is None else LogPosition(1, number)
+    return Standing(server_id, draining, position, 1)
+
+
+class ChoiceTest(unittest.TestCase):
+    def test_longest_log_is_chosen(self):
+        """Guards against an acknowledged commit that only one replica received."""
+        chosen = takeover.choose_successor([standing("b", 5), standing("c", 9)])
+        self.assertEqual(chosen, "c")
+
+    def test_nobody_while_a_replica_is_silent(self):
+        """Guards against the loss of a commit that only the silent replica has."""
+        self.assertIsNone(
+            takeover.choose_successor([standing("b", 5), standing("c", None)])
+        )
+
+    def test_draining_replica_is_not_chosen_but_must_answer(self):
+        """Guards against a new primary that leaves at once."""
+        chosen = takeover.choose_successor([standing("b", 5), standing("c", 9, True)])
+        self.assertEqual(chosen, "b")
+        self.assertIsNone(
+            takeover.choose_successor([standing("b", 5), standing("c", None, True)])
+        )
+
+    def test_nobody_without_replicas(self):
+        """Guards against an order that names the primary itself."""
+        self.assertIsNone(takeover.choose_successor([]))
+
+
+class ReasonTest(unittest.TestCase):
+    def test_silence_must_last(self):
+        """Guards against a switch for one lost answer."""
+        symptoms = Symptoms("a", unreachable_since=10.0)
+        self.assertIsNone(takeover.reason_to_switch(symptoms, 10.5))
+        self.assertEqual(takeover.reason_to_switch(symptoms, 10.8), "unreachable")
+
+    def test_refused_connections_count_sooner(self):
+        """Guards against waiting for a primary whose process has ended."""
+        symptoms = Symptoms("a", unreachable_since=10.0, refuses=True)
+        self.assertEqual(takeover.reason_to_switch(symptoms, 10.4), "unreachable")
+
+    def test_each_symptom_alone(self):
+        """Guards against a kind of failure that nobody acts on."""
+        for symptoms in (
+            Symptoms("a", draining=True),
+            Symptoms(None, unknown_since=10.0),
+            Symptoms("a", writes_stuck_since=10.0),
+            Symptoms("a", reported_since=10.0),
+        ):
+            self.assertIsNotNone(takeover.reason_to_switch(symptoms, 11.5), symptoms)
+        self.assertIsNone(takeover.reason_to_switch(Symptoms("a"), 11.5))
+
+
+class SwitchTest(unittest.TestCase):
+    def make(self, results=()):
+        self.bench = Bench()
+        self.orders = Orders(self.bench, results)
+        self.tokens = itertools.count(1)
+        self.takeover = takeover.Takeover(
+            self.bench.loop,
+            self.bench.group,
+            self.orders,
+            lambda: next(self.tokens),
+        )
+
+    def run_for(self, seconds):
+        """Let the promoter look at the symptoms every 50 ms."""
+        for _ in range(int(seconds / 0.05)):
+            now = self.bench.loop.clock.now()
+            self.takeover.consider(self.bench.group.symptoms(now))
+            self.bench.loop.advance(0.05)
+
+    def test_dark_primary_is_replaced_by_the_longest_log(self):
+        """Guards against a group that stays without a primary, and against a loss."""
+        self.make()
+        session = self.bench.session()
+        self.bench.servers.by_id["b"].deaf = True
+        self.bench.write(session)
+        self.bench.servers.by_id["a"].dark = True
+        self.run_for(3.0)
+        self.assertEqual([one for one, _ in self.orders.given], ["c"])
+        self.assertEqual(self.bench.group.primary.believed, "c")
+
+    def test_replicas_receive_again_after_the_switch(self):
+        """Guards against replicas that stay paused and age without end."""
+        self.make()
+        self.bench.servers.by_id["a"].dark = True
+        self.run_for(3.0)
+        paused = [one.paused_term for one in self.bench.servers.by_id.values()]
+        self.assertEqual(paused, [0, 0, 0])
+
+    def test_no_order_while_a_replica_is_silent(self):
+        """Guards against the loss of a commit that only the silent replica has."""
+        self.make()
+        self.bench.servers.by_id["b"].deaf = True
+        self.bench.write(self.bench.session())
+        self.bench.servers.by_id["c"].dark = True
+        self.bench.servers.by_id["a"].dark = True
+        self.run_for(3.0)
+        self.assertEqual(self.orders.given, [])
+        self.bench.servers.by_id["c"].dark = False
+        self.run_for(3.0)
+        self.assertEqual([one for one, _ in self.orders.given][:1], ["c"])
+
+    def test_old_primary_acknowledges_only_through_the_successor(self):
+        """Guards against an order that is carried out late and loses a commit."""
+        self.make([OrderResult.UNANSWERED] * 5)
+        self.bench.group.put_server(
+            self.bench.servers.registered("a", draining=True),
+            self.bench.servers.registered("a"),
+        )
+        self.run_for(1.0)
+        successor = self.orders.given[0][0]
+        other = {"b": "c", "c": "b"}[successor]
+        self.assertGreater(self.bench.servers.by_id[other].paused_term, 0)
+        self.bench.servers.by_id[successor].deaf = True
+        self.assertFalse(self.bench.servers.commit(self.bench.servers.by_id["a"]))
+
+    def test_draining_primary_hands_over_while_it_serves(self):
+        """Guards against writes that stop for the time of a planned switch."""
+        self.make()
+        self.bench.group.put_server(
+            self.bench.servers.registered("a", draining=True),
+            self.bench.servers.registered("a"),
+        )
+        self.run_for(1.0)
+        self.assertNotEqual(self.bench.group.primary.believed, "a")
+        self.assertIsNone(self.bench.write(self.bench.session()).code)
+
+    def test_each_order_has_its_own_token(self):
+        """Guards against an earlier order that is carried out after a later one."""
+        self.make([OrderResult.REFUSED, OrderResult.REFUSED])
+        self.bench.servers.by_id["a"].dark = True
+        self.run_for(4.0)
+        tokens = [token for _, token in self.orders.given]
+        self.assertGreaterEqual(len(tokens), 3)
+        self.assertEqual(tokens, sorted(set(tokens)))
+
+    def test_no_order_without_the_right_to_give_one(self):
+        """Guards against a process that orders after it has lost its place."""
+        self.make()
+        self.takeover._next_token = lambda: None
+        self.bench.servers.by_id["a"].dark = True
+        self.run_for(3.0)
+        self.assertEqual(self.orders.given, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
