Ask the store and the old primary before a switch

It now asks the store whether it is still the promoter, and the primary once more; the silence that is needed goes from 0.7 to 0.5 s, because the last question guards against a false alarm.

--- a/cassiahill/groupwork.py
+++ b/cassiahill/groupwork.py
@@ -21,9 +21,9 @@
 from cassiahill.loop import LoopFuture
 from cassiahill.statements import Code
 
-PROBE_SECONDS = 0.25  # A read of any age that clients ask for finds a proof this young.
+PROBE_SECONDS = 0.2  # A read of any age that clients ask for finds a proof this young.
 SEARCH_SECONDS = 0.1  # Between questions for the primary while none is known.
-PROBE_TIMEOUT_SECONDS = 0.4
+PROBE_TIMEOUT_SECONDS = 0.3
 CONTACT_SECONDS = 0.4  # A server that nothing was heard of for this long is asked.
 TICK_SECONDS = 0.02
 FIRST_READ_SECONDS = 0.03
--- a/cassiahill/sessionfleet.py
+++ b/cassiahill/sessionfleet.py
@@ -24,6 +24,7 @@
 RANK_SECONDS = 0.4  # The next proxy waits this long for the one before it.
 FIRST_RANK_SECONDS = 0.05
 REPORT_LIFE_SECONDS = 1.2
+CONFIRM_SECONDS = 0.25  # The store answers in milliseconds when it answers.
 # One token for each order of a promoter: its tokens stay below the next promoter's.
 TOKENS_PER_REVISION = 1000
 
@@ -164,6 +165,14 @@
         """Return a fencing token for one order, or None."""
         return self._tokens.take() if self.is_promoter else None
 
+    def confirm(self):
+        """Return the future of whether the store still names this process.
+
+        Without an answer of the store the process goes on with the tokens that it
+        has: a successor's orders carry higher ones.
+        """
+        return self._loop.spawn(self._confirm())
+
     def reported_since(self, group):
         """Return since when many proxies lack the group's primary, or None."""
         return self._reported_since_by_group.get(group)
@@ -433,6 +442,21 @@
         }:
             self._own_claim(stored)
 
+    def _confirm(self):
+        deadline = self._loop.clock.now() + CONFIRM_SECONDS
+        late = errors.PlatformUnavailable("no answer in time")
+        try:
+            stored = yield self._loop.with_deadline(
+                self._store.get(KIND, PROMOTER_NAME), deadline, late
+            )
+        except errors.CassiahillError as error:
+            eventlog.event("promoter_unconfirmed", cause=error.detail)
+            return self.is_promoter
+        if stored is not None:
+            self._take_stored(stored)
+            self._check_tokens()
+        return self.is_promoter
+
     def _own_claim(self, stored):
         if self._tokens is None or stored.revision > self._tokens.revision:
             self._tokens = Tokens(stored.revision)
--- a/cassiahill/sessionproxy.py
+++ b/cassiahill/sessionproxy.py
@@ -137,7 +137,11 @@
             )
             self._groups_by_name[name] = group
             self._takeovers_by_group[name] = takeover.Takeover(
-                self._loop, group, self._orders, self.fleet.next_token
+                self._loop,
+                group,
+                self._orders,
+                self.fleet.next_token,
+                self.fleet.confirm,
             )
             self._update_limits()
         return group
@@ -200,7 +204,7 @@
             name
             for name, group in self._groups_by_name.items()
             if takeover.reason_to_switch(group.symptoms(now), now)
-            in {"unreachable", "writes are not acknowledged"}
+            in {takeover.UNREACHABLE, takeover.WRITES_STUCK}
         ]
 
     def _supervise(self):
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -13,7 +13,7 @@
 from cassiahill import eventlog, statements
 from cassiahill.statements import Code
 
-DARK_SECONDS = 0.7  # A primary that answers nothing for this long is replaced.
+DARK_SECONDS = 0.5  # A primary that answers nothing for this long is asked once more.
 REFUSING_SECONDS = 0.3  # One that refuses connections has ended; it answers at once.
 UNKNOWN_SECONDS = 0.5  # No server says that it leads.
 STUCK_WRITES_SECONDS = 0.8  # Commits are not acknowledged while other work is.
@@ -22,6 +22,7 @@
 PAUSE_BETWEEN_SECONDS = 0.3
 AFTER_SWITCH_SECONDS = 1.5  # The new primary has time to take over.
 ANSWER_SECONDS = 0.4
+LAST_QUESTION_SECONDS = 0.25  # To a primary that has been silent for some time already.
 CATCH_UP_SECONDS = 1.5  # The old primary still sends what is missing.
 UNPLANNED_CATCH_UP_SECONDS = 0.2
 CONFIRM_SECONDS = 1.6  # A promotion takes about a second.
@@ -29,6 +30,10 @@
 STEP_SECONDS = 0.03
 
 
+UNREACHABLE = "unreachable"
+WRITES_STUCK = "writes are not acknowledged"
+
+
 class OrderResult(enum.Enum):
     """What became of an order to promote."""
 
@@ -101,9 +106,9 @@
         return "draining"
     silence = REFUSING_SECONDS if symptoms.refuses else DARK_SECONDS
     if lasts(symptoms.unreachable_since, silence):
-        return "unreachable"
+        return UNREACHABLE
     if lasts(symptoms.writes_stuck_since, STUCK_WRITES_SECONDS):
-        return "writes are not acknowledged"
+        return WRITES_STUCK
     if lasts(symptoms.reported_since, REPORTED_SECONDS):
         return "unreachable for others"
     return None
@@ -150,13 +155,16 @@
     next_token : callable
         Returns a fencing token that no order has had, or None when this process may
         not give orders.
+    confirm : callable
+        Returns the future of whether this process is still the one that gives orders.
     """
 
-    def __init__(self, loop, group, orders, next_token):
+    def __init__(self, loop, group, orders, next_token, confirm):
         self._loop = loop
         self._group = group
         self._orders = orders
         self._next_token = next_token
+        self._confirm = confirm
         self._running = False
         self._quiet_until = 0.0
 
@@ -184,10 +192,16 @@
 
     def _switch(self, primary, reason):
         token = self._next_token()
-        if token is None:
+        if token is None or not (yield self._confirm()):
             return False
         replicas = [one for one in self._group.pools_by_id if one != primary]
+        asked_old = self._loop.spawn(
+            self._ask(primary, statements.ReadStatus(), LAST_QUESTION_SECONDS)
+        )
         standings = yield from self._ask_all(replicas, statements.ReadStatus())
+        if reason == UNREACHABLE and (yield asked_old).received is not None:
+            self._log("takeover_needless", reason, primary, standings)
+            return False
         successor = choose_successor(standings)
         if successor is None:
             self._log("takeover_waits", reason, primary, standings)
@@ -264,9 +278,9 @@
             standings.append((yield future))
         return standings
 
-    def _ask(self, server_id, statement):
+    def _ask(self, server_id, statement, seconds=ANSWER_SECONDS):
         """Return the ``Standing`` of a server."""
-        deadline = self._loop.clock.now() + ANSWER_SECONDS
+        deadline = self._loop.clock.now() + seconds
         pool = self._group.pools_by_id.get(server_id)
         draining = pool is not None and pool.server.draining
         while pool is not None and self._loop.clock.now() < deadline:
