Relay sessions to a few owners of a group in large fleets; call the store less

Beyond one connection for each proxy in half of the limit, a few owners of each failure domain hold the connections and the others relay sessions; watches pause between changes and wait longer. Ruled out: connections opened for each statement.

--- a/cassiahill/following.py
+++ b/cassiahill/following.py
@@ -6,8 +6,8 @@
 
 RETRY_BASE_SECONDS = 0.15
 RETRY_CAP_SECONDS = 1.0  # A change must be in force within seconds of an outage's end.
-LIST_SECONDS = 2.0
-CREDIT_SECONDS = 0.05  # A watch that ends sooner without changes counts as a failure.
+# Between two watches, so that changes in quick succession come together.
+PAUSE_SECONDS = 0.25
 
 
 @attrs.define
@@ -39,15 +39,27 @@
         Called with a ``sharedstore.Snapshot``.
     on_change : callable
         Called with each ``sharedstore.Change``.
+    pause_seconds : float
+        Time between the end of a watch and the next.
     """
 
-    def __init__(self, loop, store, kind, rng, on_snapshot, on_change):
+    def __init__(
+        self,
+        loop,
+        store,
+        kind,
+        rng,
+        on_snapshot,
+        on_change,
+        pause_seconds=PAUSE_SECONDS,
+    ):
         self._loop = loop
         self._store = store
         self._kind = kind
         self._rng = rng
         self._on_snapshot = on_snapshot
         self._on_change = on_change
+        self._pause_seconds = pause_seconds
         self._failures = 0
         self._closed = False
         self.link = LinkState()
@@ -81,13 +93,11 @@
         self._on_snapshot(snapshot)
 
     def _watch(self):
-        started_at = self._loop.clock.now()
         changes = yield self._store.watch(self._kind, self.revision)
         self.revision = max(self.revision, changes.revision)
         for change in changes.changes:
             self._on_change(change)
-        if not changes.changes:
-            yield self._loop.sleep_until(started_at + CREDIT_SECONDS)
+        yield self._loop.sleep_until(self._loop.clock.now() + self._pause_seconds)
 
     def _pause(self):
         ceiling = min(
--- a/cassiahill/groupwork.py
+++ b/cassiahill/groupwork.py
@@ -32,6 +32,7 @@
 # Half of a server's connections is kept, the rest is borrowed as needed: after a loss
 # of power the server holds the lost connections for some seconds beside the new ones.
 SHARED_PART = 2
+WARM_CONNECTIONS = 1  # One spares a request the opening; more would take others' share.
 STUCK_WRITES = 2  # A single answer may be lost on its way.
 BUSY_PAUSE_SECONDS = 0.02  # A full server has answered some statements after this.
 # A draining server takes requests until it has left; new ones stop long before that.
@@ -77,6 +78,8 @@
         self._pumping = False
         self._timer = None
         self.name = group
+        self.active = True
+        self.used_at = loop.clock.now()
         self.primary = primaries.PrimaryView()
         self.evidence = evidence.GroupEvidence()
         self.pools_by_id = {}
@@ -172,6 +175,7 @@
         ----------
         request : waiting.WaitingRequest
         """
+        self.used_at = self._loop.clock.now()
         future = LoopFuture()
         request.settle = future.set_result
         self._waiting.add(request)
@@ -369,7 +373,8 @@
         for server_id, wanted in wanted_by_id.items():
             pool = self.pools_by_id.get(server_id)
             if pool is not None:
-                pool.open_if_needed(wanted if pool.size else 1, now)
+                first = 1 if self.active and not pool.size else 0
+                pool.open_if_needed(max(wanted, first), now)
 
     def _grant(self, request, need, pool, now):
         connection = pool.lend(request.values_by_name, now)
@@ -396,8 +401,9 @@
         self._ticked_at = now
         self._pump()
         for pool in self.pools_by_id.values():
-            pool.trim(now)
-        self._probe(now)
+            pool.trim(now, WARM_CONNECTIONS if self.active else 0)
+        if self.active:
+            self._probe(now)
         self._timer = self._loop.call_at(now + TICK_SECONDS, self._tick)
 
     def _probe(self, now):
--- a/cassiahill/serverpool.py
+++ b/cassiahill/serverpool.py
@@ -11,7 +11,6 @@
 from cassiahill import errors, eventlog, lineconnections
 from cassiahill.statements import Code, TransactionState
 
-WARM_CONNECTIONS = 1  # One spares a request the opening; more would take others' share.
 OPENING_AT_ONCE = 2  # An opening takes a slot of the server.
 OPEN_SECONDS = 0.5
 BORROW_FACTOR = 3  # One proxy's transactions must not take all that others leave.
@@ -190,10 +189,10 @@
         ):
             self._loop.spawn(self._open())
 
-    def trim(self, now):
-        """Close connections that have been idle, the borrowed ones first."""
+    def trim(self, now, keep):
+        """Close connections that have been idle, all but some."""
         for connection in list(self._idle):
-            if self.size <= WARM_CONNECTIONS:
+            if self.size <= keep:
                 return
             borrowed = self.size > self.share
             limit = BORROWED_IDLE_SECONDS if borrowed else IDLE_SECONDS
--- a/cassiahill/sessionfleet.py
+++ b/cassiahill/sessionfleet.py
@@ -24,6 +24,9 @@
 RANK_SECONDS = 0.4  # The next proxy waits this long for the one before it.
 FIRST_RANK_SECONDS = 0.05
 REPORT_LIFE_SECONDS = 1.2
+# All proxies register at the same time, and each change ends the watches of all.
+WATCH_PAUSE_SECONDS = 1.0
+LONELY_SECONDS = 1.2  # Three pulses.
 CONFIRM_SECONDS = 0.25  # The store answers in milliseconds when it answers.
 # One token for each order of a promoter: its tokens stay below the next promoter's.
 TOKENS_PER_REVISION = 1000
@@ -32,13 +35,15 @@
 class Pulse(msgspec.Struct):
     """What a proxy tells the promoter, or a peer while the store is away.
 
-    ``lacking`` names the groups whose primary it does not reach.
+    ``watched`` names the groups whose servers it is connected to, and ``lacking`` those
+    of them whose primary it does not reach.
     """
 
     name: str
     version: int
     servers_revision: int
     lacking: list[str] = []
+    watched: list[str] = []
 
 
 class PulseAnswer(msgspec.Struct):
@@ -47,6 +52,7 @@
     version: int
     servers_revision: int
     promoter: bool
+    cut_off: bool = False
 
 
 class View(msgspec.Struct):
@@ -64,10 +70,24 @@
 
 @attrs.frozen
 class Member:
-    """A registered proxy."""
+    """A registered proxy.
+
+    Attributes
+    ----------
+    name : str
+    address : tuple of (str, int)
+        For pulses.
+    relay_address : tuple of (str, int)
+        For sessions that other proxies relay there.
+    failure_domain : str
+    incarnation : str
+        Differs for each start of the process.
+    """
 
     name: str
     address: tuple
+    relay_address: tuple
+    failure_domain: str
     incarnation: str
 
 
@@ -95,6 +115,68 @@
         return self.revision * TOKENS_PER_REVISION + self.given
 
 
+def _encode_member(member):
+    return {
+        "address": list(member.address),
+        "relay_address": list(member.relay_address),
+        "failure_domain": member.failure_domain,
+        "incarnation": member.incarnation,
+    }
+
+
+def _decode_member(stored_name, value):
+    """Return the member that an object describes, or None for another writer's."""
+    if not stored_name.startswith(MEMBER_PREFIX):
+        return None
+    try:
+        return Member(
+            stored_name.removeprefix(MEMBER_PREFIX),
+            (str(value["address"][0]), int(value["address"][1])),
+            (str(value["relay_address"][0]), int(value["relay_address"][1])),
+            str(value["failure_domain"]),
+            str(value["incarnation"]),
+        )
+    except (KeyError, IndexError, TypeError, ValueError) as error:
+        eventlog.event("member_unreadable", name=stored_name, cause=repr(error))
+        return None
+
+
+class LocalState:
+    """What the process tells its fleet, and what the fleet tells the process."""
+
+    def versions(self):
+        """Return the version of the configuration and the revision of the servers."""
+        raise NotImplementedError
+
+    def watched_groups(self):
+        """Return the groups whose servers this process is connected to."""
+        raise NotImplementedError
+
+    def lacking_groups(self):
+        """Return those of them whose primary it does not reach."""
+        raise NotImplementedError
+
+    def is_cut_off(self):
+        """Return whether this process is cut off from the other failure domains."""
+        raise NotImplementedError
+
+    def store_is_away(self):
+        """Return whether the store gives this process no answers."""
+        raise NotImplementedError
+
+    def guide(self):
+        """Return a member whose contacts stand for one's own, or None."""
+        raise NotImplementedError
+
+    def take_view(self, view, peer):
+        """Take a ``View`` of a peer that is newer in part."""
+        raise NotImplementedError
+
+    def members_changed(self):
+        """Take note that members have come or gone."""
+        raise NotImplementedError
+
+
 class SessionFleet:
     """The part of one process among the session proxies.
 
@@ -104,40 +186,15 @@
     store : sharedstore.SharedStore
     own : Member
     rng : random.Random
-    versions : callable
-        Returns the versions held here: that of the configuration and the revision of
-        the list of servers.
-    lacking : callable
-        Returns the groups whose primary this process does not reach.
-    store_is_away : callable
-        Whether the store gives this process no answers.
-    on_view : callable
-        Called with a ``View`` of a peer that is newer in part.
-    on_members : callable
-        Called without arguments when members have come or gone.
+    local : LocalState
     """
 
-    def __init__(
-        self,
-        loop,
-        store,
-        own,
-        rng,
-        versions,
-        lacking,
-        store_is_away,
-        on_view,
-        on_members,
-    ):
+    def __init__(self, loop, store, own, rng, local):
         self._loop = loop
         self._store = store
         self._own = own
         self._rng = rng
-        self._versions = versions
-        self._lacking = lacking
-        self._store_is_away = store_is_away
-        self._on_view = on_view
-        self._on_members = on_members
+        self._local = local
         self._clients_by_address = {}
         self._reports_by_name = {}
         self._reported_since_by_group = {}
@@ -145,16 +202,24 @@
         self._claiming = False
         self._registering = False
         self._heard_at = loop.clock.now()
+        self._answered_at = loop.clock.now()
+        self._guide_cut_off = False
         self._woken_at = loop.clock.now()
         self._closed = False
         self.leaving = False
         self.members_by_name = {}
         self.promoter = None
         self.follower = following.KindFollower(
-            loop, store, KIND, rng, self._take_snapshot, self._take_change
+            loop,
+            store,
+            KIND,
+            rng,
+            self._take_snapshot,
+            self._take_change,
+            WATCH_PAUSE_SECONDS,
         )
         self._timer = None
-        self._tick()
+        loop.call_soon(self._tick)  # The process is complete by then.
 
     @property
     def is_promoter(self):
@@ -173,6 +238,10 @@
         """
         return self._loop.spawn(self._confirm())
 
+    def peers_are_cut_off(self, now):
+        """Return whether the guide is cut off, or no peer answers."""
+        return self._guide_cut_off or now - self._answered_at > LONELY_SECONDS
+
     def reported_since(self, group):
         """Return since when many proxies lack the group's primary, or None."""
         return self._reported_since_by_group.get(group)
@@ -207,13 +276,15 @@
         except msgspec.DecodeError as error:
             raise errors.MalformedRequest("not a pulse") from error
         now = self._loop.clock.now()
-        self._reports_by_name[pulse.name] = (now, pulse.lacking)
-        version, revision = self._versions()
+        self._reports_by_name[pulse.name] = (now, pulse)
+        version, revision = self._local.versions()
         if pulse.version > version:
             member = self.members_by_name.get(pulse.name)
             if member is not None:
                 self._loop.spawn(self._fetch_view(member))
-        return http1.json_response(PulseAnswer(version, revision, self.is_promoter))
+        return http1.json_response(
+            PulseAnswer(version, revision, self.is_promoter, self._local.is_cut_off())
+        )
 
     # Members and promoter, as the store has them
 
@@ -225,7 +296,7 @@
             promoter = promoter or stored.name == PROMOTER_NAME
         if not promoter:
             self.promoter = None
-        self._on_members()
+        self._local.members_changed()
         self._register_if_needed()
         self._check_tokens()
 
@@ -237,7 +308,7 @@
         else:
             name = change.stored.name.removeprefix(MEMBER_PREFIX)
             self.members_by_name.pop(name, None)
-        self._on_members()
+        self._local.members_changed()
         self._check_tokens()
 
     def _take_stored(self, stored):
@@ -253,10 +324,9 @@
                     "promoter_changed", holder=holder, revision=stored.revision
                 )
             return
-        host, _, port = str(value.get("address")).rpartition(":")
-        if stored.name.startswith(MEMBER_PREFIX) and host and port.isdigit():
-            name = stored.name.removeprefix(MEMBER_PREFIX)
-            self.members_by_name[name] = Member(name, (host, int(port)), incarnation)
+        member = _decode_member(stored.name, value)
+        if member is not None:
+            self.members_by_name[member.name] = member
 
     def _check_tokens(self):
         """Stop ordering when the store names another promoter."""
@@ -279,10 +349,7 @@
             return
         self._registering = True
         name = MEMBER_PREFIX + self._own.name
-        value = {
-            "address": f"{self._own.address[0]}:{self._own.address[1]}",
-            "incarnation": self._own.incarnation,
-        }
+        value = _encode_member(self._own)
         try:
             stored = yield self._store.get(KIND, name)
             if stored is None:
@@ -302,6 +369,7 @@
         if now - self._woken_at > 2 * PULSE_SECONDS:
             # This process stood still: the silence of others proves nothing.
             self._heard_at = now
+            self._answered_at = now
         self._woken_at = now
         if self.is_promoter:
             self._heard_at = now
@@ -309,7 +377,8 @@
         else:
             self._send_pulse(self._promoter_member())
             self._consider_claim(now)
-        if self._store_is_away():
+        self._send_pulse(self._local.guide())
+        if self._local.store_is_away():
             others = [one for one in self.members_by_name.values() if one != self._own]
             if others:
                 self._send_pulse(self._rng.choice(others))
@@ -326,8 +395,14 @@
             self._loop.spawn(self._pulse(member))
 
     def _pulse(self, member):
-        version, revision = self._versions()
-        pulse = Pulse(self._own.name, version, revision, self._lacking())
+        version, revision = self._local.versions()
+        pulse = Pulse(
+            self._own.name,
+            version,
+            revision,
+            self._local.lacking_groups(),
+            self._local.watched_groups(),
+        )
         deadline = self._loop.clock.now() + PULSE_TIMEOUT_SECONDS
         try:
             client = self._client(member.address)
@@ -339,10 +414,16 @@
             answer = _answer_decoder.decode(response.body)
         except (errors.CassiahillError, msgspec.DecodeError):
             return  # The silence itself is what counts; see ``_consider_claim``.
+        self._answered_at = self._loop.clock.now()
+        guide = self._local.guide()
+        if guide is not None and guide.name == member.name:
+            self._guide_cut_off = answer.cut_off
         promoter = self.promoter
         if answer.promoter and promoter is not None and promoter.name == member.name:
             self._heard_at = self._loop.clock.now()
-        newer_servers = answer.servers_revision > revision and self._store_is_away()
+        newer_servers = (
+            answer.servers_revision > revision and self._local.store_is_away()
+        )
         if answer.version > version or newer_servers:
             yield from self._fetch_view(member)
 
@@ -356,7 +437,7 @@
         except (errors.CassiahillError, msgspec.DecodeError) as error:
             eventlog.event("view_failed", peer=member.name, cause=repr(error))
             return
-        self._on_view(view, member.name)
+        self._local.take_view(view, member.name)
 
     def _client(self, address):
         client = self._clients_by_address.get(address)
@@ -366,17 +447,16 @@
         return client
 
     def _collect_reports(self, now):
-        fresh = {
-            name: lacking
-            for name, (at, lacking) in self._reports_by_name.items()
+        fresh = [
+            pulse
+            for at, pulse in self._reports_by_name.values()
             if now - at < REPORT_LIFE_SECONDS
-        }
-        groups = {group for lacking in fresh.values() for group in lacking}
+        ]
+        groups = {group for pulse in fresh for group in pulse.lacking}
         for group in groups | set(self._reported_since_by_group):
-            share = sum(group in lacking for lacking in fresh.values()) / (
-                1 + len(fresh)
-            )
-            if share >= takeover.REPORTED_SHARE:
+            lacking = sum(group in pulse.lacking for pulse in fresh)
+            watching = 1 + sum(group in pulse.watched for pulse in fresh)
+            if lacking / watching >= takeover.REPORTED_SHARE:
                 self._reported_since_by_group.setdefault(group, now)
             else:
                 self._reported_since_by_group.pop(group, None)
--- a/cassiahill/sessionproxy.py
+++ b/cassiahill/sessionproxy.py
@@ -4,12 +4,14 @@
 import signal
 
 import attrs
+import xxhash
 
 from cassiahill import (
     catalog,
     catalogfeed,
     errors,
     eventlog,
+    groupowners,
     groupwork,
     http1,
     reachability,
@@ -24,6 +26,9 @@
 DRAIN_EXIT_SHARE = 0.85  # Of the grace; the rest is for the end of the process.
 DRAIN_STEP_SECONDS = 0.05
 SUPERVISE_SECONDS = 0.05
+MAX_OWNERS_TRIED = 4  # Each takes up to 0.3 s, and clients wait 2 s for a session.
+OWNER_PAUSE_SECONDS = 1.0
+ACTIVE_SECONDS = 5.0
 METRICS_PATH = "/metrics"
 STATE_PATH = "/v1/state"
 
@@ -40,6 +45,8 @@
     readiness_address : tuple of (str, int)
     peer_address : tuple of (str, int)
         For pulses of other proxies, metrics and the state dump.
+    relay_address : tuple of (str, int)
+        For sessions that other proxies relay here.
     grace_seconds : float
         Time between the request to stop and the kill.
     """
@@ -49,10 +56,11 @@
     client_address: tuple
     readiness_address: tuple
     peer_address: tuple
+    relay_address: tuple
     grace_seconds: float
 
 
-class SessionProxy:
+class SessionProxy(sessionfleet.LocalState):
     """All parts of one process.
 
     Parameters
@@ -74,9 +82,19 @@
         self._leaving_since = None
         self._cut_off = False
         self._groups_by_name = {}
+        self._owners_by_group = {}
+        self._down_until_by_name = {}
         self._takeovers_by_group = {}
         self.metrics = sessionmetrics.SessionMetrics()
         self.catalog = catalog.Catalog()
+        own = sessionfleet.Member(
+            settings.name,
+            settings.peer_address,
+            settings.relay_address,
+            settings.failure_domain,
+            secrets.token_hex(8),
+        )
+        self.fleet = sessionfleet.SessionFleet(loop, store, own, rng, self)
         self.feed = catalogfeed.CatalogFeed(
             loop,
             store,
@@ -86,20 +104,6 @@
             self._update_limits,
             self._take_server,
         )
-        own = sessionfleet.Member(
-            settings.name, settings.peer_address, secrets.token_hex(8)
-        )
-        self.fleet = sessionfleet.SessionFleet(
-            loop,
-            store,
-            own,
-            rng,
-            versions=lambda: self.feed.versions,
-            lacking=self._lacking_groups,
-            store_is_away=lambda: self.feed.store_is_away,
-            on_view=self.feed.take_view,
-            on_members=self._update_limits,
-        )
         self.sessions = sessions.SessionServer(
             loop,
             settings.client_address,
@@ -107,6 +111,10 @@
             self.catalog,
             self.group_of,
             self._count,
+            settings.relay_address,
+            sessions.SessionRouting(
+                self._serves, self._owners_for, self._owner_failed, self.is_cut_off
+            ),
         )
         self._readiness = http1.Server(
             loop, settings.readiness_address, self._answer_readiness
@@ -179,6 +187,89 @@
             },
         }
 
+    # What the fleet asks and tells
+
+    def versions(self):
+        """Return the version of the configuration and the revision of the servers."""
+        return self.feed.versions
+
+    def watched_groups(self):
+        """Return the groups whose servers this process is connected to."""
+        return [name for name, group in self._groups_by_name.items() if group.active]
+
+    def lacking_groups(self):
+        """Return those of them whose primary it does not reach."""
+        now = self._loop.clock.now()
+        return [
+            name
+            for name, group in self._groups_by_name.items()
+            if group.active
+            and takeover.reason_to_switch(group.symptoms(now), now)
+            in {takeover.UNREACHABLE, takeover.WRITES_STUCK}
+        ]
+
+    def is_cut_off(self):
+        """Return whether this process is cut off from the other failure domains."""
+        return self._cut_off
+
+    def store_is_away(self):
+        """Return whether the store gives this process no answers."""
+        return self.feed.store_is_away
+
+    def guide(self):
+        """Return a member whose contacts stand for one's own, or None.
+
+        A process without connections to servers cannot see a cut by itself.
+        """
+        if any(group.active for group in self._groups_by_name.values()):
+            return None
+        for name in self._owners_by_group:
+            for member in self._owners_for(name):
+                if member.failure_domain == self._settings.failure_domain:
+                    return member
+        return None
+
+    def take_view(self, view, peer):
+        """Take a view of a peer that is newer in part."""
+        self.feed.take_view(view, peer)
+
+    def members_changed(self):
+        """Choose the owners of the groups anew."""
+        self._update_limits()
+
+    # Owners
+
+    def _serves(self, group):
+        owners = self._owners_by_group.get(group)
+        return owners is None or owners.includes(
+            self._settings.name, self._settings.failure_domain
+        )
+
+    def _owners_for(self, group):
+        now = self._loop.clock.now()
+        owners = self._owners_by_group[group]
+        start = xxhash.xxh3_64_intdigest(self._settings.name.encode())
+        members = [
+            self.fleet.members_by_name[name]
+            for name in owners.candidates(self._settings.failure_domain, start)
+            if name in self.fleet.members_by_name and name != self._settings.name
+        ]
+        up = [
+            one for one in members if self._down_until_by_name.get(one.name, 0.0) <= now
+        ]
+        return (up or members)[:MAX_OWNERS_TRIED]
+
+    def _owner_failed(self, member):
+        until = self._loop.clock.now() + OWNER_PAUSE_SECONDS
+        self._down_until_by_name[member.name] = until
+        eventlog.event("owner_failed", owner=member.name)
+
+    def _update_activity(self, now):
+        """Keep connections to the groups that are served or watched here only."""
+        for name, group in self._groups_by_name.items():
+            recent = now - group.used_at < ACTIVE_SECONDS
+            group.active = self._serves(name) or self.fleet.is_promoter or recent
+
     # Changes of what is known
 
     def _take_server(self, change):
@@ -192,23 +283,20 @@
         configuration = self.catalog.configuration
         if configuration is None:
             return
-        proxies = len(self.fleet.members_by_name) if hasattr(self, "fleet") else 1
-        for name, group in self._groups_by_name.items():
-            limits = configuration.groups_by_name.get(name)
-            if limits is not None:
-                group.set_limits(limits.connections, proxies)
-
-    def _lacking_groups(self):
-        now = self._loop.clock.now()
-        return [
-            name
-            for name, group in self._groups_by_name.items()
-            if takeover.reason_to_switch(group.symptoms(now), now)
-            in {takeover.UNREACHABLE, takeover.WRITES_STUCK}
-        ]
+        domains_by_name = {self._settings.name: self._settings.failure_domain}
+        for member in self.fleet.members_by_name.values():
+            domains_by_name[member.name] = member.failure_domain
+        for name, limits in configuration.groups_by_name.items():
+            owners = groupowners.choose_owners(
+                name, domains_by_name, limits.connections
+            )
+            self._owners_by_group[name] = owners
+            if name in self._groups_by_name:
+                self._groups_by_name[name].set_limits(limits.connections, owners.total)
 
     def _supervise(self):
         now = self._loop.clock.now()
+        self._update_activity(now)
         self._check_reachability(now)
         if self.fleet.is_promoter:
             for name, group in self._groups_by_name.items():
@@ -221,9 +309,15 @@
         contacts = [
             contact
             for group in self._groups_by_name.values()
+            if group.active
             for contact in group.contacts(now)
         ]
-        cut_off = reachability.is_cut_off(self._settings.failure_domain, contacts, now)
+        if contacts:
+            cut_off = reachability.is_cut_off(
+                self._settings.failure_domain, contacts, now
+            )
+        else:
+            cut_off = self.fleet.peers_are_cut_off(now)
         if cut_off != self._cut_off:
             self._cut_off = cut_off
             eventlog.event("cut_off" if cut_off else "connected")
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -2,10 +2,13 @@
 
 import collections
 
-from cassiahill import errors, eventlog, sessionwork, statements, transport
+import attrs
+
+from cassiahill import errors, eventlog, relays, sessionwork, statements, transport
 from cassiahill.sessionwork import Job, SessionState, SessionWork, Transaction
 from cassiahill.statements import Code, Reply, TransactionState
 
+LINE_END = b"\r\n"
 MAX_LINE_BYTES = 1024 * 1024
 MAX_QUEUED_REQUESTS = 64  # Sent ahead by one client; reading pauses beyond that.
 OPEN_WAIT_SECONDS = 1.5  # Clients give up on an unopened session after 2 s.
@@ -21,10 +24,14 @@
     ----------
     server : SessionServer
     sock : socket.socket
+    relayed : bool
+        Whether another proxy has relayed it here; it is served here then.
     """
 
-    def __init__(self, server, sock):
+    def __init__(self, server, sock, relayed=False):
         self._server = server
+        self._relayed = relayed
+        self._relay = None
         self._loop = server.loop
         self._buffer = b""
         self._queue = collections.deque()
@@ -46,6 +53,7 @@
             and not self._queue
             and not self._buffer
             and self._transaction is None
+            and (self._relay is None or self._relay.at_rest)
         )
 
     def close(self):
@@ -81,6 +89,8 @@
         self._queue.clear()
         if self._idle_timer is not None:
             self._idle_timer.cancel()
+        if self._relay is not None:
+            self._relay.close()
         if self._running is not None:
             if self._work is not None:
                 self._work.withdraw(self._running)
@@ -104,7 +114,9 @@
             return
         match message:
             case statements.OpenSession() if self.database is None:
-                self._start(self._open(message), "open")
+                self._start(self._open(message, line), "open")
+            case statements.Request() if self._relay is not None:
+                self._relay.send(line + LINE_END, message)
             case statements.Request() if self.database is not None:
                 self._handle(message, arrived_at)
             case statements.CloseSession():
@@ -129,19 +141,66 @@
 
     # Opening
 
-    def _open(self, message):
+    def _open(self, message, line):
         deadline = self._loop.clock.now() + OPEN_WAIT_SECONDS
         while not self._server.catalog.configuration:
             if self._loop.clock.now() > deadline:
                 self._refuse(Code.BUSY, "no configuration yet")
                 return
             yield self._loop.sleep_until(self._loop.clock.now() + 0.05)
-        if self._server.catalog.route(message.database) is None:
+        route = self._server.catalog.route(message.database)
+        if route is None:
             self._refuse(Code.UNKNOWN_DATABASE, message.database)
             return
+        if self._relayed:
+            if self._server.cut_off():
+                self._refuse(Code.BUSY, "cut off")
+                return
+        elif not self._server.serves(route.group):
+            taken = yield from self._open_relay(route, line + LINE_END)
+            if not taken:
+                self._refuse(Code.BUSY, "no owner of the group answers")
+                return
         self.database = message.database
         self._stream.write(self._server.dialect.encode_ready())
 
+    def _open_relay(self, route, first_line):
+        """Find an owner that takes the session; return whether one did."""
+        for member in self._server.owners_for(route.group):
+            if self._stream.closed:
+                return False
+            try:
+                relay = relays.Relay(
+                    self._loop,
+                    self._server.dialect,
+                    member.relay_address,
+                    first_line,
+                    route.timeout,
+                    self._stream.write,
+                    self._relay_ended,
+                )
+            except errors.CassiahillError as error:
+                eventlog.event("relay_failed", owner=member.name, cause=error.detail)
+                continue
+            deadline = self._loop.clock.now() + relays.OPEN_SECONDS
+            yield self._loop.first_done(relay.opening, self._loop.sleep_until(deadline))
+            if relay.opening.done() and relay.opening.result():
+                self._relay = relay
+                if self._stream.closed:
+                    relay.close()
+                return True
+            relay.close()
+            self._server.owner_failed(member)
+        return False
+
+    def _relay_ended(self, reply):
+        """Tell the client what became of its statement, and close the session."""
+        if self._stream.closed:
+            return
+        if reply is not None:
+            self._stream.write(self._server.dialect.encode_reply(reply))
+        self.close()
+
     # Statements
 
     def _handle(self, request, arrived_at):
@@ -281,6 +340,28 @@
         )
 
 
+@attrs.frozen
+class SessionRouting:
+    """Where sessions are served, as functions.
+
+    Attributes
+    ----------
+    serves : callable
+        Whether this process serves a group itself.
+    owners_for : callable
+        Returns the members to relay a group's session to, the preferred one first.
+    owner_failed : callable
+        Takes a member that did not take a session.
+    cut_off : callable
+        Whether this process is cut off from the other failure domains.
+    """
+
+    serves: object
+    owners_for: object
+    owner_failed: object
+    cut_off: object
+
+
 class SessionServer:
     """Accepts clients and keeps their sessions.
 
@@ -294,17 +375,38 @@
         Returns the ``groupwork.GroupWork`` of a group by name.
     on_reply : callable
         Called with ``(request, database, reply, arrived_at)`` for each answer.
+    relay_address : tuple of (str, int)
+        Where other proxies relay sessions to.
+    routing : SessionRouting
+        Where sessions are served.
     """
 
-    def __init__(self, loop, address, dialect, catalog, group_of, on_reply):
+    def __init__(
+        self,
+        loop,
+        address,
+        dialect,
+        catalog,
+        group_of,
+        on_reply,
+        relay_address,
+        routing,
+    ):
         self.loop = loop
         self.dialect = dialect
         self.catalog = catalog
         self.group_of = group_of
         self.count = on_reply
         self.leaving = False
+        self.serves = routing.serves
+        self.owners_for = routing.owners_for
+        self.owner_failed = routing.owner_failed
+        self.cut_off = routing.cut_off
         self._sessions = set()
         self._listener = transport.Listener(loop, address, self._accept)
+        self._relay_listener = transport.Listener(
+            loop, relay_address, self._accept_relayed
+        )
 
     def __len__(self):
         return len(self._sessions)
@@ -321,6 +423,7 @@
     def stop_listening(self):
         """Accept no more clients."""
         self._listener.close()
+        self._relay_listener.close()
 
     def leave(self):
         """Close each session as soon as nothing of it is open."""
@@ -341,3 +444,7 @@
     def _accept(self, sock):
         transport.detect_silence(sock)
         self._sessions.add(Session(self, sock))
+
+    def _accept_relayed(self, sock):
+        transport.detect_silence(sock)
+        self._sessions.add(Session(self, sock, relayed=True))
--- a/tests/test_adapter_documents.py
+++ b/tests/test_adapter_documents.py
@@ -103,7 +103,7 @@
         """Guards against a start that fails because the platform adds a key."""
         loaded = settings.decode({**SETTINGS, "new": {"key": 1}})
         self.assertEqual(loaded.proxy.client_address, ("10.1.0.8", 8784))
-        self.assertEqual(loaded.proxy.peer_address, ("10.1.0.8", 7440))
+        self.assertEqual(loaded.proxy.peer_address, ("10.1.0.8", 7441))
         self.assertEqual(loaded.store_address, ("10.200.1.7", 8783))
 
     def test_all_findings_at_once(self):
