--- /dev/null
+++ b/tests/test_sessionfleet.py
@@ -0,0 +1,189 @@
+"""Tests of ``cassiahill.sessionfleet`` on a store in memory, without connections."""
+
+import random
+import unittest
+
+import msgspec
+
+from cassiahill import errors, sessionfleet
+from cassiahill.loop import failed
+from cassiahill.sessionfleet import KIND, PROMOTER_NAME, Member, SessionFleet, Tokens
+from cassiahill.sharedstore import MemorySharedStore
+from tests.stepped_loop import SteppedLoop
+
+
+class Local(sessionfleet.LocalState):
+    """A process that sees nothing unusual."""
+
+    def __init__(self):
+        self.lacking = []
+
+    def versions(self):
+        return 1, 1
+
+    def watched_groups(self):
+        return ["orders"]
+
+    def lacking_groups(self):
+        return self.lacking
+
+    def is_cut_off(self):
+        return False
+
+    def store_is_away(self):
+        return False
+
+    def guide(self):
+        return None
+
+    def take_view(self, view, peer):
+        pass
+
+    def members_changed(self):
+        pass
+
+
+class SilentFleet(SessionFleet):
+    """Sends no pulses, so that every other proxy seems silent."""
+
+    def _send_pulse(self, member):
+        pass
+
+
+class LostAnswers(MemorySharedStore):
+    """Carries out the next writes without an answer."""
+
+    lose = 0
+
+    def replace(self, kind, name, value, revision):
+        return self._lose(super().replace(kind, name, value, revision))
+
+    def create(self, kind, name, value):
+        return self._lose(super().create(kind, name, value))
+
+    def _lose(self, future):
+        if self.lose and future.exception() is None:
+            self.lose -= 1
+            return failed(errors.PlatformUnavailable("the answer was lost"))
+        return future
+
+
+class PromoterTest(unittest.TestCase):
+    def setUp(self):
+        self.loop = SteppedLoop()
+        self.store = LostAnswers()
+        self.started = 0
+
+    def start(self, name):
+        """Start a proxy and let it register."""
+        self.started += 1
+        own = Member(
+            name,
+            ("127.0.0.1", 1),
+            ("127.0.0.1", 2),
+            "domain-a",
+            f"start-{self.started}",
+        )
+        fleet = SilentFleet(self.loop, self.store, own, random.Random(1), Local())
+        self.loop.advance(2.0)
+        return fleet
+
+    def promoter_of(self, *fleets):
+        return [fleet for fleet in fleets if fleet.is_promoter]
+
+    def test_first_proxy_becomes_promoter(self):
+        """Guards against a deployment in which nobody orders promotions."""
+        self.assertTrue(self.start("p1").is_promoter)
+
+    def test_silent_promoter_is_followed_and_gives_way(self):
+        """Guards against two proxies that order promotions for long."""
+        first = self.start("p1")
+        second = self.start("p2")
+        self.loop.advance(4.0)
+        self.assertTrue(second.is_promoter)
+        self.assertFalse(first.is_promoter)
+
+    def test_tokens_grow_with_each_promoter_and_each_order(self):
+        """Guards against a token that two promoters, or two orders, use."""
+        fleets = [self.start(f"p{number}") for number in range(4)]
+        tokens_by_promoter = {}
+        for _ in range(40):
+            self.loop.advance(0.5)
+            for fleet in self.promoter_of(*fleets):
+                key = (fleet._own.name, fleet._tokens.revision)
+                tokens_by_promoter.setdefault(key, []).append(fleet.next_token())
+        by_revision = sorted(tokens_by_promoter.items(), key=lambda one: one[0][1])
+        tokens = [token for _, given in by_revision for token in given]
+        self.assertGreater(len(tokens_by_promoter), 3)
+        self.assertEqual(tokens, sorted(set(tokens)))
+
+    def test_claim_whose_answer_was_lost_is_found(self):
+        """Guards against a promoter that does not know that it is one."""
+        self.store.lose = 2
+        fleet = self.start("p1")
+        self.loop.advance(2.0)
+        self.assertTrue(fleet.is_promoter)
+        stored = self.store.get(KIND, PROMOTER_NAME).result()
+        self.assertEqual(fleet.next_token() // 1000, stored.revision)
+
+    def test_restarted_promoter_gets_a_new_term(self):
+        """Guards against a restarted process that repeats its former tokens."""
+        first = self.start("p1").next_token()
+        second = self.start("p1")
+        self.loop.advance(1.0)
+        self.assertGreater(second.next_token(), first)
+
+    def test_former_promoter_learns_it_when_it_asks(self):
+        """Guards against orders by what was known before a cut."""
+        first = self.start("p1")
+        self.store.write(KIND, PROMOTER_NAME, {"holder": "p9", "incarnation": "x"})
+        self.assertFalse(self.loop.result(_wait(first.confirm())))
+        self.assertIsNone(first.next_token())
+
+    def test_promoter_goes_on_while_the_store_is_away(self):
+        """Guards against a dead primary that stays while the store is down."""
+        fleet = self.start("p1")
+        self.store.available = False
+        self.assertTrue(self.loop.result(_wait(fleet.confirm())))
+        self.assertIsNotNone(fleet.next_token())
+
+    def test_tokens_end_before_those_of_the_next_revision(self):
+        """Guards against a token that reaches into the next promoter's."""
+        tokens = Tokens(7)
+        taken = [token for token in (tokens.take() for _ in range(2000)) if token]
+        self.assertLess(max(taken), 8000)
+        self.assertIsNone(tokens.take())
+
+
+class ReportTest(unittest.TestCase):
+    def test_many_lacking_proxies_are_reported(self):
+        """Guards against a primary that only the promoter reaches."""
+        loop = SteppedLoop()
+        own = Member("p1", ("127.0.0.1", 1), ("127.0.0.1", 2), "domain-a", "start-1")
+        fleet = SilentFleet(loop, MemorySharedStore(), own, random.Random(1), Local())
+        loop.advance(2.0)
+        for lacking in (["orders"], []):
+            for _ in range(4):
+                for name in ("p2", "p3"):
+                    pulse = sessionfleet.Pulse(name, 1, 1, lacking, ["orders"])
+                    fleet.answer(msgspec.json.encode(pulse))
+                loop.advance(0.4)
+            since = fleet.reported_since("orders")
+            self.assertEqual(since is not None, bool(lacking))
+
+    def test_garbage_is_refused(self):
+        """Guards against a stranger's message that ends the process."""
+        loop = SteppedLoop()
+        own = Member("p1", ("127.0.0.1", 1), ("127.0.0.1", 2), "domain-a", "start-1")
+        fleet = SilentFleet(loop, MemorySharedStore(), own, random.Random(1), Local())
+        for body in (b"", b"[]", b"\xff", b'{"name": 3}'):
+            with self.assertRaises(errors.MalformedRequest):
+                fleet.answer(body)
+
+
+def _wait(future):
+    return (yield future)
+
+
+if __name__ == "__main__":
+    unittest.main()
