--- a/cassiahill/groupowners.py
+++ b/cassiahill/groupowners.py
@@ -1,8 +1,9 @@
 """Which proxies hold connections to the servers of a group; a decision without I/O.
 
-A server's limit of connections does not grow with the number of proxies. While each
-proxy can keep a connection, all of them do, and no request takes a hop. Beyond that a
-few owners in each failure domain keep them, and the other proxies relay sessions there.
+Neither the connections nor the slots of a server grow with the number of proxies. In a
+small fleet all proxies keep a connection, and no request takes a hop. Beyond that a few
+owners in each failure domain keep them, and the other proxies relay sessions there: few
+queues before a server keep urgent work first, and few proxies repeat what it refuses.
 """
 
 import attrs
@@ -10,8 +11,10 @@
 
 # Each proxy keeps one connection in half of the limit; the rest is borrowed.
 CONNECTIONS_PER_PROXY = 2
+DIRECT_PROXIES = 16
 # An owner needs a few connections, so that transactions do not block one another.
 CONNECTIONS_PER_OWNER = 8
+OWNERS_PER_DOMAIN = 2  # One may be restarting.
 
 
 @attrs.frozen
@@ -87,7 +90,10 @@
             key=lambda name: xxhash.xxh3_64_intdigest(f"{group}\0{name}".encode()),
             reverse=True,
         )
-    direct = len(domains_by_name) * CONNECTIONS_PER_PROXY <= connection_limit
+    proxies = len(domains_by_name)
+    enough = proxies * CONNECTIONS_PER_PROXY <= connection_limit
+    direct = enough and proxies <= DIRECT_PROXIES
     domains = max(1, len(names_by_domain))
-    count = max(1, connection_limit // CONNECTIONS_PER_OWNER // domains)
+    count = connection_limit // CONNECTIONS_PER_OWNER // domains
+    count = max(1, min(OWNERS_PER_DOMAIN, count))
     return Owners(direct, names_by_domain, count)
--- a/cassiahill/groupwork.py
+++ b/cassiahill/groupwork.py
@@ -5,6 +5,8 @@
 ``primaries``.
 """
 
+import random
+
 from cassiahill import (
     errors,
     eventlog,
@@ -34,7 +36,11 @@
 SHARED_PART = 2
 WARM_CONNECTIONS = 1  # One spares a request the opening; more would take others' share.
 STUCK_WRITES = 2  # A single answer may be lost on its way.
-BUSY_PAUSE_SECONDS = 0.02  # A full server has answered some statements after this.
+# A full server has answered some statements after this; refusals in a row double it, so
+# that many proxies together do not keep the server busy with refusing.
+BUSY_PAUSE_SECONDS = 0.02
+BUSY_DOUBLINGS = 3
+BUSY_FORGOTTEN_SECONDS = 0.5
 # A draining server takes requests until it has left; new ones stop long before that.
 DRAINING_PRIMARY_SECONDS = 5.0
 
@@ -74,7 +80,8 @@
         self._connection_limit = 1
         self._proxies = 1
         self._probing = set()
-        self._busy_until_by_id = {}
+        self._busy_by_id = {}
+        self._rng = random.Random(f"{own_name} {group}")
         self._pumping = False
         self._timer = None
         self.name = group
@@ -233,10 +240,19 @@
                     self.evidence = evidence.GroupEvidence()
                     self._log_primary("behind")
             case Code.BUSY:
-                self._busy_until_by_id[server_id] = now + BUSY_PAUSE_SECONDS
+                self._refused_as_busy(server_id, now)
             case Code.UNKNOWN_STATEMENT:
                 connection.names_by_shape.clear()
 
+    def _refused_as_busy(self, server_id, now):
+        until, streak = self._busy_by_id.get(server_id, (0.0, 0))
+        if now < until:
+            return
+        streak = streak + 1 if now - until < BUSY_FORGOTTEN_SECONDS else 0
+        pause = BUSY_PAUSE_SECONDS * 2 ** min(streak, BUSY_DOUBLINGS)
+        jitter = 0.5 + self._rng.random()
+        self._busy_by_id[server_id] = (now + pause * jitter, streak)
+
     # Questions to one server
 
     def ask_report(self, server_id, statement, deadline):
@@ -332,7 +348,7 @@
                 is_primary=is_primary,
                 has_connection=pool.idle > 0,
                 has_slot=pool.running < pool.server.slots
-                and now >= self._busy_until_by_id.get(server_id, 0.0),
+                and now >= self._busy_by_id.get(server_id, (0.0, 0))[0],
                 may_have_position=position is None
                 or self.progress_by_id[server_id].may_have(position, now),
                 latency=pool.latency,
--- a/cassiahill/serverpool.py
+++ b/cassiahill/serverpool.py
@@ -15,7 +15,7 @@
 OPEN_SECONDS = 0.5
 BORROW_FACTOR = 3  # One proxy's transactions must not take all that others leave.
 IDLE_SECONDS = 4.0
-BORROWED_IDLE_SECONDS = 0.05  # The next request of a burst still finds it.
+BORROWED_IDLE_SECONDS = 0.25  # The next request of a burst still finds it.
 # After a refusal by the server's connection limit: a borrowed connection of another
 # proxy is free within some statements; borrowing oneself can wait.
 SHARE_PAUSE_SECONDS = 0.06
