Close a relayed session at rest when the proxy leaves; test sessions over loopback

Cause: a session that another proxy serves was not looked at after its last answer, so a leaving proxy kept it until the kill. Found by test_leaving_closes_sessions_at_rest_only.

--- a/cassiahill/relays.py
+++ b/cassiahill/relays.py
@@ -104,12 +104,12 @@
         if not self.opening.done():
             self.opening.set_result(reply.code is None)
             return
-        self._to_client(self._dialect.encode_reply(reply))
         self._cancel_timer()
         if self._outstanding:
             self._outstanding.popleft()
         self._in_transaction = reply.state is not TransactionState.IDLE
         self._arm()
+        self._to_client(self._dialect.encode_reply(reply))
 
     def _on_closed(self):
         self._cancel_timer()
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -176,7 +176,7 @@
                     member.relay_address,
                     first_line,
                     route.timeout,
-                    self._stream.write,
+                    self._pass_on,
                     self._relay_ended,
                 )
             except errors.CassiahillError as error:
@@ -193,6 +193,12 @@
             self._server.owner_failed(member)
         return False
 
+    def _pass_on(self, data):
+        """Write an owner's answer to the client."""
+        self._stream.write(data)
+        if self._server.leaving and self.at_rest:
+            self.close()
+
     def _relay_ended(self, reply):
         """Tell the client what became of its statement, and close the session."""
         if self._stream.closed:
@@ -411,6 +417,16 @@
     def __len__(self):
         return len(self._sessions)
 
+    @property
+    def address(self):
+        """Address of the clients' listener."""
+        return self._listener.address
+
+    @property
+    def relay_address(self):
+        """Address of the listener for relayed sessions."""
+        return self._relay_listener.address
+
     @property
     def busy(self):
         """Number of sessions with something open or outstanding."""
