--- a/cassiahill/commands.py
+++ b/cassiahill/commands.py
@@ -6,9 +6,19 @@
 import ssl
 import sys
 
+import attrs
 import tomlkit
 
-from cassiahill import cli, errors, findings, kernel, porcelain, settings, settings_keys
+from cassiahill import (
+    cli,
+    errors,
+    explaining,
+    findings,
+    kernel,
+    porcelain,
+    settings,
+    settings_keys,
+)
 
 
 def _address(text):
@@ -305,3 +315,38 @@
             for row in answer.get("rows", ()):
                 print("\t".join(map(str, row)))
         return cli.EXIT_OK
+
+
+@kernel.register("command", "explain")
+class Explain(cli.Command):
+    """Prints what the logs tell of one request."""
+
+    summary = "print the story of a request from log files"
+
+    def add_arguments(self, parser):
+        """Add the request's id and the files."""
+        parser.add_argument("request", metavar="ID", help="id of the request")
+        parser.add_argument("files", nargs="+", metavar="FILE", help="log files")
+        parser.add_argument(
+            "--around",
+            type=_seconds,
+            default=2.0,
+            metavar="SECONDS",
+            help="how far before and after it to show changes of belief",
+        )
+
+    def run(self, options):
+        """Print the lines, or report that there is none."""
+        texts = []
+        for file in options.files:
+            text = pathlib.Path(file).read_text(encoding="utf-8", errors="replace")
+            texts.extend(text.splitlines())
+        lines = explaining.story(texts, options.request, options.around)
+        if not lines:
+            raise errors.NotFound(f"no line of request {options.request!r}")
+        for line in lines:
+            if options.json:
+                cli.print_json(attrs.asdict(line))
+            else:
+                print(line)
+        return cli.EXIT_OK
