--- a/cassiahill/groupwork.py
+++ b/cassiahill/groupwork.py
@@ -86,7 +86,7 @@
         self._timer = None
         self.name = group
         self.active = True
-        self.used_at = loop.clock.now()
+        self.used_at = float("-inf")
         self.primary = primaries.PrimaryView()
         self.evidence = evidence.GroupEvidence()
         self.pools_by_id = {}
--- a/cassiahill/reachability.py
+++ b/cassiahill/reachability.py
@@ -29,6 +29,23 @@
     failing: bool
 
 
+# Fewer servers than this may all be silent for reasons of their own group, so the peers
+# of other domains must be silent too.
+ENOUGH_SERVERS = 4
+
+
+def contacts_to_judge(own_domain, servers, peers):
+    """Return the contacts that tell whether this process is cut off.
+
+    Parameters
+    ----------
+    own_domain : str
+    servers, peers : list of Contact
+    """
+    elsewhere = sum(one.failure_domain != own_domain for one in servers)
+    return servers if elsewhere >= ENOUGH_SERVERS else servers + peers
+
+
 def is_cut_off(own_domain, contacts, now):
     """Return whether no server of another failure domain answers.
 
--- a/cassiahill/sessionfleet.py
+++ b/cassiahill/sessionfleet.py
@@ -11,7 +11,7 @@
 import msgspec
 import xxhash
 
-from cassiahill import errors, eventlog, following, http1, takeover
+from cassiahill import errors, eventlog, following, http1, reachability, takeover
 
 KIND = "proxies"
 MEMBER_PREFIX = "proxy."
@@ -24,6 +24,7 @@
 RANK_SECONDS = 0.4  # The next proxy waits this long for the one before it.
 FIRST_RANK_SECONDS = 0.05
 REPORT_LIFE_SECONDS = 1.2
+RESIGNED_SECONDS = 3.0
 # All proxies register at the same time, and each change ends the watches of all.
 WATCH_PAUSE_SECONDS = 1.0
 LONELY_SECONDS = 1.2  # Three pulses.
@@ -61,6 +62,7 @@
     configuration: object
     servers_revision: int
     servers: dict[str, object]
+    members: dict[str, object] = {}
 
 
 _pulse_decoder = msgspec.json.Decoder(Pulse)
@@ -160,6 +162,10 @@
         """Return whether this process is cut off from the other failure domains."""
         raise NotImplementedError
 
+    def view(self):
+        """Return the ``View`` of configuration and servers for a peer."""
+        raise NotImplementedError
+
     def store_is_away(self):
         """Return whether the store gives this process no answers."""
         raise NotImplementedError
@@ -187,14 +193,19 @@
     own : Member
     rng : random.Random
     local : LocalState
+    seed_addresses : iterable of (str, int)
+        Proxies to ask for the deployment while the store gives no answers.
     """
 
-    def __init__(self, loop, store, own, rng, local):
+    def __init__(self, loop, store, own, rng, local, seed_addresses=()):
         self._loop = loop
         self._store = store
         self._own = own
         self._rng = rng
         self._local = local
+        self._seed_addresses = tuple(
+            address for address in seed_addresses if address != own.address
+        )
         self._clients_by_address = {}
         self._reports_by_name = {}
         self._reported_since_by_group = {}
@@ -204,6 +215,9 @@
         self._heard_at = loop.clock.now()
         self._answered_at = loop.clock.now()
         self._guide_cut_off = False
+        self._contacts_by_domain = {}
+        self._members_from_peer = False
+        self._resigned_until = float("-inf")
         self._woken_at = loop.clock.now()
         self._closed = False
         self.leaving = False
@@ -219,12 +233,14 @@
             WATCH_PAUSE_SECONDS,
         )
         self._timer = None
-        loop.call_soon(self._tick)  # The process is complete by then.
+        # By then the store has answered, and proxies that started together spread out.
+        loop.call_at(loop.clock.now() + PULSE_SECONDS * rng.random(), self._tick)
 
     @property
     def is_promoter(self):
         """Whether this process may order promotions, as far as it knows."""
-        return self._tokens is not None and not self.leaving
+        resigned = self._loop.clock.now() < self._resigned_until
+        return self._tokens is not None and not self.leaving and not resigned
 
     def next_token(self):
         """Return a fencing token for one order, or None."""
@@ -242,6 +258,33 @@
         """Return whether the guide is cut off, or no peer answers."""
         return self._guide_cut_off or now - self._answered_at > LONELY_SECONDS
 
+    @property
+    def members_are_known(self):
+        """Whether a list of the members has been read."""
+        return self.follower.revision > 0 or self._members_from_peer
+
+    def view(self):
+        """Return what this process knows, for a peer."""
+        view = self._local.view()
+        view.members = {
+            MEMBER_PREFIX + name: _encode_member(member)
+            for name, member in self.members_by_name.items()
+        }
+        return view
+
+    def resign(self):
+        """Let another proxy order promotions, because this one cannot."""
+        if self.is_promoter:
+            self._resigned_until = self._loop.clock.now() + RESIGNED_SECONDS
+            eventlog.event("promoter_resigns")
+
+    def contacts(self):
+        """Return what is known of the paths to other failure domains."""
+        return [
+            reachability.Contact(domain, answered_at, failing)
+            for domain, (answered_at, failing) in self._contacts_by_domain.items()
+        ]
+
     def reported_since(self, group):
         """Return since when many proxies lack the group's primary, or None."""
         return self._reported_since_by_group.get(group)
@@ -281,7 +324,7 @@
         if pulse.version > version:
             member = self.members_by_name.get(pulse.name)
             if member is not None:
-                self._loop.spawn(self._fetch_view(member))
+                self._loop.spawn(self._fetch_view(member.name, member.address))
         return http1.json_response(
             PulseAnswer(version, revision, self.is_promoter, self._local.is_cut_off())
         )
@@ -370,6 +413,7 @@
             # This process stood still: the silence of others proves nothing.
             self._heard_at = now
             self._answered_at = now
+            self._contacts_by_domain.clear()
         self._woken_at = now
         if self.is_promoter:
             self._heard_at = now
@@ -378,6 +422,10 @@
             self._send_pulse(self._promoter_member())
             self._consider_claim(now)
         self._send_pulse(self._local.guide())
+        self._send_pulse(self._member_elsewhere())
+        if not self.members_are_known and self._seed_addresses:
+            seed = self._rng.choice(self._seed_addresses)
+            self._loop.spawn(self._fetch_view(f"{seed[0]}:{seed[1]}", seed))
         if self._local.store_is_away():
             others = [one for one in self.members_by_name.values() if one != self._own]
             if others:
@@ -390,6 +438,15 @@
             return None
         return self.members_by_name.get(self.promoter.name)
 
+    def _member_elsewhere(self):
+        """Return a member of another failure domain, a different one each time."""
+        others = [
+            member
+            for member in self.members_by_name.values()
+            if member.failure_domain != self._own.failure_domain
+        ]
+        return self._rng.choice(others) if others else None
+
     def _send_pulse(self, member):
         if member is not None and member.name != self._own.name:
             self._loop.spawn(self._pulse(member))
@@ -413,31 +470,56 @@
             )
             answer = _answer_decoder.decode(response.body)
         except (errors.CassiahillError, msgspec.DecodeError):
-            return  # The silence itself is what counts; see ``_consider_claim``.
+            # The silence itself is what counts; see ``_consider_claim``.
+            self._note_contact(member, answered=False)
+            return
         self._answered_at = self._loop.clock.now()
+        self._note_contact(member, answered=True)
         guide = self._local.guide()
         if guide is not None and guide.name == member.name:
             self._guide_cut_off = answer.cut_off
         promoter = self.promoter
-        if answer.promoter and promoter is not None and promoter.name == member.name:
-            self._heard_at = self._loop.clock.now()
+        if promoter is not None and promoter.name == member.name:
+            if answer.promoter:
+                self._heard_at = self._loop.clock.now()
+            else:
+                # It leaves or has resigned: no need to wait for its silence.
+                self._heard_at = min(
+                    self._heard_at, self._loop.clock.now() - SILENT_SECONDS
+                )
         newer_servers = (
             answer.servers_revision > revision and self._local.store_is_away()
         )
         if answer.version > version or newer_servers:
-            yield from self._fetch_view(member)
+            yield from self._fetch_view(member.name, member.address)
 
-    def _fetch_view(self, member):
+    def _note_contact(self, member, answered):
+        now = self._loop.clock.now()
+        answered_at, _ = self._contacts_by_domain.get(
+            member.failure_domain, (now, False)
+        )
+        if answered:
+            answered_at = now
+        self._contacts_by_domain[member.failure_domain] = (answered_at, not answered)
+
+    def _fetch_view(self, name, address):
         deadline = self._loop.clock.now() + 2 * PULSE_TIMEOUT_SECONDS
         try:
-            client = http1.ClientConnection(self._loop, member.address)
+            client = http1.ClientConnection(self._loop, address)
             response = yield client.request("GET", VIEW_PATH, b"", (), deadline)
             view = _view_decoder.decode(response.body)
             client.close()
         except (errors.CassiahillError, msgspec.DecodeError) as error:
-            eventlog.event("view_failed", peer=member.name, cause=repr(error))
+            eventlog.event("view_failed", peer=name, cause=repr(error))
             return
-        self._local.take_view(view, member.name)
+        self._local.take_view(view, name)
+        if not self.members_are_known and view.members:
+            self._members_from_peer = True
+            for stored_name, value in view.members.items():
+                member = _decode_member(stored_name, value)
+                if member is not None:
+                    self.members_by_name[member.name] = member
+            self._local.members_changed()
 
     def _client(self, address):
         client = self._clients_by_address.get(address)
@@ -477,6 +559,8 @@
     def _consider_claim(self, now):
         if self._claiming or self.leaving or not self.follower.revision:
             return
+        if now < self._resigned_until:
+            return
         promoter = self.promoter
         if promoter is None:
             wait = FIRST_RANK_SECONDS * self._rank()
--- a/cassiahill/sessionproxy.py
+++ b/cassiahill/sessionproxy.py
@@ -47,6 +47,8 @@
         For pulses of other proxies, metrics and the state dump.
     relay_address : tuple of (str, int)
         For sessions that other proxies relay here.
+    seed_addresses : tuple of (str, int)
+        Proxies to ask for the deployment while the store gives no answers.
     grace_seconds : float
         Time between the request to stop and the kill.
     """
@@ -57,6 +59,7 @@
     readiness_address: tuple
     peer_address: tuple
     relay_address: tuple
+    seed_addresses: tuple
     grace_seconds: float
 
 
@@ -94,7 +97,9 @@
             settings.failure_domain,
             secrets.token_hex(8),
         )
-        self.fleet = sessionfleet.SessionFleet(loop, store, own, rng, self)
+        self.fleet = sessionfleet.SessionFleet(
+            loop, store, own, rng, self, settings.seed_addresses
+        )
         self.feed = catalogfeed.CatalogFeed(
             loop,
             store,
@@ -113,7 +118,11 @@
             self._count,
             settings.relay_address,
             sessions.SessionRouting(
-                self._serves, self._owners_for, self._owner_failed, self.is_cut_off
+                self.knows_deployment,
+                self._serves,
+                self._owners_for,
+                self._owner_failed,
+                self.is_cut_off,
             ),
         )
         self._readiness = http1.Server(
@@ -127,10 +136,14 @@
         """Whether new clients should come here."""
         return (
             self._leaving_since is None
-            and self.catalog.configuration is not None
+            and self.knows_deployment()
             and not self._cut_off
         )
 
+    def knows_deployment(self):
+        """Return whether configuration and members are known."""
+        return self.catalog.configuration is not None and self.fleet.members_are_known
+
     def group_of(self, name):
         """Return the work of a group, which is made when it is first needed."""
         group = self._groups_by_name.get(name)
@@ -150,6 +163,7 @@
                 self._orders,
                 self.fleet.next_token,
                 self.fleet.confirm,
+                self.fleet.resign,
             )
             self._update_limits()
         return group
@@ -189,6 +203,10 @@
 
     # What the fleet asks and tells
 
+    def view(self):
+        """Return what is known of configuration and servers, for a peer."""
+        return self.feed.view()
+
     def versions(self):
         """Return the version of the configuration and the revision of the servers."""
         return self.feed.versions
@@ -241,13 +259,17 @@
 
     def _serves(self, group):
         owners = self._owners_by_group.get(group)
-        return owners is None or owners.includes(
-            self._settings.name, self._settings.failure_domain
+        return (
+            owners is not None
+            and self.fleet.members_are_known
+            and owners.includes(self._settings.name, self._settings.failure_domain)
         )
 
     def _owners_for(self, group):
         now = self._loop.clock.now()
-        owners = self._owners_by_group[group]
+        owners = self._owners_by_group.get(group)
+        if owners is None:
+            return []
         start = xxhash.xxh3_64_intdigest(self._settings.name.encode())
         members = [
             self.fleet.members_by_name[name]
@@ -313,9 +335,11 @@
             for contact in group.contacts(now)
         ]
         if contacts:
-            cut_off = reachability.is_cut_off(
-                self._settings.failure_domain, contacts, now
+            own_domain = self._settings.failure_domain
+            judged = reachability.contacts_to_judge(
+                own_domain, contacts, self.fleet.contacts()
             )
+            cut_off = reachability.is_cut_off(own_domain, judged, now)
         else:
             cut_off = self.fleet.peers_are_cut_off(now)
         if cut_off != self._cut_off:
@@ -334,7 +358,7 @@
             case ("POST", sessionfleet.PULSE_PATH):
                 return self.fleet.answer(request.body)
             case ("GET", sessionfleet.VIEW_PATH):
-                return http1.json_response(self.feed.view())
+                return http1.json_response(self.fleet.view())
             case ("GET", path) if path == METRICS_PATH:
                 body = self.metrics.render(self._gauges())
                 return http1.Response(200, body, sessionmetrics.CONTENT_TYPE)
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -11,6 +11,7 @@
 LINE_END = b"\r\n"
 MAX_LINE_BYTES = 1024 * 1024
 MAX_QUEUED_REQUESTS = 64  # Sent ahead by one client; reading pauses beyond that.
+OPEN_STEP_SECONDS = 0.02
 OPEN_WAIT_SECONDS = 1.5  # Clients give up on an unopened session after 2 s.
 
 _FAILED = TransactionState.FAILED
@@ -143,11 +144,11 @@
 
     def _open(self, message, line):
         deadline = self._loop.clock.now() + OPEN_WAIT_SECONDS
-        while not self._server.catalog.configuration:
+        while not self._server.knows_deployment():
             if self._loop.clock.now() > deadline:
                 self._refuse(Code.BUSY, "no configuration yet")
                 return
-            yield self._loop.sleep_until(self._loop.clock.now() + 0.05)
+            yield self._loop.sleep_until(self._loop.clock.now() + OPEN_STEP_SECONDS)
         route = self._server.catalog.route(message.database)
         if route is None:
             self._refuse(Code.UNKNOWN_DATABASE, message.database)
@@ -352,6 +353,8 @@
 
     Attributes
     ----------
+    knows_deployment : callable
+        Whether enough is known to serve sessions.
     serves : callable
         Whether this process serves a group itself.
     owners_for : callable
@@ -362,6 +365,7 @@
         Whether this process is cut off from the other failure domains.
     """
 
+    knows_deployment: object
     serves: object
     owners_for: object
     owner_failed: object
@@ -404,6 +408,7 @@
         self.group_of = group_of
         self.count = on_reply
         self.leaving = False
+        self.knows_deployment = routing.knows_deployment
         self.serves = routing.serves
         self.owners_for = routing.owners_for
         self.owner_failed = routing.owner_failed
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -28,6 +28,7 @@
 CONFIRM_SECONDS = 1.6  # A promotion takes about a second.
 CONFIRM_ROUNDS = 3
 STEP_SECONDS = 0.03
+WAITS_UNTIL_RESIGNING = 2  # Another process may reach the replicas that this one lacks.
 
 
 UNREACHABLE = "unreachable"
@@ -157,14 +158,18 @@
         not give orders.
     confirm : callable
         Returns the future of whether this process is still the one that gives orders.
+    resign : callable
+        Lets another process give orders, when this one does not reach the replicas.
     """
 
-    def __init__(self, loop, group, orders, next_token, confirm):
+    def __init__(self, loop, group, orders, next_token, confirm, resign):
         self._loop = loop
         self._group = group
         self._orders = orders
         self._next_token = next_token
         self._confirm = confirm
+        self._resign = resign
+        self._waits = 0
         self._running = False
         self._quiet_until = 0.0
 
@@ -205,7 +210,11 @@
         successor = choose_successor(standings)
         if successor is None:
             self._log("takeover_waits", reason, primary, standings)
+            self._waits += 1
+            if self._waits % WAITS_UNTIL_RESIGNING == 0:
+                self._resign()
             return False
+        self._waits = 0
         others = [one for one in replicas if one != successor]
         term = 1 + max(one.term for one in standings)
         try:
--- a/tests/session_server.py
+++ b/tests/session_server.py
@@ -64,7 +64,11 @@
             lambda *reply: self.replies.append(reply),
             ANY_PORT,
             SessionRouting(
-                lambda _group: serves, self._owners, lambda _member: None, lambda: False
+                lambda: True,
+                lambda _group: serves,
+                self._owners,
+                lambda _member: None,
+                lambda: False,
             ),
         )
 
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from cassiahill.reachability import Contact, is_cut_off
+from cassiahill.reachability import Contact, contacts_to_judge, is_cut_off
 
 
 class CutOffTest(unittest.TestCase):
@@ -20,6 +20,15 @@
         """Guards against a cut seen where nothing was asked."""
         self.assertFalse(is_cut_off("x", [Contact("y", 1.0, False)], 10.0))
 
+    def test_few_silent_servers_need_silent_peers(self):
+        """Guards against owners of one group that leave with its primary."""
+        servers = [Contact("y", 9.0, True), Contact("z", 9.0, True)]
+        peers = [Contact("y", 9.9, False)]
+        judged = contacts_to_judge("x", servers, peers)
+        self.assertFalse(is_cut_off("x", judged, 10.0))
+        judged = contacts_to_judge("x", servers * 2, peers)
+        self.assertTrue(is_cut_off("x", judged, 10.0))
+
     def test_single_domain_is_never_cut_off(self):
         """Guards against a deployment of one domain that refuses everybody."""
         self.assertFalse(is_cut_off("x", [Contact("x", 1.0, True)], 10.0))
--- a/tests/test_sessionfleet.py
+++ b/tests/test_sessionfleet.py
@@ -30,6 +30,9 @@
     def is_cut_off(self):
         return False
 
+    def view(self):
+        return sessionfleet.View(None, 1, {})
+
     def store_is_away(self):
         return False
 
@@ -147,6 +150,16 @@
         self.assertTrue(self.loop.result(_wait(fleet.confirm())))
         self.assertIsNotNone(fleet.next_token())
 
+    def test_resigned_promoter_gives_no_orders_for_a_while(self):
+        """Guards against a promoter that resigns and takes its place back at once."""
+        fleet = self.start("p1")
+        fleet.resign()
+        self.assertIsNone(fleet.next_token())
+        self.loop.advance(1.0)
+        self.assertFalse(fleet.is_promoter)
+        self.loop.advance(4.0)
+        self.assertTrue(fleet.is_promoter)
+
     def test_tokens_end_before_those_of_the_next_revision(self):
         """Guards against a token that reaches into the next promoter's."""
         tokens = Tokens(7)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -86,12 +86,14 @@
         self.bench = Bench()
         self.orders = Orders(self.bench, results)
         self.tokens = itertools.count(1)
+        self.resigned = []
         self.takeover = takeover.Takeover(
             self.bench.loop,
             self.bench.group,
             self.orders,
             lambda: next(self.tokens),
             lambda: completed(True),
+            lambda: self.resigned.append(self.bench.loop.clock.now()),
         )
 
     def run_for(self, seconds):
@@ -167,6 +169,15 @@
         self.assertGreaterEqual(len(tokens), 3)
         self.assertEqual(tokens, sorted(set(tokens)))
 
+    def test_promoter_without_the_replicas_resigns(self):
+        """Guards against a switch that waits for a process on a cut's wrong side."""
+        self.make()
+        for server_id in ("a", "b", "c"):
+            self.bench.servers.by_id[server_id].dark = True
+        self.run_for(4.0)
+        self.assertGreaterEqual(len(self.resigned), 1)
+        self.assertEqual(self.orders.given, [])
+
     def test_primary_that_answers_again_is_kept(self):
         """Guards against a switch by what was seen before a cut healed."""
         self.make()
