--- a/cassiahill/groupwork.py
+++ b/cassiahill/groupwork.py
@@ -278,6 +278,7 @@
         except errors.CassiahillError as error:
             eventlog.event("status_lost", server=server_id, cause=error.detail)
             connection.close()
+            pool.missed(loop.clock.now())
             pool.finished(loop.clock.now())
             return None
         pool.heard(loop.clock.now())
@@ -291,7 +292,7 @@
         """Return what is known of the path to each server."""
         return [
             reachability.Contact(
-                pool.server.failure_domain, pool.answered_at, pool.suspect(now)
+                pool.server.failure_domain, pool.answered_at, pool.failing(now)
             )
             for pool in self.pools_by_id.values()
         ]
@@ -459,6 +460,7 @@
             )
         except errors.CassiahillError:
             connection.close()
+            pool.missed(loop.clock.now())
             pool.finished(loop.clock.now())
             self._probing.discard(server_id)
             if server_id == self.primary.believed:
--- a/cassiahill/reachability.py
+++ b/cassiahill/reachability.py
@@ -64,3 +64,25 @@
     return bool(others) and all(
         one.failing and now - one.answered_at > SILENT_SECONDS for one in others
     )
+
+
+def cut_off_since(since, own_domain, contacts, now):
+    """Return the instant since which this process is cut off, or None.
+
+    A cut that has been seen ends with an answer from another domain, not when for a
+    moment nothing is asked.
+
+    Parameters
+    ----------
+    since : float or None
+        What this function returned last.
+    own_domain : str
+    contacts : iterable of Contact
+    now : float
+    """
+    if since is None:
+        return now if is_cut_off(own_domain, contacts, now) else None
+    heard = any(
+        one.answered_at > since for one in contacts if one.failure_domain != own_domain
+    )
+    return None if heard else since
--- a/cassiahill/serverpool.py
+++ b/cassiahill/serverpool.py
@@ -96,6 +96,7 @@
         self.running = 0
         self.failures = 0
         self.answered_at = float("-inf")
+        self.missed_at = float("-inf")
         self.refuses = False
         self.closed = False
         self._idle = []
@@ -116,6 +117,14 @@
         """Number of connections that are free."""
         return len(self._idle)
 
+    def failing(self, now):
+        """Return whether something was asked since the last answer, without one."""
+        return self.missed_at > self.answered_at or self.suspect(now)
+
+    def missed(self, now):
+        """Take note that an answer or a connection has been lost."""
+        self.missed_at = now
+
     def suspect(self, now):
         """Return whether the server has left statements unanswered for a while."""
         since = self._asked_since
@@ -258,6 +267,7 @@
     def _opening_failed(self, cause, refused=False):
         now = self._loop.clock.now()
         self.failures += 1
+        self.missed(now)
         self.refuses = refused and self.failures > 1
         pause = RETRY_BASE_SECONDS * 2 ** min(self.failures, 10)
         self._next_opening_at = now + min(RETRY_CAP_SECONDS, pause)
--- a/cassiahill/sessionproxy.py
+++ b/cassiahill/sessionproxy.py
@@ -84,6 +84,7 @@
         self._orders = orders
         self._leaving_since = None
         self._cut_off = False
+        self._cut_off_since = None
         self._groups_by_name = {}
         self._owners_by_group = {}
         self._down_until_by_name = {}
@@ -339,8 +340,12 @@
             judged = reachability.contacts_to_judge(
                 own_domain, contacts, self.fleet.contacts()
             )
-            cut_off = reachability.is_cut_off(own_domain, judged, now)
+            self._cut_off_since = reachability.cut_off_since(
+                self._cut_off_since, own_domain, judged, now
+            )
+            cut_off = self._cut_off_since is not None
         else:
+            self._cut_off_since = None
             cut_off = self.fleet.peers_are_cut_off(now)
         if cut_off != self._cut_off:
             self._cut_off = cut_off
--- a/cassiahill/sessionwork.py
+++ b/cassiahill/sessionwork.py
@@ -467,6 +467,7 @@
 
     def _drop(self, lease):
         lease.connection.close()
+        lease.pool.missed(self._loop.clock.now())
         lease.finish(self._loop.clock.now())
 
     def _refusal(self, job, request):
--- a/tests/line_group.py
+++ b/tests/line_group.py
@@ -157,6 +157,10 @@
         return f"c{self._count}"
 
     def open(self, _caller):
+        if self._server.dark:
+            future = LoopFuture()
+            self._pending.append(future)
+            return future
         if self._server.connections >= self._server.limit:
             return self._answer(Reply(code=Code.CONNECTION_LIMIT))
         self._server.connections += 1
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from cassiahill.reachability import Contact, contacts_to_judge, is_cut_off
+from cassiahill.reachability import (
+    Contact,
+    contacts_to_judge,
+    cut_off_since,
+    is_cut_off,
+)
 
 
 class CutOffTest(unittest.TestCase):
@@ -20,6 +25,16 @@
         """Guards against a cut seen where nothing was asked."""
         self.assertFalse(is_cut_off("x", [Contact("y", 1.0, False)], 10.0))
 
+    def test_cut_ends_with_an_answer_only(self):
+        """Guards against a proxy that takes clients for a moment during a cut."""
+        silent = [Contact("y", 9.0, True)]
+        since = cut_off_since(None, "x", silent, 10.0)
+        self.assertEqual(since, 10.0)
+        quiet = [Contact("y", 9.0, False)]
+        self.assertEqual(cut_off_since(since, "x", quiet, 10.1), 10.0)
+        answered = [Contact("y", 10.5, False)]
+        self.assertIsNone(cut_off_since(since, "x", answered, 10.6))
+
     def test_few_silent_servers_need_silent_peers(self):
         """Guards against owners of one group that leave with its primary."""
         servers = [Contact("y", 9.0, True), Contact("z", 9.0, True)]
--- a/tests/test_sessionwork.py
+++ b/tests/test_sessionwork.py
@@ -204,5 +204,21 @@
             self.assertLessEqual(pool.size, 4)
 
 
+class ContactTest(unittest.TestCase):
+    def test_dark_server_stays_failing_between_two_questions(self):
+        """Guards against a proxy that believes a cut has healed while nobody asks."""
+        bench = Bench()
+        bench.servers.by_id["b"].dark = True
+        bench.loop.advance(1.5)
+        for _ in range(100):
+            bench.loop.advance(0.01)
+            now = bench.loop.clock.now()
+            failing = {
+                one.failure_domain: one.failing for one in bench.group.contacts(now)
+            }
+            self.assertTrue(failing["domain-b"])
+            self.assertFalse(failing["domain-c"])
+
+
 if __name__ == "__main__":
     unittest.main()
