--- a/cassiahill/sessionproxy.py
+++ b/cassiahill/sessionproxy.py
@@ -1,5 +1,6 @@
 """The session proxy: a daemon whose clients' connections are their sessions."""
 
+import math
 import secrets
 import signal
 
@@ -406,11 +407,13 @@
         begun_at = self._leaving_since
         yield self._loop.sleep_until(begun_at + DRAIN_SESSIONS_SHARE * grace)
         self.sessions.stop_listening()
-        self.sessions.leave()
-        yield self._loop.sleep_until(begun_at + DRAIN_TRANSACTIONS_SHARE * grace)
-        self.sessions.abort_transactions()
+        aborts_at = begun_at + DRAIN_TRANSACTIONS_SHARE * grace
         while len(self.sessions):
+            self.sessions.close_idle()
             now = self._loop.clock.now()
+            if now >= aborts_at:
+                self.sessions.abort_transactions()
+                aborts_at = math.inf
             if now >= begun_at + DRAIN_EXIT_SHARE * grace:
                 break
             yield self._loop.sleep_until(now + DRAIN_STEP_SECONDS)
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -11,6 +11,8 @@
 LINE_END = b"\r\n"
 MAX_LINE_BYTES = 1024 * 1024
 MAX_QUEUED_REQUESTS = 64  # Sent ahead by one client; reading pauses beyond that.
+# Longer than a client takes to send its next statement, which it has at hand.
+IDLE_SECONDS = 0.1
 OPEN_STEP_SECONDS = 0.02
 OPEN_WAIT_SECONDS = 1.5  # Clients give up on an unopened session after 2 s.
 
@@ -42,6 +44,7 @@
         self._work = None
         self._idle_timer = None
         self.database = None
+        self.active_at = self._loop.clock.now()
         self._stream = transport.Stream(
             self._loop, sock, self._on_data, self._on_closed
         )
@@ -75,7 +78,7 @@
 
     def _on_data(self, data):
         *lines, self._buffer = (self._buffer + data).split(b"\n")
-        arrived_at = self._loop.clock.now()
+        arrived_at = self.active_at = self._loop.clock.now()
         if len(self._buffer) > MAX_LINE_BYTES:
             self._refuse(Code.TOO_LARGE, "the line is too long")
             return
@@ -104,8 +107,6 @@
             if len(self._queue) == MAX_QUEUED_REQUESTS // 2:
                 self._stream.pause_reading(False)
             self._take(line, arrived_at)
-        if self._running is None and self._server.leaving and self.at_rest:
-            self.close()
 
     def _take(self, line, arrived_at):
         try:
@@ -196,9 +197,8 @@
 
     def _pass_on(self, data):
         """Write an owner's answer to the client."""
+        self.active_at = self._loop.clock.now()
         self._stream.write(data)
-        if self._server.leaving and self.at_rest:
-            self.close()
 
     def _relay_ended(self, reply):
         """Tell the client what became of its statement, and close the session."""
@@ -315,6 +315,7 @@
         if self._stream.closed:
             return
         reply = sessionwork.with_state(reply, self._state_now())
+        self.active_at = self._loop.clock.now()
         self._stream.write(self._server.dialect.encode_reply(reply))
         self._server.count(request, self.database, reply, arrived_at)
         if self._transaction is not None:
@@ -407,7 +408,6 @@
         self.catalog = catalog
         self.group_of = group_of
         self.count = on_reply
-        self.leaving = False
         self.knows_deployment = routing.knows_deployment
         self.serves = routing.serves
         self.owners_for = routing.owners_for
@@ -446,15 +446,15 @@
         self._listener.close()
         self._relay_listener.close()
 
-    def leave(self):
-        """Close each session as soon as nothing of it is open."""
-        self.leaving = True
-        self.close_idle()
-
     def close_idle(self):
-        """Close the sessions of which nothing is open."""
+        """Close the sessions of which nothing is open.
+
+        One that was active a moment ago is left: its client may have sent the next
+        statement already, and would not know whether it ran.
+        """
+        now = self.loop.clock.now()
         for session in list(self._sessions):
-            if session.at_rest:
+            if session.at_rest and now - session.active_at >= IDLE_SECONDS:
                 session.close()
 
     def abort_transactions(self):
