Relay sessions to a proxy that reaches the primary; keep one guide

A proxy that lacks a group's primary for 1.5 s takes no relayed session of it and relays its own clients'. Proxies without connections lost their guide when it refused a session, and saw a cut 1.2 s later than the owners.

--- a/cassiahill/groupwork.py
+++ b/cassiahill/groupwork.py
@@ -35,6 +35,7 @@
 # of power the server holds the lost connections for some seconds beside the new ones.
 SHARED_PART = 2
 WARM_CONNECTIONS = 1  # One spares a request the opening; more would take others' share.
+LACKING_SECONDS = 1.5
 STUCK_WRITES = 2  # A single answer may be lost on its way.
 # A full server has answered some statements after this; refusals in a row double it, so
 # that many proxies together do not keep the server busy with refusing.
@@ -253,6 +254,16 @@
         jitter = 0.5 + self._rng.random()
         self._busy_by_id[server_id] = (now + pause * jitter, streak)
 
+    def lacks_primary(self, now):
+        """Return whether this process has been without the primary for long.
+
+        Until then replicas still serve the reads whose freshness was proved before.
+        """
+        since = self.probe_failed_since
+        if self.primary.believed is None:
+            since = self.primary.lost_at
+        return since is not None and now - since > LACKING_SECONDS
+
     # Questions to one server
 
     def ask_report(self, server_id, statement, deadline):
--- a/cassiahill/sessionfleet.py
+++ b/cassiahill/sessionfleet.py
@@ -221,6 +221,7 @@
         self._woken_at = loop.clock.now()
         self._closed = False
         self.leaving = False
+        self.silent_guides = 0  # Moves on to the next guide.
         self.members_by_name = {}
         self.promoter = None
         self.follower = following.KindFollower(
@@ -472,6 +473,9 @@
         except (errors.CassiahillError, msgspec.DecodeError):
             # The silence itself is what counts; see ``_consider_claim``.
             self._note_contact(member, answered=False)
+            guide = self._local.guide()
+            if guide is not None and guide.name == member.name:
+                self.silent_guides += 1
             return
         self._answered_at = self._loop.clock.now()
         self._note_contact(member, answered=True)
--- a/cassiahill/sessionproxy.py
+++ b/cassiahill/sessionproxy.py
@@ -88,7 +88,7 @@
         self._cut_off_since = None
         self._groups_by_name = {}
         self._owners_by_group = {}
-        self._down_until_by_name = {}
+        self._down_until_by_owner = {}
         self._takeovers_by_group = {}
         self.metrics = sessionmetrics.SessionMetrics()
         self.catalog = catalog.Catalog()
@@ -124,7 +124,7 @@
                 self._serves,
                 self._owners_for,
                 self._owner_failed,
-                self.is_cut_off,
+                self._cannot_serve,
             ),
         )
         self._readiness = http1.Server(
@@ -243,11 +243,17 @@
         """
         if any(group.active for group in self._groups_by_name.values()):
             return None
-        for name in self._owners_by_group:
-            for member in self._owners_for(name):
-                if member.failure_domain == self._settings.failure_domain:
-                    return member
-        return None
+        domain = self._settings.failure_domain
+        names = {
+            name
+            for owners in self._owners_by_group.values()
+            for name in owners.names_by_domain.get(domain, ())[: owners.count_by_domain]
+        }
+        known = [name for name in sorted(names) if name in self.fleet.members_by_name]
+        if not known:
+            return None
+        turn = self.fleet.silent_guides % len(known)
+        return self.fleet.members_by_name[known[turn]]
 
     def take_view(self, view, peer):
         """Take a view of a peer that is newer in part."""
@@ -260,6 +266,17 @@
     # Owners
 
     def _serves(self, group):
+        return self._holds(group) and not self._lacks_primary(group)
+
+    def _cannot_serve(self, group):
+        return self._cut_off or self._lacks_primary(group)
+
+    def _lacks_primary(self, group):
+        work = self._groups_by_name.get(group)
+        return work is not None and work.lacks_primary(self._loop.clock.now())
+
+    def _holds(self, group):
+        """Return whether this process holds connections to the group."""
         owners = self._owners_by_group.get(group)
         return (
             owners is not None
@@ -279,20 +296,22 @@
             if name in self.fleet.members_by_name and name != self._settings.name
         ]
         up = [
-            one for one in members if self._down_until_by_name.get(one.name, 0.0) <= now
+            one
+            for one in members
+            if self._down_until_by_owner.get((group, one.name), 0.0) <= now
         ]
         return (up or members)[:MAX_OWNERS_TRIED]
 
-    def _owner_failed(self, member):
+    def _owner_failed(self, group, member):
         until = self._loop.clock.now() + OWNER_PAUSE_SECONDS
-        self._down_until_by_name[member.name] = until
-        eventlog.event("owner_failed", owner=member.name)
+        self._down_until_by_owner[group, member.name] = until
+        eventlog.event("owner_failed", group=group, owner=member.name)
 
     def _update_activity(self, now):
         """Keep connections to the groups that are served or watched here only."""
         for name, group in self._groups_by_name.items():
             recent = now - group.used_at < ACTIVE_SECONDS
-            group.active = self._serves(name) or self.fleet.is_promoter or recent
+            group.active = self._holds(name) or self.fleet.is_promoter or recent
 
     # Changes of what is known
 
@@ -353,6 +372,9 @@
             eventlog.event("cut_off" if cut_off else "connected")
         if cut_off:
             self.sessions.close_idle()
+        for name, group in self._groups_by_name.items():
+            if group.active and group.lacks_primary(now):
+                self.sessions.close_idle(name)
 
     # Answers
 
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -44,6 +44,7 @@
         self._work = None
         self._idle_timer = None
         self.database = None
+        self.group = None
         self.active_at = self._loop.clock.now()
         self._stream = transport.Stream(
             self._loop, sock, self._on_data, self._on_closed
@@ -60,6 +61,10 @@
             and (self._relay is None or self._relay.at_rest)
         )
 
+    def is_served_here(self, group):
+        """Return whether it is a session of the group that no other proxy serves."""
+        return self.group == group and self._relay is None
+
     def close(self):
         """Close the connection after what has been written to it."""
         self._stream.close_when_sent()
@@ -155,8 +160,8 @@
             self._refuse(Code.UNKNOWN_DATABASE, message.database)
             return
         if self._relayed:
-            if self._server.cut_off():
-                self._refuse(Code.BUSY, "cut off")
+            if self._server.cannot_serve(route.group):
+                self._refuse(Code.BUSY, "the primary is out of reach")
                 return
         elif not self._server.serves(route.group):
             taken = yield from self._open_relay(route, line + LINE_END)
@@ -164,6 +169,7 @@
                 self._refuse(Code.BUSY, "no owner of the group answers")
                 return
         self.database = message.database
+        self.group = route.group
         self._stream.write(self._server.dialect.encode_ready())
 
     def _open_relay(self, route, first_line):
@@ -192,7 +198,7 @@
                     relay.close()
                 return True
             relay.close()
-            self._server.owner_failed(member)
+            self._server.owner_failed(route.group, member)
         return False
 
     def _pass_on(self, data):
@@ -361,16 +367,16 @@
     owners_for : callable
         Returns the members to relay a group's session to, the preferred one first.
     owner_failed : callable
-        Takes a member that did not take a session.
-    cut_off : callable
-        Whether this process is cut off from the other failure domains.
+        Takes a group and a member that did not take a session of it.
+    cannot_serve : callable
+        Whether a relayed session of a group is better served elsewhere.
     """
 
     knows_deployment: object
     serves: object
     owners_for: object
     owner_failed: object
-    cut_off: object
+    cannot_serve: object
 
 
 class SessionServer:
@@ -412,7 +418,7 @@
         self.serves = routing.serves
         self.owners_for = routing.owners_for
         self.owner_failed = routing.owner_failed
-        self.cut_off = routing.cut_off
+        self.cannot_serve = routing.cannot_serve
         self._sessions = set()
         self._listener = transport.Listener(loop, address, self._accept)
         self._relay_listener = transport.Listener(
@@ -446,14 +452,16 @@
         self._listener.close()
         self._relay_listener.close()
 
-    def close_idle(self):
-        """Close the sessions of which nothing is open.
+    def close_idle(self, group=None):
+        """Close the sessions of which nothing is open, of one group or of all.
 
         One that was active a moment ago is left: its client may have sent the next
         statement already, and would not know whether it ran.
         """
         now = self.loop.clock.now()
         for session in list(self._sessions):
+            if group is not None and not session.is_served_here(group):
+                continue
             if session.at_rest and now - session.active_at >= IDLE_SECONDS:
                 session.close()
 
--- a/tests/session_server.py
+++ b/tests/session_server.py
@@ -29,6 +29,7 @@
         self.group = LineGroup(self.loop)
         self.replies = []
         self.owner_up = True
+        self.lacking = False
         self.owner = self._make(serves=True)
         self.entry = self._make(serves=False)
 
@@ -67,8 +68,8 @@
                 lambda: True,
                 lambda _group: serves,
                 self._owners,
-                lambda _member: None,
-                lambda: False,
+                lambda _group, _member: None,
+                lambda _group: self.lacking,
             ),
         )
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -194,6 +194,11 @@
         client = self.new_client()
         self.assertTrue(client.open()[0].startswith(b"ERROR BUSY"))
 
+    def test_owner_without_the_primary_takes_no_session(self):
+        """Guards against sessions at an owner that can only refuse them."""
+        self.servers.lacking = True
+        self.assertTrue(self.new_client().open()[0].startswith(b"ERROR BUSY"))
+
     def close_owner_sessions(self):
         """Cut the owner's sessions once they have a statement outstanding."""
         while not self.servers.call(self.cut_busy):
