Register again until the store has the entry; watch servers from afar less closely

Cause: a proxy whose one write of its entry failed stayed unknown to the others (found while reading the code; two tests fail before).

--- a/cassiahill/catalogfeed.py
+++ b/cassiahill/catalogfeed.py
@@ -7,6 +7,7 @@
 from cassiahill.sessionfleet import View
 
 SWEEP_SECONDS = 0.2
+FAR_PAUSE_SECONDS = 2.0  # Each call counts against the store's rate for all proxies.
 
 
 @attrs.frozen
@@ -95,6 +96,17 @@
             eventlog.event("servers_from_peer", peer=peer, revision=self._peer_revision)
             self._replace_servers(view.servers)
 
+    def watch_servers(self, closely):
+        """Learn of changed servers at once, or only within seconds.
+
+        Parameters
+        ----------
+        closely : bool
+            Whether this process is connected to servers.
+        """
+        pause = following.PAUSE_SECONDS if closely else FAR_PAUSE_SECONDS
+        self._servers.pause_seconds = pause
+
     def close(self):
         """Stop following."""
         self._closed = True
--- a/cassiahill/following.py
+++ b/cassiahill/following.py
@@ -59,7 +59,7 @@
         self._rng = rng
         self._on_snapshot = on_snapshot
         self._on_change = on_change
-        self._pause_seconds = pause_seconds
+        self.pause_seconds = pause_seconds
         self._failures = 0
         self._closed = False
         self.link = LinkState()
@@ -97,7 +97,7 @@
         self.revision = max(self.revision, changes.revision)
         for change in changes.changes:
             self._on_change(change)
-        yield self._loop.sleep_until(self._loop.clock.now() + self._pause_seconds)
+        yield self._loop.sleep_until(self._loop.clock.now() + self.pause_seconds)
 
     def _pause(self):
         ceiling = min(
--- a/cassiahill/sessionfleet.py
+++ b/cassiahill/sessionfleet.py
@@ -25,8 +25,9 @@
 FIRST_RANK_SECONDS = 0.05
 REPORT_LIFE_SECONDS = 1.2
 RESIGNED_SECONDS = 3.0
+REGISTER_SECONDS = 1.0  # Between two attempts to write the own entry.
 # All proxies register at the same time, and each change ends the watches of all.
-WATCH_PAUSE_SECONDS = 1.0
+WATCH_PAUSE_SECONDS = 2.0
 LONELY_SECONDS = 1.2  # Three pulses.
 CONFIRM_SECONDS = 0.25  # The store answers in milliseconds when it answers.
 # One token for each order of a promoter: its tokens stay below the next promoter's.
@@ -341,7 +342,7 @@
         if not promoter:
             self.promoter = None
         self._local.members_changed()
-        self._register_if_needed()
+        self._register_if_needed(snapshot)
         self._check_tokens()
 
     def _take_change(self, change):
@@ -384,24 +385,40 @@
             self._tokens = None
             eventlog.event("promoter_lost", to=promoter.name)
 
-    def _register_if_needed(self):
-        if self.members_by_name.get(self._own.name) != self._own:
-            self._loop.spawn(self._register())
+    def _register_if_needed(self, snapshot):
+        if self.members_by_name.get(self._own.name) == self._own:
+            return
+        name = MEMBER_PREFIX + self._own.name
+        revisions = [one.revision for one in snapshot.objects if one.name == name]
+        self._loop.spawn(self._register(revisions[0] if revisions else None))
 
-    def _register(self):
+    def _register(self, revision):
+        """Write the own entry, again and again until the store has it."""
         if self._registering:
             return
         self._registering = True
         name = MEMBER_PREFIX + self._own.name
         value = _encode_member(self._own)
-        try:
-            stored = yield self._store.get(KIND, name)
-            if stored is None:
-                yield self._store.create(KIND, name, value)
-            elif stored.value != value:
-                yield self._store.replace(KIND, name, value, stored.revision)
-        except errors.CassiahillError as error:
-            eventlog.event("registration_failed", cause=error.detail)
+        while not self._closed:
+            try:
+                if revision is None:
+                    yield self._store.create(KIND, name, value)
+                else:
+                    yield self._store.replace(KIND, name, value, revision)
+                break
+            except errors.CassiahillError as error:
+                eventlog.event("registration_failed", cause=error.detail)
+            yield self._loop.sleep_until(self._loop.clock.now() + REGISTER_SECONDS)
+            try:
+                # The entry may be there: a write without an answer may have succeeded.
+                stored = yield self._store.get(KIND, name)
+            except errors.CassiahillError as error:
+                eventlog.event("registration_failed", cause=error.detail)
+                continue
+            if stored is not None and stored.value == value:
+                break
+            revision = None if stored is None else stored.revision
+        self.members_by_name[self._own.name] = self._own
         self._registering = False
 
     # Pulses
--- a/cassiahill/sessionproxy.py
+++ b/cassiahill/sessionproxy.py
@@ -312,6 +312,8 @@
         for name, group in self._groups_by_name.items():
             recent = now - group.used_at < ACTIVE_SECONDS
             group.active = self._holds(name) or self.fleet.is_promoter or recent
+        active = any(group.active for group in self._groups_by_name.values())
+        self.feed.watch_servers(closely=active)
 
     # Changes of what is known
 
--- a/tests/test_sessionfleet.py
+++ b/tests/test_sessionfleet.py
@@ -71,7 +71,9 @@
         return future
 
 
-class PromoterTest(unittest.TestCase):
+class FleetTest(unittest.TestCase):
+    """Starts proxies on one store."""
+
     def setUp(self):
         self.loop = SteppedLoop()
         self.store = LostAnswers()
@@ -94,6 +96,8 @@
     def promoter_of(self, *fleets):
         return [fleet for fleet in fleets if fleet.is_promoter]
 
+
+class PromoterTest(FleetTest):
     def test_first_proxy_becomes_promoter(self):
         """Guards against a deployment in which nobody orders promotions."""
         self.assertTrue(self.start("p1").is_promoter)
@@ -168,6 +172,27 @@
         self.assertIsNone(tokens.take())
 
 
+class RegistrationTest(FleetTest):
+    def test_entry_is_written_after_the_store_refused_it(self):
+        """Guards against a proxy that no other knows, because one write failed."""
+        self.store.lose = 1
+        self.start("p1")
+        self.loop.advance(3.0)
+        stored = self.store.get(KIND, "proxy.p1").result()
+        self.assertEqual(stored.value["incarnation"], "start-1")
+
+    def test_entry_is_written_after_an_outage(self):
+        """Guards against a proxy that gives up while the store is away."""
+        listed = self.store.list(KIND)
+        self.store.available = False
+        self.store.list = lambda _kind: listed
+        self.start("p1")
+        self.assertEqual(list(listed.result().objects), [])
+        self.store.available = True
+        self.loop.advance(3.0)
+        self.assertIsNotNone(self.store.get(KIND, "proxy.p1").result())
+
+
 class ReportTest(unittest.TestCase):
     def test_many_lacking_proxies_are_reported(self):
         """Guards against a primary that only the promoter reaches."""
