Relay away from a lost primary only where it helps; pause longer for lagging replicas

A group that nobody else serves is served here for a second; a refusal in a row doubles the pause up to 0.5 s.

--- a/cassiahill/evidence.py
+++ b/cassiahill/evidence.py
@@ -13,6 +13,8 @@
 KEEP_SECONDS = 10.0
 # Closer records add nothing: replicas apply commits some 20 ms late.
 SPACING_SECONDS = 0.02
+REFUSAL_PAUSE_SECONDS = 0.06  # About three times the usual delay of a replica.
+MAX_DOUBLINGS = 3
 
 
 @attrs.frozen
@@ -84,22 +86,32 @@
 
     def __init__(self):
         self.position = None
-        self.refused_at = float("-inf")
+        self._refused_at = float("-inf")
+        self._refused_position = None
+        self._refusals = 0
 
     def observe(self, position):
         """Take a position that the server stated."""
-        if position is not None:
-            self.position = position
+        if position is None:
+            return
+        self.position = position
+        if self._refused_position is not None and position >= self._refused_position:
+            self._refusals = 0
+
+    def refused(self, position, now):
+        """Take note that the server lacked a position."""
+        self._refused_at = now
+        self._refused_position = position
+        self._refusals += 1
 
     def may_have(self, position, now):
         """Return whether it is worth asking the server for a position.
 
         A server that refused is asked again after a pause, unless it has stated the
-        position since.
+        position since. The pause doubles while the server stays behind.
         """
         if self.position is not None and self.position >= position:
             return True
-        return now - self.refused_at >= REFUSAL_PAUSE_SECONDS
-
-
-REFUSAL_PAUSE_SECONDS = 0.06  # About three times the usual delay of a replica.
+        doublings = min(max(0, self._refusals - 1), MAX_DOUBLINGS)
+        pause = REFUSAL_PAUSE_SECONDS * 2**doublings
+        return now - self._refused_at >= pause
--- a/cassiahill/groupwork.py
+++ b/cassiahill/groupwork.py
@@ -224,8 +224,16 @@
         if reply.position is not None and self.primary.believed == server_id:
             self.evidence.record(evidence.Proof(asked_at, server_id, reply.position))
 
-    def refused(self, connection, code):
-        """Take the refusal of a statement that did not run."""
+    def refused(self, connection, code, after=None):
+        """Take the refusal of a statement that did not run.
+
+        Parameters
+        ----------
+        connection : lineconnections.LineConnection
+        code : statements.Code
+        after : positions.LogPosition or None
+            Position that the statement asked for.
+        """
         now = self._loop.clock.now()
         server_id = connection.server.server_id
         match code:
@@ -233,8 +241,8 @@
                 if self.primary.refuted(server_id, now):
                     self._log_primary("refused")
             case Code.NOT_CURRENT:
-                if self.progress_by_id.get(server_id) is not None:
-                    self.progress_by_id[server_id].refused_at = now
+                if server_id in self.progress_by_id:
+                    self.progress_by_id[server_id].refused(after, now)
                 if self.primary.refuted(server_id, now):
                     # A primary has every position that was proved, unless its term
                     # has ended or it has lost its log.
--- a/cassiahill/metrics.py
+++ b/cassiahill/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of a process in the Prometheus text format.
 
-``docs/operations.md`` lists every name and label; a test compares the list.
+``docs/OPERATIONS.md`` lists every name and label; a test compares the list.
 """
 
 import prometheus_client
@@ -123,7 +123,7 @@
 
 
 def reference():
-    """Return the table of names and labels for ``docs/operations.md``."""
+    """Return the table of names and labels for ``docs/OPERATIONS.md``."""
     lines = ["| metric | type | labels | meaning |", "| --- | --- | --- | --- |"]
     for metric in vars(Metrics()).values():
         if isinstance(metric, Counter | Gauge | Histogram):
--- a/cassiahill/sessionproxy.py
+++ b/cassiahill/sessionproxy.py
@@ -30,6 +30,8 @@
 MAX_OWNERS_TRIED = 4  # Each takes up to 0.3 s, and clients wait 2 s for a session.
 OWNER_PAUSE_SECONDS = 1.0
 ACTIVE_SECONDS = 5.0
+# For this long it is not asked again whether others reach the primary.
+ALONE_SECONDS = 1.0
 METRICS_PATH = "/metrics"
 STATE_PATH = "/v1/state"
 
@@ -89,6 +91,8 @@
         self._groups_by_name = {}
         self._owners_by_group = {}
         self._down_until_by_owner = {}
+        self._relayed_at_by_group = {}
+        self._alone_until_by_group = {}
         self._takeovers_by_group = {}
         self.metrics = sessionmetrics.SessionMetrics()
         self.catalog = catalog.Catalog()
@@ -124,6 +128,8 @@
                 self._serves,
                 self._owners_for,
                 self._owner_failed,
+                self._relay_opened,
+                self._relay_failed,
                 self._cannot_serve,
             ),
         )
@@ -266,7 +272,10 @@
     # Owners
 
     def _serves(self, group):
-        return self._holds(group) and not self._lacks_primary(group)
+        if not self._holds(group):
+            return False
+        alone = self._loop.clock.now() < self._alone_until_by_group.get(group, 0.0)
+        return alone or not self._lacks_primary(group)
 
     def _cannot_serve(self, group):
         return self._cut_off or self._lacks_primary(group)
@@ -303,9 +312,25 @@
         return (up or members)[:MAX_OWNERS_TRIED]
 
     def _owner_failed(self, group, member):
-        until = self._loop.clock.now() + OWNER_PAUSE_SECONDS
-        self._down_until_by_owner[group, member.name] = until
-        eventlog.event("owner_failed", group=group, owner=member.name)
+        now = self._loop.clock.now()
+        if self._down_until_by_owner.get((group, member.name), 0.0) <= now:
+            eventlog.event("owner_failed", group=group, owner=member.name)
+        self._down_until_by_owner[group, member.name] = now + OWNER_PAUSE_SECONDS
+
+    def _relay_opened(self, group):
+        self._relayed_at_by_group[group] = self._loop.clock.now()
+
+    def _relay_failed(self, group):
+        """Serve a group here for a while, when nobody else reaches its primary."""
+        if not self._holds(group):
+            return False
+        until = self._loop.clock.now() + ALONE_SECONDS
+        self._alone_until_by_group[group] = until
+        return True
+
+    def _is_served_elsewhere(self, group, now):
+        relayed_at = self._relayed_at_by_group.get(group, float("-inf"))
+        return now - relayed_at < ALONE_SECONDS
 
     def _update_activity(self, now):
         """Keep connections to the groups that are served or watched here only."""
@@ -375,7 +400,8 @@
         if cut_off:
             self.sessions.close_idle()
         for name, group in self._groups_by_name.items():
-            if group.active and group.lacks_primary(now):
+            lacking = group.active and group.lacks_primary(now)
+            if lacking and self._is_served_elsewhere(name, now):
                 self.sessions.close_idle(name)
 
     # Answers
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -165,7 +165,7 @@
                 return
         elif not self._server.serves(route.group):
             taken = yield from self._open_relay(route, line + LINE_END)
-            if not taken:
+            if not taken and not self._server.relay_failed(route.group):
                 self._refuse(Code.BUSY, "no owner of the group answers")
                 return
         self.database = message.database
@@ -194,6 +194,7 @@
             yield self._loop.first_done(relay.opening, self._loop.sleep_until(deadline))
             if relay.opening.done() and relay.opening.result():
                 self._relay = relay
+                self._server.relay_opened(route.group)
                 if self._stream.closed:
                     relay.close()
                 return True
@@ -368,6 +369,11 @@
         Returns the members to relay a group's session to, the preferred one first.
     owner_failed : callable
         Takes a group and a member that did not take a session of it.
+    relay_opened : callable
+        Takes a group of which another proxy took a session.
+    relay_failed : callable
+        Takes a group of which no other proxy took a session; returns whether it is
+        served here all the same.
     cannot_serve : callable
         Whether a relayed session of a group is better served elsewhere.
     """
@@ -376,6 +382,8 @@
     serves: object
     owners_for: object
     owner_failed: object
+    relay_opened: object
+    relay_failed: object
     cannot_serve: object
 
 
@@ -418,6 +426,8 @@
         self.serves = routing.serves
         self.owners_for = routing.owners_for
         self.owner_failed = routing.owner_failed
+        self.relay_opened = routing.relay_opened
+        self.relay_failed = routing.relay_failed
         self.cannot_serve = routing.cannot_serve
         self._sessions = set()
         self._listener = transport.Listener(loop, address, self._accept)
--- a/cassiahill/sessionwork.py
+++ b/cassiahill/sessionwork.py
@@ -254,7 +254,7 @@
             self._drop(lease)
             return Retry("no answer to a read")
         if reply.code in NOT_RUN_CODES:
-            self._group.refused(lease.connection, reply.code)
+            self._group.refused(lease.connection, reply.code, lease.after)
             self._give_back(lease)
             return Retry(reply.code.value)
         self._give_back(lease)
@@ -335,7 +335,7 @@
             self._drop(lease)
             return Retry("no answer to a begin")
         if reply.code is not None:
-            self._group.refused(lease.connection, reply.code)
+            self._group.refused(lease.connection, reply.code, lease.after)
             self._give_back(lease)
             return Retry(reply.code.value)
         if not transaction.read_only:
--- a/tests/session_server.py
+++ b/tests/session_server.py
@@ -69,6 +69,8 @@
                 lambda _group: serves,
                 self._owners,
                 lambda _group, _member: None,
+                lambda _group: None,
+                lambda _group: False,
                 lambda _group: self.lacking,
             ),
         )
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -74,11 +74,23 @@
         """Guards against a lagging replica that is asked for each read."""
         progress = ReplicaProgress()
         progress.observe(LogPosition(1, 3))
-        progress.refused_at = 10.0
+        progress.refused(LogPosition(1, 4), 10.0)
         self.assertFalse(progress.may_have(LogPosition(1, 4), 10.01))
         self.assertTrue(progress.may_have(LogPosition(1, 4), 10.2))
         self.assertTrue(progress.may_have(LogPosition(1, 3), 10.01))
 
+    def test_pause_grows_while_the_server_stays_behind(self):
+        """Guards against reads that go round between lagging replicas."""
+        progress = ReplicaProgress()
+        progress.observe(LogPosition(1, 3))
+        for at in (10.0, 10.1, 10.3):
+            progress.refused(LogPosition(1, 9), at)
+        self.assertFalse(progress.may_have(LogPosition(1, 9), 10.5))
+        progress.observe(LogPosition(1, 9))
+        self.assertTrue(progress.may_have(LogPosition(1, 9), 10.5))
+        progress.refused(LogPosition(1, 12), 11.0)
+        self.assertTrue(progress.may_have(LogPosition(1, 12), 11.1))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -29,5 +29,5 @@
 
     def test_reference(self):
         """Guards against a page that differs from the metrics."""
-        page = pathlib.Path("docs/operations.md").read_text()
+        page = pathlib.Path("docs/OPERATIONS.md").read_text()
         self.assertIn(metrics.reference(), page)
