Let a reachable primary step down before its commits are given up

The primary now steps down first, and the switch is dropped if a commit was acknowledged since the pause. Ruled out: orders carried out late (no order was outstanding).

--- a/cassiahill/groupwork.py
+++ b/cassiahill/groupwork.py
@@ -97,6 +97,7 @@
         self._writes_outstanding = 0
         self._writes_unanswered = 0
         self._writes_stuck_since = None
+        self.acknowledged_at = float("-inf")
         self._ticked_at = loop.clock.now()
         self._tick()
 
@@ -344,11 +345,13 @@
         if self._writes_stuck_since is None:
             self._writes_stuck_since = self._loop.clock.now()
 
-    def write_ended(self, answered):
-        """Count its end; without an answer, the time since the last one goes on."""
+    def write_ended(self, reply):
+        """Count its end; without a reply, the time since the last one goes on."""
         self._writes_outstanding -= 1
-        if answered:
+        if reply is not None:
             now = self._loop.clock.now()
+            if reply.code is None:
+                self.acknowledged_at = now
             self._writes_unanswered = self._writes_outstanding
             self._writes_stuck_since = now if self._writes_outstanding else None
 
--- a/cassiahill/sessionwork.py
+++ b/cassiahill/sessionwork.py
@@ -158,7 +158,7 @@
             return ready
         self._group.write_sent()
         reply = yield from self._ask(lease, job)
-        self._group.write_ended(reply is not None)
+        self._group.write_ended(reply)
         if reply is None:
             self._drop(lease)
             return Reply(code=Code.OUTCOME_UNKNOWN, detail="no answer to a write")
@@ -349,7 +349,7 @@
             self._group.write_sent()
         reply = yield from self._ask(lease, job)
         if transaction.wrote:
-            self._group.write_ended(reply is not None)
+            self._group.write_ended(reply)
         transaction.lease = None
         if reply is None:
             self._drop(lease)
--- a/cassiahill/statements.py
+++ b/cassiahill/statements.py
@@ -140,6 +140,13 @@
     """Lets a paused replica receive the log again."""
 
 
+@attrs.frozen
+class StepDown:
+    """Makes a primary of a lower term a replica; it acknowledges nothing more."""
+
+    term: int
+
+
 @attrs.frozen
 class OpenSession:
     """First message of a client: the database that it wants."""
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -28,6 +28,7 @@
 CONFIRM_SECONDS = 1.6  # A promotion takes about a second.
 CONFIRM_ROUNDS = 3
 STEP_SECONDS = 0.03
+DELIVERY_SECONDS = 0.06  # An acknowledgement on its way has arrived after this.
 WAITS_UNTIL_RESIGNING = 2  # Another process may reach the replicas that this one lacks.
 
 
@@ -229,11 +230,13 @@
 
     def _make_safe(self, primary, successor, others, term):
         """Pause the others and let the successor catch up; return whom to promote."""
+        paused_at = self._loop.clock.now()
         paused = yield from self._ask_all(others, statements.PauseReceiving(term))
         if any(one.received is None for one in paused):
             return None
         needed = max((one.received for one in paused), default=None)
         seconds = UNPLANNED_CATCH_UP_SECONDS
+        old = Standing(primary, False, None)
         if primary in self._group.pools_by_id:
             old = yield from self._ask(primary, statements.ReadStatus())
             if old.received is not None:
@@ -250,7 +253,17 @@
         last = yield from self._ask(successor, statements.PauseReceiving(term))
         if last.received is None:
             return None
-        # All replicas are paused: nothing more is acknowledged, the longest log wins.
+        # All known replicas are paused. One that has just started may not be known, so
+        # a primary that can be reached must stop before its commits are given up.
+        if old.received is not None:
+            if self._group.acknowledged_at > paused_at:
+                return None
+            stopped = yield from self._ask(primary, statements.StepDown(term))
+            if stopped.received is None:
+                return None
+            yield self._loop.sleep_until(self._loop.clock.now() + DELIVERY_SECONDS)
+            if self._group.acknowledged_at > paused_at:
+                return primary
         return choose_successor([*paused, last])
 
     def _order(self, successor, token):
--- a/tests/line_group.py
+++ b/tests/line_group.py
@@ -58,6 +58,7 @@
         self.ran = []
         self.committed = []
         self.acknowledged = []
+        self.acknowledged_before_promotion = []
         start = [LogPosition(1, 1)]
         self.by_id = {
             one: Server(one, f"domain-{one}", list(start), applied=1) for one in servers
@@ -84,6 +85,7 @@
     def promote(self, server_id):
         """Make a server the primary; positions that it lacks are rolled back."""
         new = self.by_id[server_id]
+        self.acknowledged_before_promotion = list(self.acknowledged)
         self.term += 1
         self.primary = server_id
         new.term = self.term
@@ -111,6 +113,8 @@
 
     def _replicate(self, replica):
         primary = self.by_id[self.primary]
+        if replica is primary:
+            return False
         if replica.dark or replica.deaf or replica.paused_term:
             return False
         replica.log = list(primary.log)
@@ -274,6 +278,8 @@
                 server.paused_term = term
             case statements.ResumeReceiving():
                 server.paused_term = 0
+            case statements.StepDown() if leads:
+                self._group.primary = None
         return self._reply(state, rows=(self._report(leads),))
 
     def _resolve(self, statement):
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -6,7 +6,9 @@
 from cassiahill import takeover
 from cassiahill.loop import completed
 from cassiahill.positions import LogPosition
+from cassiahill.statements import Access, Run
 from cassiahill.takeover import OrderResult, Standing, Symptoms
+from tests.line_group import Server
 from tests.session_builders import Bench
 
 
@@ -149,6 +151,47 @@
         self.bench.servers.by_id[successor].deaf = True
         self.assertFalse(self.bench.servers.commit(self.bench.servers.by_id["a"]))
 
+    def isolate_primary(self):
+        """Cut the primary from its replicas; writes are tried all the while."""
+        for server_id in ("b", "c"):
+            self.bench.servers.by_id[server_id].deaf = True
+        self.bench.write(self.bench.session())
+        for number in range(3):
+            job = self.bench.job(Run(Access.WRITE, f"stuck {number}"), Access.WRITE)
+            self.bench.loop.spawn(self.bench.session().run(job))
+
+    def write_and_run(self, seconds):
+        """Go on writing while the promoter looks at the symptoms."""
+        for _ in range(int(seconds / 0.2)):
+            job = self.bench.job(Run(Access.WRITE, "more"), Access.WRITE)
+            self.bench.loop.spawn(self.bench.session().run(job))
+            self.run_for(0.2)
+
+    def test_isolated_primary_is_replaced(self):
+        """Guards against writes that stop for the whole time of a cut."""
+        self.make()
+        self.isolate_primary()
+        self.write_and_run(5.0)
+        self.assertEqual(len(self.orders.given), 1)
+        self.assertIn(self.orders.given[0][0], {"b", "c"})
+
+    def test_commit_acknowledged_by_an_unregistered_replica_is_kept(self):
+        """Guards against a loss by a replica that started during the switch.
+
+        Found by the day late-orders: the first commits after its start were lost.
+        """
+        for start in (0.4, 0.8, 1.2, 1.6, 2.0, 2.4):
+            self.make()
+            self.isolate_primary()
+            self.write_and_run(start)
+            primary = self.bench.servers.by_id["a"]
+            self.bench.servers.by_id["new"] = Server("new", "domain-a", primary.log[:])
+            self.write_and_run(5.0)
+            for server_id, _ in self.orders.given[:1]:
+                log = self.bench.servers.by_id[server_id].log
+                for position in self.bench.servers.acknowledged_before_promotion:
+                    self.assertIn(position, log, start)
+
     def test_draining_primary_hands_over_while_it_serves(self):
         """Guards against writes that stop for the time of a planned switch."""
         self.make()
