Split the session fleet, the session server and the owners into modules

Moves code only: pulses and members, the promoter's place, the listeners of sessions, and the choice of owners get modules of their own.

--- a/cassiahill/catalogfeed.py
+++ b/cassiahill/catalogfeed.py
@@ -4,7 +4,7 @@
 
 from cassiahill import eventlog, following
 from cassiahill.catalog import Added
-from cassiahill.sessionfleet import View
+from cassiahill.pulses import View
 
 SWEEP_SECONDS = 0.2
 FAR_PAUSE_SECONDS = 2.0  # Each call counts against the store's rate for all proxies.
--- a/cassiahill/sessionfleet.py
+++ b/cassiahill/sessionfleet.py
@@ -1,147 +1,32 @@
-"""The session proxies of a deployment: who they are, and which one orders promotions.
+"""The session proxies of a deployment: who they are, and what they tell each other.
 
-Each proxy registers itself in the shared store. One object there names the promoter,
-the only proxy that orders promotions; its revision gives the fencing token. Every proxy
-sends pulses to the promoter, also to learn of a newer configuration when the store
-turns it away. When the promoter is silent, the next proxy takes its place with a
-conditional write. A promoter that still acts is then refused by its lower token.
+Each proxy registers itself in the shared store. It sends pulses to the promoter, to see
+that it lives and to report lost primaries, and to peers, to see whether it is cut off.
+The answers also tell of a newer configuration when the store turns the proxy away.
 """
 
-import attrs
 import msgspec
-import xxhash
 
-from cassiahill import errors, eventlog, following, http1, reachability, takeover
+from cassiahill import (
+    errors,
+    eventlog,
+    following,
+    http1,
+    promoters,
+    pulses,
+    reachability,
+    takeover,
+)
+from cassiahill.pulses import MEMBER_PREFIX, PULSE_PATH, VIEW_PATH
 
 KIND = "proxies"
-MEMBER_PREFIX = "proxy."
-PROMOTER_NAME = "promoter"
-PULSE_PATH = "/v1/pulse"
-VIEW_PATH = "/v1/view"
 PULSE_SECONDS = 0.4
 PULSE_TIMEOUT_SECONDS = 0.4
-SILENT_SECONDS = 1.3  # Three pulses; a restart of the promoter takes longer.
-RANK_SECONDS = 0.4  # The next proxy waits this long for the one before it.
-FIRST_RANK_SECONDS = 0.05
 REPORT_LIFE_SECONDS = 1.2
-RESIGNED_SECONDS = 3.0
 REGISTER_SECONDS = 1.0  # Between two attempts to write the own entry.
 # All proxies register at the same time, and each change ends the watches of all.
 WATCH_PAUSE_SECONDS = 2.0
 LONELY_SECONDS = 1.2  # Three pulses.
-CONFIRM_SECONDS = 0.25  # The store answers in milliseconds when it answers.
-# One token for each order of a promoter: its tokens stay below the next promoter's.
-TOKENS_PER_REVISION = 1000
-
-
-class Pulse(msgspec.Struct):
-    """What a proxy tells the promoter, or a peer while the store is away.
-
-    ``watched`` names the groups whose servers it is connected to, and ``lacking`` those
-    of them whose primary it does not reach.
-    """
-
-    name: str
-    version: int
-    servers_revision: int
-    lacking: list[str] = []
-    watched: list[str] = []
-
-
-class PulseAnswer(msgspec.Struct):
-    """Answer to a pulse."""
-
-    version: int
-    servers_revision: int
-    promoter: bool
-    cut_off: bool = False
-
-
-class View(msgspec.Struct):
-    """What a proxy has learned from the shared store, as it was written there."""
-
-    configuration: object
-    servers_revision: int
-    servers: dict[str, object]
-    members: dict[str, object] = {}
-
-
-_pulse_decoder = msgspec.json.Decoder(Pulse)
-_answer_decoder = msgspec.json.Decoder(PulseAnswer)
-_view_decoder = msgspec.json.Decoder(View)
-
-
-@attrs.frozen
-class Member:
-    """A registered proxy.
-
-    Attributes
-    ----------
-    name : str
-    address : tuple of (str, int)
-        For pulses.
-    relay_address : tuple of (str, int)
-        For sessions that other proxies relay there.
-    failure_domain : str
-    incarnation : str
-        Differs for each start of the process.
-    """
-
-    name: str
-    address: tuple
-    relay_address: tuple
-    failure_domain: str
-    incarnation: str
-
-
-@attrs.frozen
-class Promoter:
-    """The proxy that orders promotions, as the store names it."""
-
-    name: str
-    incarnation: str
-    revision: int
-
-
-@attrs.define
-class Tokens:
-    """Fencing tokens of one promoter's term; each is given once."""
-
-    revision: int
-    given: int = 0
-
-    def take(self):
-        """Return the next token, or None when the term has none left."""
-        if self.given >= TOKENS_PER_REVISION - 1:
-            return None
-        self.given += 1
-        return self.revision * TOKENS_PER_REVISION + self.given
-
-
-def _encode_member(member):
-    return {
-        "address": list(member.address),
-        "relay_address": list(member.relay_address),
-        "failure_domain": member.failure_domain,
-        "incarnation": member.incarnation,
-    }
-
-
-def _decode_member(stored_name, value):
-    """Return the member that an object describes, or None for another writer's."""
-    if not stored_name.startswith(MEMBER_PREFIX):
-        return None
-    try:
-        return Member(
-            stored_name.removeprefix(MEMBER_PREFIX),
-            (str(value["address"][0]), int(value["address"][1])),
-            (str(value["relay_address"][0]), int(value["relay_address"][1])),
-            str(value["failure_domain"]),
-            str(value["incarnation"]),
-        )
-    except (KeyError, IndexError, TypeError, ValueError) as error:
-        eventlog.event("member_unreadable", name=stored_name, cause=repr(error))
-        return None
 
 
 class LocalState:
@@ -210,21 +95,18 @@
         self._clients_by_address = {}
         self._reports_by_name = {}
         self._reported_since_by_group = {}
-        self._tokens = None
-        self._claiming = False
         self._registering = False
-        self._heard_at = loop.clock.now()
         self._answered_at = loop.clock.now()
         self._guide_cut_off = False
         self._contacts_by_domain = {}
         self._members_from_peer = False
-        self._resigned_until = float("-inf")
         self._woken_at = loop.clock.now()
         self._closed = False
-        self.leaving = False
         self.silent_guides = 0  # Moves on to the next guide.
         self.members_by_name = {}
-        self.promoter = None
+        self.place = promoters.PromoterPlace(
+            loop, store, KIND, own, lambda: self.members_by_name
+        )
         self.follower = following.KindFollower(
             loop,
             store,
@@ -238,24 +120,6 @@
         # By then the store has answered, and proxies that started together spread out.
         loop.call_at(loop.clock.now() + PULSE_SECONDS * rng.random(), self._tick)
 
-    @property
-    def is_promoter(self):
-        """Whether this process may order promotions, as far as it knows."""
-        resigned = self._loop.clock.now() < self._resigned_until
-        return self._tokens is not None and not self.leaving and not resigned
-
-    def next_token(self):
-        """Return a fencing token for one order, or None."""
-        return self._tokens.take() if self.is_promoter else None
-
-    def confirm(self):
-        """Return the future of whether the store still names this process.
-
-        Without an answer of the store the process goes on with the tokens that it
-        has: a successor's orders carry higher ones.
-        """
-        return self._loop.spawn(self._confirm())
-
     def peers_are_cut_off(self, now):
         """Return whether the guide is cut off, or no peer answers."""
         return self._guide_cut_off or now - self._answered_at > LONELY_SECONDS
@@ -269,17 +133,11 @@
         """Return what this process knows, for a peer."""
         view = self._local.view()
         view.members = {
-            MEMBER_PREFIX + name: _encode_member(member)
+            MEMBER_PREFIX + name: pulses.encode_member(member)
             for name, member in self.members_by_name.items()
         }
         return view
 
-    def resign(self):
-        """Let another proxy order promotions, because this one cannot."""
-        if self.is_promoter:
-            self._resigned_until = self._loop.clock.now() + RESIGNED_SECONDS
-            eventlog.event("promoter_resigns")
-
     def contacts(self):
         """Return what is known of the paths to other failure domains."""
         return [
@@ -295,9 +153,7 @@
         """Return the state as plain values."""
         return {
             "members": sorted(self.members_by_name),
-            "promoter": None if self.promoter is None else self.promoter.name,
-            "is_promoter": self.is_promoter,
-            "tokens_given": 0 if self._tokens is None else self._tokens.given,
+            **self.place.dump(),
         }
 
     def close(self):
@@ -316,10 +172,7 @@
         ------
         errors.MalformedRequest
         """
-        try:
-            pulse = _pulse_decoder.decode(body)
-        except msgspec.DecodeError as error:
-            raise errors.MalformedRequest("not a pulse") from error
+        pulse = pulses.decode_pulse(body)
         now = self._loop.clock.now()
         self._reports_by_name[pulse.name] = (now, pulse)
         version, revision = self._local.versions()
@@ -328,63 +181,40 @@
             if member is not None:
                 self._loop.spawn(self._fetch_view(member.name, member.address))
         return http1.json_response(
-            PulseAnswer(version, revision, self.is_promoter, self._local.is_cut_off())
+            pulses.PulseAnswer(
+                version, revision, self.place.is_promoter, self._local.is_cut_off()
+            )
         )
 
     # Members and promoter, as the store has them
 
     def _take_snapshot(self, snapshot):
         self.members_by_name = {}
-        promoter = None
         for stored in snapshot.objects:
             self._take_stored(stored)
-            promoter = promoter or stored.name == PROMOTER_NAME
-        if not promoter:
-            self.promoter = None
+        if all(one.name != promoters.PROMOTER_NAME for one in snapshot.objects):
+            self.place.take_deletion()
         self._local.members_changed()
         self._register_if_needed(snapshot)
-        self._check_tokens()
 
     def _take_change(self, change):
         if not change.deleted:
             self._take_stored(change.stored)
-        elif change.stored.name == PROMOTER_NAME:
-            self.promoter = None
+        elif change.stored.name == promoters.PROMOTER_NAME:
+            self.place.take_deletion()
         else:
             name = change.stored.name.removeprefix(MEMBER_PREFIX)
             self.members_by_name.pop(name, None)
         self._local.members_changed()
-        self._check_tokens()
 
     def _take_stored(self, stored):
-        value = stored.value if isinstance(stored.value, dict) else {}
-        incarnation = str(value.get("incarnation"))
-        if stored.name == PROMOTER_NAME:
-            known = self.promoter
-            if known is None or stored.revision > known.revision:
-                holder = str(value.get("holder"))
-                self.promoter = Promoter(holder, incarnation, stored.revision)
-                self._heard_at = self._loop.clock.now()
-                eventlog.event(
-                    "promoter_changed", holder=holder, revision=stored.revision
-                )
+        if stored.name == promoters.PROMOTER_NAME:
+            self.place.take_stored(stored)
             return
-        member = _decode_member(stored.name, value)
+        member = pulses.decode_member(stored.name, stored.value)
         if member is not None:
             self.members_by_name[member.name] = member
 
-    def _check_tokens(self):
-        """Stop ordering when the store names another promoter."""
-        promoter = self.promoter
-        if self._tokens is None or promoter is None:
-            return
-        own = (self._own.name, self._own.incarnation)
-        if (promoter.name, promoter.incarnation) == own:
-            return
-        if promoter.revision > self._tokens.revision:
-            self._tokens = None
-            eventlog.event("promoter_lost", to=promoter.name)
-
     def _register_if_needed(self, snapshot):
         if self.members_by_name.get(self._own.name) == self._own:
             return
@@ -398,7 +228,7 @@
             return
         self._registering = True
         name = MEMBER_PREFIX + self._own.name
-        value = _encode_member(self._own)
+        value = pulses.encode_member(self._own)
         while not self._closed:
             try:
                 if revision is None:
@@ -429,16 +259,17 @@
         now = self._loop.clock.now()
         if now - self._woken_at > 2 * PULSE_SECONDS:
             # This process stood still: the silence of others proves nothing.
-            self._heard_at = now
+            self.place.heard(now)
             self._answered_at = now
             self._contacts_by_domain.clear()
         self._woken_at = now
-        if self.is_promoter:
-            self._heard_at = now
+        if self.place.is_promoter:
+            self.place.heard(now)
             self._collect_reports(now)
         else:
             self._send_pulse(self._promoter_member())
-            self._consider_claim(now)
+            if self.follower.revision:
+                self.place.consider_claim(now)
         self._send_pulse(self._local.guide())
         self._send_pulse(self._member_elsewhere())
         if not self.members_are_known and self._seed_addresses:
@@ -452,9 +283,8 @@
         self._timer = self._loop.call_at(now + PULSE_SECONDS * jitter, self._tick)
 
     def _promoter_member(self):
-        if self.promoter is None:
-            return None
-        return self.members_by_name.get(self.promoter.name)
+        promoter = self.place.promoter
+        return None if promoter is None else self.members_by_name.get(promoter.name)
 
     def _member_elsewhere(self):
         """Return a member of another failure domain, a different one each time."""
@@ -471,7 +301,7 @@
 
     def _pulse(self, member):
         version, revision = self._local.versions()
-        pulse = Pulse(
+        pulse = pulses.Pulse(
             self._own.name,
             version,
             revision,
@@ -486,9 +316,9 @@
             response = yield client.request(
                 "POST", PULSE_PATH, msgspec.json.encode(pulse), (), deadline
             )
-            answer = _answer_decoder.decode(response.body)
-        except (errors.CassiahillError, msgspec.DecodeError):
-            # The silence itself is what counts; see ``_consider_claim``.
+            answer = pulses.decode_answer(response.body)
+        except errors.CassiahillError:
+            # The silence itself is what counts; see ``PromoterPlace``.
             self._note_contact(member, answered=False)
             guide = self._local.guide()
             if guide is not None and guide.name == member.name:
@@ -499,15 +329,12 @@
         guide = self._local.guide()
         if guide is not None and guide.name == member.name:
             self._guide_cut_off = answer.cut_off
-        promoter = self.promoter
+        promoter = self.place.promoter
         if promoter is not None and promoter.name == member.name:
             if answer.promoter:
-                self._heard_at = self._loop.clock.now()
+                self.place.heard(self._loop.clock.now())
             else:
-                # It leaves or has resigned: no need to wait for its silence.
-                self._heard_at = min(
-                    self._heard_at, self._loop.clock.now() - SILENT_SECONDS
-                )
+                self.place.released(self._loop.clock.now())
         newer_servers = (
             answer.servers_revision > revision and self._local.store_is_away()
         )
@@ -528,16 +355,16 @@
         try:
             client = http1.ClientConnection(self._loop, address)
             response = yield client.request("GET", VIEW_PATH, b"", (), deadline)
-            view = _view_decoder.decode(response.body)
+            view = pulses.decode_view(response.body)
             client.close()
-        except (errors.CassiahillError, msgspec.DecodeError) as error:
+        except errors.CassiahillError as error:
             eventlog.event("view_failed", peer=name, cause=repr(error))
             return
         self._local.take_view(view, name)
         if not self.members_are_known and view.members:
             self._members_from_peer = True
             for stored_name, value in view.members.items():
-                member = _decode_member(stored_name, value)
+                member = pulses.decode_member(stored_name, value)
                 if member is not None:
                     self.members_by_name[member.name] = member
             self._local.members_changed()
@@ -563,86 +390,3 @@
                 self._reported_since_by_group.setdefault(group, now)
             else:
                 self._reported_since_by_group.pop(group, None)
-
-    # The promoter's place
-
-    def _rank(self):
-        """Return this proxy's place among those that may follow the promoter."""
-        gone = None if self.promoter is None else self.promoter.name
-        names = {name for name in self.members_by_name if name != gone}
-        names.add(self._own.name)
-        seed = 0 if self.promoter is None else self.promoter.revision
-        ordered = sorted(
-            names, key=lambda name: xxhash.xxh3_64_intdigest(name.encode(), seed)
-        )
-        return ordered.index(self._own.name)
-
-    def _consider_claim(self, now):
-        if self._claiming or self.leaving or not self.follower.revision:
-            return
-        if now < self._resigned_until:
-            return
-        promoter = self.promoter
-        if promoter is None:
-            wait = FIRST_RANK_SECONDS * self._rank()
-        elif promoter.name == self._own.name:
-            wait = 0.0
-        else:
-            wait = SILENT_SECONDS + RANK_SECONDS * self._rank()
-        if now - self._heard_at >= wait:
-            self._claiming = True
-            self._loop.spawn(self._claim(promoter))
-
-    def _claim(self, promoter):
-        value = {"holder": self._own.name, "incarnation": self._own.incarnation}
-        try:
-            if promoter is None:
-                stored = yield self._store.create(KIND, PROMOTER_NAME, value)
-            else:
-                stored = yield self._store.replace(
-                    KIND, PROMOTER_NAME, value, promoter.revision
-                )
-            self._own_claim(stored)
-        except errors.Conflict:
-            yield from self._learn_promoter()
-        except errors.CassiahillError as error:
-            eventlog.event("claim_failed", cause=error.detail)
-            yield from self._learn_promoter()
-        finally:
-            self._claiming = False
-
-    def _learn_promoter(self):
-        """Read who the promoter is; an unanswered claim may have succeeded."""
-        try:
-            stored = yield self._store.get(KIND, PROMOTER_NAME)
-        except errors.CassiahillError as error:
-            eventlog.event("promoter_unknown", cause=error.detail)
-            return
-        if stored is None:
-            return
-        self._take_stored(stored)
-        if stored.value == {
-            "holder": self._own.name,
-            "incarnation": self._own.incarnation,
-        }:
-            self._own_claim(stored)
-
-    def _confirm(self):
-        deadline = self._loop.clock.now() + CONFIRM_SECONDS
-        late = errors.PlatformUnavailable("no answer in time")
-        try:
-            stored = yield self._loop.with_deadline(
-                self._store.get(KIND, PROMOTER_NAME), deadline, late
-            )
-        except errors.CassiahillError as error:
-            eventlog.event("promoter_unconfirmed", cause=error.detail)
-            return self.is_promoter
-        if stored is not None:
-            self._take_stored(stored)
-            self._check_tokens()
-        return self.is_promoter
-
-    def _own_claim(self, stored):
-        if self._tokens is None or stored.revision > self._tokens.revision:
-            self._tokens = Tokens(stored.revision)
-            eventlog.event("promoter_gained", revision=stored.revision)
--- a/cassiahill/sessionproxy.py
+++ b/cassiahill/sessionproxy.py
@@ -5,20 +5,20 @@
 import signal
 
 import attrs
-import xxhash
 
 from cassiahill import (
     catalog,
     catalogfeed,
     errors,
     eventlog,
-    groupowners,
     groupwork,
     http1,
+    pulses,
     reachability,
     sessionfleet,
     sessionmetrics,
-    sessions,
+    sessionowners,
+    sessionserver,
     takeover,
 )
 
@@ -27,11 +27,7 @@
 DRAIN_EXIT_SHARE = 0.85  # Of the grace; the rest is for the end of the process.
 DRAIN_STEP_SECONDS = 0.05
 SUPERVISE_SECONDS = 0.05
-MAX_OWNERS_TRIED = 4  # Each takes up to 0.3 s, and clients wait 2 s for a session.
-OWNER_PAUSE_SECONDS = 1.0
 ACTIVE_SECONDS = 5.0
-# For this long it is not asked again whether others reach the primary.
-ALONE_SECONDS = 1.0
 METRICS_PATH = "/metrics"
 STATE_PATH = "/v1/state"
 
@@ -89,14 +85,10 @@
         self._cut_off = False
         self._cut_off_since = None
         self._groups_by_name = {}
-        self._owners_by_group = {}
-        self._down_until_by_owner = {}
-        self._relayed_at_by_group = {}
-        self._alone_until_by_group = {}
         self._takeovers_by_group = {}
         self.metrics = sessionmetrics.SessionMetrics()
         self.catalog = catalog.Catalog()
-        own = sessionfleet.Member(
+        own = pulses.Member(
             settings.name,
             settings.peer_address,
             settings.relay_address,
@@ -106,6 +98,9 @@
         self.fleet = sessionfleet.SessionFleet(
             loop, store, own, rng, self, settings.seed_addresses
         )
+        self.owners = sessionowners.SessionOwners(
+            loop, own, self.fleet, self.knows_deployment, self._lacks_primary, self
+        )
         self.feed = catalogfeed.CatalogFeed(
             loop,
             store,
@@ -115,7 +110,7 @@
             self._update_limits,
             self._take_server,
         )
-        self.sessions = sessions.SessionServer(
+        self.sessions = sessionserver.SessionServer(
             loop,
             settings.client_address,
             dialect,
@@ -123,15 +118,7 @@
             self.group_of,
             self._count,
             settings.relay_address,
-            sessions.SessionRouting(
-                self.knows_deployment,
-                self._serves,
-                self._owners_for,
-                self._owner_failed,
-                self._relay_opened,
-                self._relay_failed,
-                self._cannot_serve,
-            ),
+            self.owners,
         )
         self._readiness = http1.Server(
             loop, settings.readiness_address, self._answer_readiness
@@ -169,9 +156,9 @@
                 self._loop,
                 group,
                 self._orders,
-                self.fleet.next_token,
-                self.fleet.confirm,
-                self.fleet.resign,
+                self.fleet.place.next_token,
+                self.fleet.place.confirm,
+                self.fleet.place.resign,
             )
             self._update_limits()
         return group
@@ -188,7 +175,7 @@
         """Stop taking clients, let what is open end, and stop the loop."""
         if self._leaving_since is None:
             self._leaving_since = self._loop.clock.now()
-            self.fleet.leaving = True
+            self.fleet.place.leaving = True
             eventlog.event("stop_begins", sessions=len(self.sessions))
             self._loop.spawn(self._drain())
 
@@ -249,17 +236,7 @@
         """
         if any(group.active for group in self._groups_by_name.values()):
             return None
-        domain = self._settings.failure_domain
-        names = {
-            name
-            for owners in self._owners_by_group.values()
-            for name in owners.names_by_domain.get(domain, ())[: owners.count_by_domain]
-        }
-        known = [name for name in sorted(names) if name in self.fleet.members_by_name]
-        if not known:
-            return None
-        turn = self.fleet.silent_guides % len(known)
-        return self.fleet.members_by_name[known[turn]]
+        return self.owners.guide(self.fleet.silent_guides)
 
     def take_view(self, view, peer):
         """Take a view of a peer that is newer in part."""
@@ -269,74 +246,17 @@
         """Choose the owners of the groups anew."""
         self._update_limits()
 
-    # Owners
-
-    def _serves(self, group):
-        if not self._holds(group):
-            return False
-        alone = self._loop.clock.now() < self._alone_until_by_group.get(group, 0.0)
-        return alone or not self._lacks_primary(group)
-
-    def _cannot_serve(self, group):
-        return self._cut_off or self._lacks_primary(group)
-
     def _lacks_primary(self, group):
         work = self._groups_by_name.get(group)
         return work is not None and work.lacks_primary(self._loop.clock.now())
 
-    def _holds(self, group):
-        """Return whether this process holds connections to the group."""
-        owners = self._owners_by_group.get(group)
-        return (
-            owners is not None
-            and self.fleet.members_are_known
-            and owners.includes(self._settings.name, self._settings.failure_domain)
-        )
-
-    def _owners_for(self, group):
-        now = self._loop.clock.now()
-        owners = self._owners_by_group.get(group)
-        if owners is None:
-            return []
-        start = xxhash.xxh3_64_intdigest(self._settings.name.encode())
-        members = [
-            self.fleet.members_by_name[name]
-            for name in owners.candidates(self._settings.failure_domain, start)
-            if name in self.fleet.members_by_name and name != self._settings.name
-        ]
-        up = [
-            one
-            for one in members
-            if self._down_until_by_owner.get((group, one.name), 0.0) <= now
-        ]
-        return (up or members)[:MAX_OWNERS_TRIED]
-
-    def _owner_failed(self, group, member):
-        now = self._loop.clock.now()
-        if self._down_until_by_owner.get((group, member.name), 0.0) <= now:
-            eventlog.event("owner_failed", group=group, owner=member.name)
-        self._down_until_by_owner[group, member.name] = now + OWNER_PAUSE_SECONDS
-
-    def _relay_opened(self, group):
-        self._relayed_at_by_group[group] = self._loop.clock.now()
-
-    def _relay_failed(self, group):
-        """Serve a group here for a while, when nobody else reaches its primary."""
-        if not self._holds(group):
-            return False
-        until = self._loop.clock.now() + ALONE_SECONDS
-        self._alone_until_by_group[group] = until
-        return True
-
-    def _is_served_elsewhere(self, group, now):
-        relayed_at = self._relayed_at_by_group.get(group, float("-inf"))
-        return now - relayed_at < ALONE_SECONDS
-
     def _update_activity(self, now):
         """Keep connections to the groups that are served or watched here only."""
         for name, group in self._groups_by_name.items():
             recent = now - group.used_at < ACTIVE_SECONDS
-            group.active = self._holds(name) or self.fleet.is_promoter or recent
+            group.active = (
+                self.owners.holds(name) or self.fleet.place.is_promoter or recent
+            )
         active = any(group.active for group in self._groups_by_name.values())
         self.feed.watch_servers(closely=active)
 
@@ -353,22 +273,16 @@
         configuration = self.catalog.configuration
         if configuration is None:
             return
-        domains_by_name = {self._settings.name: self._settings.failure_domain}
-        for member in self.fleet.members_by_name.values():
-            domains_by_name[member.name] = member.failure_domain
         for name, limits in configuration.groups_by_name.items():
-            owners = groupowners.choose_owners(
-                name, domains_by_name, limits.connections
-            )
-            self._owners_by_group[name] = owners
+            total = self.owners.choose(name, limits.connections)
             if name in self._groups_by_name:
-                self._groups_by_name[name].set_limits(limits.connections, owners.total)
+                self._groups_by_name[name].set_limits(limits.connections, total)
 
     def _supervise(self):
         now = self._loop.clock.now()
         self._update_activity(now)
         self._check_reachability(now)
-        if self.fleet.is_promoter:
+        if self.fleet.place.is_promoter:
             for name, group in self._groups_by_name.items():
                 reported_since = self.fleet.reported_since(name)
                 symptoms = group.symptoms(now, reported_since)
@@ -401,7 +315,7 @@
             self.sessions.close_idle()
         for name, group in self._groups_by_name.items():
             lacking = group.active and group.lacks_primary(now)
-            if lacking and self._is_served_elsewhere(name, now):
+            if lacking and self.owners.is_served_elsewhere(name, now):
                 self.sessions.close_idle(name)
 
     # Answers
@@ -411,9 +325,9 @@
 
     def _answer_peer(self, request, _connection):
         match (request.method, request.path):
-            case ("POST", sessionfleet.PULSE_PATH):
+            case ("POST", pulses.PULSE_PATH):
                 return self.fleet.answer(request.body)
-            case ("GET", sessionfleet.VIEW_PATH):
+            case ("GET", pulses.VIEW_PATH):
                 return http1.json_response(self.fleet.view())
             case ("GET", path) if path == METRICS_PATH:
                 body = self.metrics.render(self._gauges())
@@ -427,7 +341,7 @@
             "open_sessions": len(self.sessions),
             "busy_sessions": self.sessions.busy,
             "configuration_version": self.feed.versions[0],
-            "promoter": int(self.fleet.is_promoter),
+            "promoter": int(self.fleet.place.is_promoter),
             "store_away": int(self.feed.store_is_away),
             "log_lines_dropped": eventlog.dropped_lines(),
         }
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -2,8 +2,6 @@
 
 import collections
 
-import attrs
-
 from cassiahill import errors, eventlog, relays, sessionwork, statements, transport
 from cassiahill.sessionwork import Job, SessionState, SessionWork, Transaction
 from cassiahill.statements import Code, Reply, TransactionState
@@ -25,7 +23,7 @@
 
     Parameters
     ----------
-    server : SessionServer
+    server : sessionserver.SessionServer
     sock : socket.socket
     relayed : bool
         Whether another proxy has relayed it here; it is served here then.
@@ -150,7 +148,7 @@
 
     def _open(self, message, line):
         deadline = self._loop.clock.now() + OPEN_WAIT_SECONDS
-        while not self._server.knows_deployment():
+        while not self._server.routing.knows_deployment():
             if self._loop.clock.now() > deadline:
                 self._refuse(Code.BUSY, "no configuration yet")
                 return
@@ -160,12 +158,12 @@
             self._refuse(Code.UNKNOWN_DATABASE, message.database)
             return
         if self._relayed:
-            if self._server.cannot_serve(route.group):
+            if self._server.routing.cannot_serve(route.group):
                 self._refuse(Code.BUSY, "the primary is out of reach")
                 return
-        elif not self._server.serves(route.group):
+        elif not self._server.routing.serves(route.group):
             taken = yield from self._open_relay(route, line + LINE_END)
-            if not taken and not self._server.relay_failed(route.group):
+            if not taken and not self._server.routing.relay_failed(route.group):
                 self._refuse(Code.BUSY, "no owner of the group answers")
                 return
         self.database = message.database
@@ -174,7 +172,7 @@
 
     def _open_relay(self, route, first_line):
         """Find an owner that takes the session; return whether one did."""
-        for member in self._server.owners_for(route.group):
+        for member in self._server.routing.owners_for(route.group):
             if self._stream.closed:
                 return False
             try:
@@ -194,12 +192,12 @@
             yield self._loop.first_done(relay.opening, self._loop.sleep_until(deadline))
             if relay.opening.done() and relay.opening.result():
                 self._relay = relay
-                self._server.relay_opened(route.group)
+                self._server.routing.relay_opened(route.group)
                 if self._stream.closed:
                     relay.close()
                 return True
             relay.close()
-            self._server.owner_failed(route.group, member)
+            self._server.routing.owner_failed(route.group, member)
         return False
 
     def _pass_on(self, data):
@@ -353,137 +351,3 @@
         self._idle_timer = self._loop.call_at(
             at, lambda: self.abort_transaction("idle for too long")
         )
-
-
-@attrs.frozen
-class SessionRouting:
-    """Where sessions are served, as functions.
-
-    Attributes
-    ----------
-    knows_deployment : callable
-        Whether enough is known to serve sessions.
-    serves : callable
-        Whether this process serves a group itself.
-    owners_for : callable
-        Returns the members to relay a group's session to, the preferred one first.
-    owner_failed : callable
-        Takes a group and a member that did not take a session of it.
-    relay_opened : callable
-        Takes a group of which another proxy took a session.
-    relay_failed : callable
-        Takes a group of which no other proxy took a session; returns whether it is
-        served here all the same.
-    cannot_serve : callable
-        Whether a relayed session of a group is better served elsewhere.
-    """
-
-    knows_deployment: object
-    serves: object
-    owners_for: object
-    owner_failed: object
-    relay_opened: object
-    relay_failed: object
-    cannot_serve: object
-
-
-class SessionServer:
-    """Accepts clients and keeps their sessions.
-
-    Parameters
-    ----------
-    loop : loop.EventLoop
-    address : tuple of (str, int)
-    dialect : dialect.Dialect
-    catalog : catalog.Catalog
-    group_of : callable
-        Returns the ``groupwork.GroupWork`` of a group by name.
-    on_reply : callable
-        Called with ``(request, database, reply, arrived_at)`` for each answer.
-    relay_address : tuple of (str, int)
-        Where other proxies relay sessions to.
-    routing : SessionRouting
-        Where sessions are served.
-    """
-
-    def __init__(
-        self,
-        loop,
-        address,
-        dialect,
-        catalog,
-        group_of,
-        on_reply,
-        relay_address,
-        routing,
-    ):
-        self.loop = loop
-        self.dialect = dialect
-        self.catalog = catalog
-        self.group_of = group_of
-        self.count = on_reply
-        self.knows_deployment = routing.knows_deployment
-        self.serves = routing.serves
-        self.owners_for = routing.owners_for
-        self.owner_failed = routing.owner_failed
-        self.relay_opened = routing.relay_opened
-        self.relay_failed = routing.relay_failed
-        self.cannot_serve = routing.cannot_serve
-        self._sessions = set()
-        self._listener = transport.Listener(loop, address, self._accept)
-        self._relay_listener = transport.Listener(
-            loop, relay_address, self._accept_relayed
-        )
-
-    def __len__(self):
-        return len(self._sessions)
-
-    @property
-    def address(self):
-        """Address of the clients' listener."""
-        return self._listener.address
-
-    @property
-    def relay_address(self):
-        """Address of the listener for relayed sessions."""
-        return self._relay_listener.address
-
-    @property
-    def busy(self):
-        """Number of sessions with something open or outstanding."""
-        return sum(not session.at_rest for session in self._sessions)
-
-    def forget(self, session):
-        """Drop a session that has closed."""
-        self._sessions.discard(session)
-
-    def stop_listening(self):
-        """Accept no more clients."""
-        self._listener.close()
-        self._relay_listener.close()
-
-    def close_idle(self, group=None):
-        """Close the sessions of which nothing is open, of one group or of all.
-
-        One that was active a moment ago is left: its client may have sent the next
-        statement already, and would not know whether it ran.
-        """
-        now = self.loop.clock.now()
-        for session in list(self._sessions):
-            if group is not None and not session.is_served_here(group):
-                continue
-            if session.at_rest and now - session.active_at >= IDLE_SECONDS:
-                session.close()
-
-    def abort_transactions(self):
-        """End the transactions that wait for their client's next statement."""
-        for session in list(self._sessions):
-            session.abort_transaction("the proxy stops")
-
-    def _accept(self, sock):
-        transport.detect_silence(sock)
-        self._sessions.add(Session(self, sock))
-
-    def _accept_relayed(self, sock):
-        transport.detect_silence(sock)
-        self._sessions.add(Session(self, sock, relayed=True))
--- a/tests/session_server.py
+++ b/tests/session_server.py
@@ -8,8 +8,8 @@
 from cassiahill.catalog import Catalog, Configuration, Consistency, GroupLimits
 from cassiahill.groupwork import GroupWork
 from cassiahill.loop import EventLoop
-from cassiahill.sessionfleet import Member
-from cassiahill.sessions import SessionRouting, SessionServer
+from cassiahill.pulses import Member
+from cassiahill.sessionserver import SessionRouting, SessionServer
 from tests import adapter_path
 from tests.line_group import LineGroup, TypedDialect
 from tests.session_builders import make_route
@@ -21,6 +21,38 @@
 ANY_PORT = ("127.0.0.1", 0)
 
 
+class Routing(SessionRouting):
+    """Serves the group, or relays to the owner."""
+
+    def __init__(self, servers, serves):
+        self._servers = servers
+        self._serves = serves
+
+    def knows_deployment(self):
+        return True
+
+    def serves(self, group):
+        return self._serves
+
+    def owners_for(self, group):
+        if not self._servers.owner_up:
+            return []
+        address = self._servers.owner.relay_address
+        return [Member("owner", ANY_PORT, address, "domain-a", "start-1")]
+
+    def owner_failed(self, group, member):
+        pass
+
+    def relay_opened(self, group):
+        pass
+
+    def relay_failed(self, group):
+        return False
+
+    def cannot_serve(self, group):
+        return self._servers.lacking
+
+
 class Servers:
     """A server that serves the group ``orders``, and one that relays to it."""
 
@@ -64,24 +96,9 @@
             lambda _group: work,
             lambda *reply: self.replies.append(reply),
             ANY_PORT,
-            SessionRouting(
-                lambda: True,
-                lambda _group: serves,
-                self._owners,
-                lambda _group, _member: None,
-                lambda _group: None,
-                lambda _group: False,
-                lambda _group: self.lacking,
-            ),
+            Routing(self, serves),
         )
 
-    def _owners(self, _group):
-        if not self.owner_up:
-            return []
-        return [
-            Member("owner", ANY_PORT, self.owner.relay_address, "domain-a", "start-1")
-        ]
-
     def call(self, function):
         """Run a function on the loop's thread and return its result."""
         done = threading.Event()
--- a/tests/test_catalogfeed.py
+++ b/tests/test_catalogfeed.py
@@ -5,7 +5,7 @@
 
 from cassiahill.catalog import LAPSE_SECONDS, Added, Catalog, Configuration, Removed
 from cassiahill.catalogfeed import CatalogFeed, CatalogSource
-from cassiahill.sessionfleet import View
+from cassiahill.pulses import View
 from cassiahill.sharedstore import MemorySharedStore
 from tests.line_group import LineGroup
 from tests.stepped_loop import SteppedLoop
--- a/tests/test_sessionfleet.py
+++ b/tests/test_sessionfleet.py
@@ -7,7 +7,9 @@
 
 from cassiahill import errors, sessionfleet
 from cassiahill.loop import failed
-from cassiahill.sessionfleet import KIND, PROMOTER_NAME, Member, SessionFleet, Tokens
+from cassiahill.promoters import PROMOTER_NAME, Tokens
+from cassiahill.pulses import Member, Pulse, View
+from cassiahill.sessionfleet import KIND, SessionFleet
 from cassiahill.sharedstore import MemorySharedStore
 from tests.stepped_loop import SteppedLoop
 
@@ -31,7 +33,7 @@
         return False
 
     def view(self):
-        return sessionfleet.View(None, 1, {})
+        return View(None, 1, {})
 
     def store_is_away(self):
         return False
@@ -94,21 +96,21 @@
         return fleet
 
     def promoter_of(self, *fleets):
-        return [fleet for fleet in fleets if fleet.is_promoter]
+        return [fleet for fleet in fleets if fleet.place.is_promoter]
 
 
 class PromoterTest(FleetTest):
     def test_first_proxy_becomes_promoter(self):
         """Guards against a deployment in which nobody orders promotions."""
-        self.assertTrue(self.start("p1").is_promoter)
+        self.assertTrue(self.start("p1").place.is_promoter)
 
     def test_silent_promoter_is_followed_and_gives_way(self):
         """Guards against two proxies that order promotions for long."""
         first = self.start("p1")
         second = self.start("p2")
         self.loop.advance(4.0)
-        self.assertTrue(second.is_promoter)
-        self.assertFalse(first.is_promoter)
+        self.assertTrue(second.place.is_promoter)
+        self.assertFalse(first.place.is_promoter)
 
     def test_tokens_grow_with_each_promoter_and_each_order(self):
         """Guards against a token that two promoters, or two orders, use."""
@@ -117,8 +119,8 @@
         for _ in range(40):
             self.loop.advance(0.5)
             for fleet in self.promoter_of(*fleets):
-                key = (fleet._own.name, fleet._tokens.revision)
-                tokens_by_promoter.setdefault(key, []).append(fleet.next_token())
+                key = (fleet._own.name, fleet.place._tokens.revision)
+                tokens_by_promoter.setdefault(key, []).append(fleet.place.next_token())
         by_revision = sorted(tokens_by_promoter.items(), key=lambda one: one[0][1])
         tokens = [token for _, given in by_revision for token in given]
         self.assertGreater(len(tokens_by_promoter), 3)
@@ -129,40 +131,40 @@
         self.store.lose = 2
         fleet = self.start("p1")
         self.loop.advance(2.0)
-        self.assertTrue(fleet.is_promoter)
+        self.assertTrue(fleet.place.is_promoter)
         stored = self.store.get(KIND, PROMOTER_NAME).result()
-        self.assertEqual(fleet.next_token() // 1000, stored.revision)
+        self.assertEqual(fleet.place.next_token() // 1000, stored.revision)
 
     def test_restarted_promoter_gets_a_new_term(self):
         """Guards against a restarted process that repeats its former tokens."""
-        first = self.start("p1").next_token()
+        first = self.start("p1").place.next_token()
         second = self.start("p1")
         self.loop.advance(1.0)
-        self.assertGreater(second.next_token(), first)
+        self.assertGreater(second.place.next_token(), first)
 
     def test_former_promoter_learns_it_when_it_asks(self):
         """Guards against orders by what was known before a cut."""
         first = self.start("p1")
         self.store.write(KIND, PROMOTER_NAME, {"holder": "p9", "incarnation": "x"})
-        self.assertFalse(self.loop.result(_wait(first.confirm())))
-        self.assertIsNone(first.next_token())
+        self.assertFalse(self.loop.result(_wait(first.place.confirm())))
+        self.assertIsNone(first.place.next_token())
 
     def test_promoter_goes_on_while_the_store_is_away(self):
         """Guards against a dead primary that stays while the store is down."""
         fleet = self.start("p1")
         self.store.available = False
-        self.assertTrue(self.loop.result(_wait(fleet.confirm())))
-        self.assertIsNotNone(fleet.next_token())
+        self.assertTrue(self.loop.result(_wait(fleet.place.confirm())))
+        self.assertIsNotNone(fleet.place.next_token())
 
     def test_resigned_promoter_gives_no_orders_for_a_while(self):
         """Guards against a promoter that resigns and takes its place back at once."""
         fleet = self.start("p1")
-        fleet.resign()
-        self.assertIsNone(fleet.next_token())
+        fleet.place.resign()
+        self.assertIsNone(fleet.place.next_token())
         self.loop.advance(1.0)
-        self.assertFalse(fleet.is_promoter)
+        self.assertFalse(fleet.place.is_promoter)
         self.loop.advance(4.0)
-        self.assertTrue(fleet.is_promoter)
+        self.assertTrue(fleet.place.is_promoter)
 
     def test_tokens_end_before_those_of_the_next_revision(self):
         """Guards against a token that reaches into the next promoter's."""
@@ -203,7 +205,7 @@
         for lacking in (["orders"], []):
             for _ in range(4):
                 for name in ("p2", "p3"):
-                    pulse = sessionfleet.Pulse(name, 1, 1, lacking, ["orders"])
+                    pulse = Pulse(name, 1, 1, lacking, ["orders"])
                     fleet.answer(msgspec.json.encode(pulse))
                 loop.advance(0.4)
             since = fleet.reported_since("orders")
