--- a/cassiahill/groupwork.py
+++ b/cassiahill/groupwork.py
@@ -308,6 +308,11 @@
             return Code.BUSY if reply.code is Code.BUSY else None
         return self._dialect.decode_report(reply)
 
+    def forget_silence(self):
+        """Start anew to judge whether the primary answers."""
+        self.probe_failed_since = None
+        self._writes_stuck_since = None
+
     def contacts(self, now):
         """Return what is known of the path to each server."""
         return [
@@ -433,8 +438,7 @@
         now = self._loop.clock.now()
         if now - self._ticked_at > STOOD_STILL_SECONDS:
             # This process stood still: the silence of others proves nothing.
-            self.probe_failed_since = None
-            self._writes_stuck_since = None
+            self.forget_silence()
             for pool in self.pools_by_id.values():
                 pool.heard(now)
         self._ticked_at = now
@@ -510,8 +514,7 @@
             )
 
     def _log_primary(self, source):
-        self.probe_failed_since = None
-        self._writes_stuck_since = None
+        self.forget_silence()
         latest = self.evidence.latest
         eventlog.event(
             "primary_changed",
--- a/cassiahill/sessionfleet.py
+++ b/cassiahill/sessionfleet.py
@@ -262,6 +262,10 @@
             self.place.heard(now)
             self._answered_at = now
             self._contacts_by_domain.clear()
+        if self._local.is_cut_off():
+            self.place.heard(
+                now
+            )  # Behind a cut, the promoter's silence proves nothing.
         self._woken_at = now
         if self.place.is_promoter:
             self.place.heard(now)
--- a/cassiahill/sessionproxy.py
+++ b/cassiahill/sessionproxy.py
@@ -282,7 +282,7 @@
         now = self._loop.clock.now()
         self._update_activity(now)
         self._check_reachability(now)
-        if self.fleet.place.is_promoter:
+        if self.fleet.place.is_promoter and not self._cut_off:
             for name, group in self._groups_by_name.items():
                 reported_since = self.fleet.reported_since(name)
                 symptoms = group.symptoms(now, reported_since)
@@ -311,6 +311,9 @@
         if cut_off != self._cut_off:
             self._cut_off = cut_off
             eventlog.event("cut_off" if cut_off else "connected")
+            for group in self._groups_by_name.values():
+                # What was silent behind the cut may answer now.
+                group.forget_silence()
         if cut_off:
             self.sessions.close_idle()
         for name, group in self._groups_by_name.items():
--- a/tests/test_sessionfleet.py
+++ b/tests/test_sessionfleet.py
@@ -19,6 +19,7 @@
 
     def __init__(self):
         self.lacking = []
+        self.cut_off = False
 
     def versions(self):
         return 1, 1
@@ -30,7 +31,7 @@
         return self.lacking
 
     def is_cut_off(self):
-        return False
+        return self.cut_off
 
     def view(self):
         return View(None, 1, {})
@@ -81,8 +82,10 @@
         self.store = LostAnswers()
         self.started = 0
 
-    def start(self, name):
+    def start(self, name, cut_off=False):
         """Start a proxy and let it register."""
+        local = Local()
+        local.cut_off = cut_off
         self.started += 1
         own = Member(
             name,
@@ -91,7 +94,7 @@
             "domain-a",
             f"start-{self.started}",
         )
-        fleet = SilentFleet(self.loop, self.store, own, random.Random(1), Local())
+        fleet = SilentFleet(self.loop, self.store, own, random.Random(1), local)
         self.loop.advance(2.0)
         return fleet
 
@@ -174,6 +177,22 @@
         self.assertIsNone(tokens.take())
 
 
+class CutOffTest(FleetTest):
+    def test_proxy_behind_a_cut_does_not_claim_when_it_heals(self):
+        """Guards against a promoter that acts on what it saw behind a cut.
+
+        Found by the incidents inc-f993 and inc-f829: after a cut one of the proxies
+        behind it became promoter and replaced healthy primaries.
+        """
+        first = self.start("p1")
+        second = self.start("p2", cut_off=True)
+        self.loop.advance(6.0)
+        second._local.cut_off = False
+        self.loop.advance(0.5)
+        self.assertFalse(second.place.is_promoter)
+        self.assertTrue(first.place.is_promoter)
+
+
 class RegistrationTest(FleetTest):
     def test_entry_is_written_after_the_store_refused_it(self):
         """Guards against a proxy that no other knows, because one write failed."""
