--- a/cassiahill/sessionfleet.py
+++ b/cassiahill/sessionfleet.py
@@ -263,9 +263,8 @@
             self._answered_at = now
             self._contacts_by_domain.clear()
         if self._local.is_cut_off():
-            self.place.heard(
-                now
-            )  # Behind a cut, the promoter's silence proves nothing.
+            # Behind a cut, the promoter's silence proves nothing.
+            self.place.heard(now)
         self._woken_at = now
         if self.place.is_promoter:
             self.place.heard(now)
