Await the end of a probe with a deadline

Cause: a primary that went dark between the two answers of a probe was not asked again until the kernel closed the connection, after about 4 s. Found while reading the code; the test fails without the change.

--- a/cassiahill/groupwork.py
+++ b/cassiahill/groupwork.py
@@ -506,9 +506,18 @@
         self._probing.discard(server_id)
 
     def _end(self, connection):
+        """End the probe's transaction; without an answer the connection is closed.
+
+        Until then the server is not asked again, so the answer is not awaited for long.
+        """
+        deadline = self._loop.clock.now() + PROBE_TIMEOUT_SECONDS
+        late = errors.ConnectionLost("no answer to the end of a probe")
         try:
-            yield connection.ask(statements.Rollback())
+            yield self._loop.with_deadline(
+                connection.ask(statements.Rollback()), deadline, late
+            )
         except errors.CassiahillError as error:
+            connection.close()
             eventlog.event(
                 "probe_lost", server=connection.server.server_id, cause=error.detail
             )
--- a/tests/test_sessionwork.py
+++ b/tests/test_sessionwork.py
@@ -205,6 +205,17 @@
 
 
 class ContactTest(unittest.TestCase):
+    def test_server_that_goes_dark_inside_a_probe_is_noticed(self):
+        """Guards against a primary whose loss shows only when its connection ends."""
+        bench = Bench()
+        primary = bench.servers.by_id["a"]
+        while bench.group.pools_by_id["a"].running == 0:
+            bench.loop.advance(0.001)
+        bench.loop.advance(1.5 * primary.seconds)  # The probe's end is on its way.
+        primary.dark = True
+        bench.loop.advance(1.0)
+        self.assertIsNotNone(bench.group.probe_failed_since)
+
     def test_dark_server_stays_failing_between_two_questions(self):
         """Guards against a proxy that believes a cut has healed while nobody asks."""
         bench = Bench()
