Keep two statements per slot before a server, of all proxies together

Cause: each proxy ran as many statements at a server as it has slots, so eight proxies put 24 statements before three slots, where urgent ones waited behind the others.

--- a/cassiahill/groupwork.py
+++ b/cassiahill/groupwork.py
@@ -365,6 +365,9 @@
     def _share(self):
         return max(1, self._connection_limit // (SHARED_PART * self._proxies))
 
+    def _statements_at_once(self, server):
+        return placement.statements_at_once(server.slots, self._proxies)
+
     def _candidates(self, need, now, avoid):
         for server_id, pool in self.pools_by_id.items():
             is_primary = server_id == self.primary.believed
@@ -375,7 +378,7 @@
                 server_id=server_id,
                 is_primary=is_primary,
                 has_connection=pool.idle > 0,
-                has_slot=pool.running < pool.server.slots
+                has_slot=pool.running < self._statements_at_once(pool.server)
                 and now >= self._busy_by_id.get(server_id, (0.0, 0))[0],
                 may_have_position=position is None
                 or self.progress_by_id[server_id].may_have(position, now),
--- a/cassiahill/placement.py
+++ b/cassiahill/placement.py
@@ -4,6 +4,8 @@
 dark, and one kind of request arrives at several times its usual rate.
 """
 
+import math
+
 import attrs
 
 from cassiahill.positions import LogPosition
@@ -14,6 +16,25 @@
 SUSPECT_SECONDS = 0.5  # Added to a server that has left statements unanswered.
 
 
+# Statements before a server, per slot, of all proxies together. What waits there cannot
+# be overtaken by urgent work; what waits in the proxies can. Fewer than two would leave
+# slots unused while answers are on their way.
+STATEMENTS_PER_SLOT = 2
+
+
+def statements_at_once(slots, proxies):
+    """Return how many statements one proxy has running at one server.
+
+    Parameters
+    ----------
+    slots : int
+        Statements that the server runs at once.
+    proxies : int
+        Proxies that hold connections to it.
+    """
+    return max(1, math.ceil(STATEMENTS_PER_SLOT * slots / proxies))
+
+
 @attrs.frozen
 class OnPrimary:
     """The statement must run on the server that leads the group."""
--- a/tests/line_group.py
+++ b/tests/line_group.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import heapq
 
 import attrs
 
@@ -16,6 +17,7 @@
 from cassiahill.statements import Access, Code, Reply, TransactionState
 
 STATEMENT_SECONDS = 0.01
+QUEUE_SECONDS = 0.15  # Some two dozen statements wait before three slots.
 
 
 @attrs.define(eq=False)
@@ -35,6 +37,22 @@
     limit: int = 20
     connections: int = 0
     seconds: float = STATEMENT_SECONDS
+    free_at: list = attrs.field(factory=list)  # Of each slot; empty without a limit.
+    work_seconds: object = None  # Time in a slot by request id.
+
+    def take_slot(self, request_id, now):
+        """Return when a statement ends that starts in the slot that is free first."""
+        if not self.free_at or request_id is None:
+            return now + self.seconds
+        start = max(now, self.free_at[0])
+        end = start + self.work_seconds(request_id)
+        heapq.heapreplace(self.free_at, end)
+        return end
+
+    def is_full(self, now):
+        """Return whether the queue before the slots has no place left."""
+        waiting = sum(max(0.0, at - now) for at in self.free_at)
+        return bool(self.free_at) and waiting > QUEUE_SECONDS * len(self.free_at)
 
     @property
     def received(self):
@@ -56,6 +74,7 @@
         self.primary = servers[0]
         self.term = 1
         self.ran = []
+        self.offered = set()
         self.committed = []
         self.acknowledged = []
         self.acknowledged_before_promotion = []
@@ -176,6 +195,11 @@
             future = LoopFuture()
             self._pending.append(future)
             return future
+        now = self._group.loop.clock.now()
+        if request_id is not None:
+            self._group.offered.add(request_id)
+        if request_id is not None and self._server.is_full(now):
+            return self._answer(self._reply(code=Code.BUSY))
         return self._answer(self._run(statement, request_id, after), request_id)
 
     def close(self):
@@ -198,7 +222,7 @@
             return future
         if reply is None:
             return future
-        at = self._group.loop.clock.now() + self._server.seconds
+        at = self._server.take_slot(request_id, self._group.loop.clock.now())
         self._group.loop.call_at(at, lambda: self._deliver(future, reply))
         return future
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -10,6 +10,7 @@
     NotProvable,
     OnPrimary,
     choose,
+    statements_at_once,
 )
 from cassiahill.positions import LogPosition
 
@@ -32,6 +33,15 @@
     return attrs.evolve(base, **changes)
 
 
+class StatementsAtOnceTest(unittest.TestCase):
+    def test_all_proxies_together_fill_the_slots_about_twice(self):
+        """Guards against a queue in the server that urgent work cannot overtake."""
+        for slots, proxies in ((3, 8), (2, 7), (4, 6), (3, 1), (1, 100)):
+            each = statements_at_once(slots, proxies)
+            self.assertGreaterEqual(each * proxies, 2 * slots)
+            self.assertLess((each - 1) * proxies, 2 * slots)
+
+
 class ChooseTest(unittest.TestCase):
     def test_write_goes_to_the_primary_only(self):
         """Guards against a write that a replica refuses while the primary is full."""
