--- /dev/null
+++ b/tests/test_sessionmetrics.py
@@ -0,0 +1,42 @@
+"""Tests of ``cassiahill.sessionmetrics``."""
+
+import pathlib
+import re
+import unittest
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from cassiahill.sessionmetrics import SessionMetrics
+
+
+class SessionMetricsTest(unittest.TestCase):
+    def test_text_can_be_parsed_and_counts(self):
+        """Guards against a scrape that a collector cannot read."""
+        metrics = SessionMetrics()
+        for seconds in (0.001, 0.2, 9.0):
+            metrics.count_reply(0, "ok", seconds)
+        metrics.count_reply(1, "busy", 0.0)
+        text = metrics.render({"open_sessions": 7}).decode()
+        samples = {
+            (sample.name, tuple(sorted(sample.labels.items()))): sample.value
+            for family in text_string_to_metric_families(text)
+            for sample in family.samples
+        }
+        ok = (("outcome", "ok"), ("priority", "0"))
+        self.assertEqual(samples["cassiahill_session_replies_total", ok], 3)
+        count = ("cassiahill_session_reply_seconds_count", (("priority", "0"),))
+        self.assertEqual(samples[count], 3)
+        self.assertEqual(samples["cassiahill_session_open_sessions", ()], 7)
+
+    def test_page_lists_every_metric(self):
+        """Guards against a metric that on-call engineers cannot look up."""
+        metrics = SessionMetrics()
+        metrics.count_reply(0, "ok", 0.1)
+        text = metrics.render({}).decode()
+        page = pathlib.Path("docs/OPERATIONS.md").read_text()
+        for name in re.findall(r"^# TYPE (\w+)", text, re.M):
+            self.assertIn(f"`{name}`", page)
+
+
+if __name__ == "__main__":
+    unittest.main()
