Let the longest log win also when it is a draining replica's

Cause: with all replicas paused, a staying replica was promoted although a draining one had received more, so acknowledged commits were lost.

--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -146,6 +146,18 @@
     return max(staying, key=lambda one: (one.received, one.server_id)).server_id
 
 
+def longest_log(standings):
+    """Return the id of the replica with the longest log, a staying one among equals.
+
+    It may be draining: nobody else has what it has received last. As a primary it is
+    then replaced in a planned switch.
+    """
+    longest = max(
+        standings, key=lambda one: (one.received, not one.draining, one.server_id)
+    )
+    return longest.server_id
+
+
 class Takeover:
     """Replaces the primary of one group; runs only in the process that may do so.
 
@@ -264,7 +276,7 @@
             yield self._loop.sleep_until(self._loop.clock.now() + DELIVERY_SECONDS)
             if self._group.acknowledged_at > paused_at:
                 return primary
-        return choose_successor([*paused, last])
+        return longest_log([*paused, last])
 
     def _order(self, successor, token):
         for _ in range(CONFIRM_ROUNDS):
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -54,6 +54,16 @@
             takeover.choose_successor([standing("b", 5), standing("c", None, True)])
         )
 
+    def test_draining_replica_with_the_only_copy_wins_in_the_end(self):
+        """Guards against a commit that only a draining replica has received.
+
+        Found by the search: the staying replica was preferred although it was behind.
+        """
+        standings = [standing("b", 5), standing("c", 9, draining=True)]
+        self.assertEqual(takeover.longest_log(standings), "c")
+        equal = [standing("b", 9), standing("c", 9, draining=True)]
+        self.assertEqual(takeover.longest_log(equal), "b")
+
     def test_nobody_without_replicas(self):
         """Guards against an order that names the primary itself."""
         self.assertIsNone(takeover.choose_successor([]))
