--- a/tests/test_takeover_search.py
+++ b/tests/test_takeover_search.py
@@ -142,7 +142,8 @@
             ("write", 1),
             ("dark", "c"),
             ("write", 2),
-            ("wait", 16),
+            ("wait", 1),
+            ("wait", 15),
         ]
         self.assertEqual(History().play(history), [])
 
