--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,8 +1,10 @@
 """A short seeded run of the fault soak, with real processes."""
 
 import pathlib
+import signal
 import subprocess
 import sys
+import tempfile
 import unittest
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -26,5 +28,32 @@
         self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
 
 
+class StartTest(unittest.TestCase):
+    def test_signal_for_changed_settings_during_the_start(self):
+        """Guards against a process that ends by SIGHUP before it is loaded.
+
+        Found by the soak with seed 212. A module of the libraries stands in for the
+        time of loading: it waits for the test.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            module = pathlib.Path(folder) / "msgspec.py"
+            module.write_text(
+                "import sys\nprint('loading', flush=True)\n"
+                "sys.stdin.readline()\nraise SystemExit(7)\n"
+            )
+            process = subprocess.Popen(
+                [sys.executable, "platform/run.py"],
+                cwd=ROOT,
+                env={"PYTHONPATH": folder},
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                text=True,
+            )
+            self.assertEqual(process.stdout.readline(), "loading\n")
+            process.send_signal(signal.SIGHUP)
+            process.communicate("go on\n", timeout=LIMIT_SECONDS)
+            self.assertEqual(process.returncode, 7)
+
+
 if __name__ == "__main__":
     unittest.main()
