Repeat an order for as long as an earlier one may be carried out

Cause: after three orders without an answer the paused replicas received again, while an earlier order could still come and roll back what they let the old primary acknowledge. Found while reading the code; the test fails without the change.

--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -26,7 +26,9 @@
 CATCH_UP_SECONDS = 1.5  # The old primary still sends what is missing.
 UNPLANNED_CATCH_UP_SECONDS = 0.2
 CONFIRM_SECONDS = 1.6  # A promotion takes about a second.
-CONFIRM_ROUNDS = 3
+# An order without an answer may still be carried out some 12 s later. Until the
+# successor leads, the order is repeated and the other replicas stay paused.
+CONFIRM_ROUNDS = 9
 STEP_SECONDS = 0.03
 DELIVERY_SECONDS = 0.06  # An acknowledgement on its way has arrived after this.
 WAITS_UNTIL_RESIGNING = 2  # Another process may reach the replicas that this one lacks.
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -202,6 +202,25 @@
                 for position in self.bench.servers.acknowledged_before_promotion:
                     self.assertIn(position, log, start)
 
+    def test_replicas_stay_paused_while_an_order_may_come_late(self):
+        """Guards against commits that a late order rolls back.
+
+        The old primary must get no acknowledgement from the others until then.
+        """
+        self.make([OrderResult.UNANSWERED] * 6)
+        self.bench.group.put_server(
+            self.bench.servers.registered("a", draining=True),
+            self.bench.servers.registered("a"),
+        )
+        self.run_for(0.5)
+        successor = self.orders.given[0][0]
+        other = {"b": "c", "c": "b"}[successor]
+        self.run_for(7.0)
+        self.assertGreater(self.bench.servers.by_id[other].paused_term, 0)
+        self.run_for(5.0)
+        self.assertEqual(len({token for _, token in self.orders.given}), 1)
+        self.assertEqual(self.bench.group.primary.believed, successor)
+
     def test_draining_primary_hands_over_while_it_serves(self):
         """Guards against writes that stop for the time of a planned switch."""
         self.make()
