Close callers' connections when a drained process ends

Cause: after its loop had ended, the process stayed for up to 15 s, because the interpreter waits for the executor's thread and that thread waited in a watch of the platform (WATCH_TIMEOUT 20 s). The callers' connections stayed open meanwhile, so a request that arrived between the drain's last look and the end of the loop was never answered and its caller waited for its whole deadline. Now the listeners close their connections when the loop has ended, closing the platform link ends the watch, and the drain looks for requests again after its last figures are stored.

Ruled out: the keep-alive options of transport.connect.

--- a/cassiahill/blocking_http.py
+++ b/cassiahill/blocking_http.py
@@ -1,7 +1,10 @@
 """One blocking HTTP exchange with a deadline, for the executor and the commands."""
 
+import contextlib
 import http.client
 import io
+import socket
+import threading
 
 from cassiahill import errors, http1
 
@@ -34,7 +37,45 @@
         return io.BufferedReader(self)
 
 
-def exchange(address, request, deadline, clock_source, ssl_context=None):
+class OpenSockets:
+    """The sockets of exchanges in flight, so that another thread can end them."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._sockets = set()
+        self._closed = False
+
+    @property
+    def closed(self):
+        """Whether ``close`` was called."""
+        return self._closed
+
+    @contextlib.contextmanager
+    def tracking(self, sock):
+        """Let ``close`` end the exchange on a socket within the block."""
+        with self._lock:
+            if self._closed:
+                raise ConnectionAbortedError("the process ends")
+            self._sockets.add(sock)
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._sockets.discard(sock)
+
+    def close(self):
+        """End the exchanges in flight and refuse further ones."""
+        with self._lock:
+            self._closed = True
+            for sock in self._sockets:
+                # The other end may have closed the connection already.
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)
+
+
+def exchange(
+    address, request, deadline, clock_source, ssl_context=None, open_sockets=None
+):
     """Send one HTTP request on a connection of its own and return the response.
 
     A connection per call costs one round trip. In return, a request is never sent on
@@ -50,6 +91,7 @@
         Instant in seconds; it holds for the whole exchange.
     clock_source : clock.Clock
     ssl_context : ssl.SSLContext or None
+    open_sockets : OpenSockets or None
 
     Returns
     -------
@@ -77,12 +119,14 @@
     except OSError as error:
         detail = f"no connection to {host}:{port}: {error}"
         raise errors.ConnectionLost(detail, may_have_run="no") from error
+    sockets = open_sockets or OpenSockets()
     try:
-        connection.request(request.method, target, request.body, headers)
-        reader = _DeadlineReader(connection.sock, deadline, clock_source)
-        response = http.client.HTTPResponse(reader, method=request.method)
-        response.begin()
-        body = _read_body(response)
+        with sockets.tracking(connection.sock):
+            connection.request(request.method, target, request.body, headers)
+            reader = _DeadlineReader(connection.sock, deadline, clock_source)
+            response = http.client.HTTPResponse(reader, method=request.method)
+            response.begin()
+            body = _read_body(response)
     except (OSError, http.client.HTTPException, ValueError) as error:
         detail = f"no answer of {host}:{port}: {type(error).__name__}: {error}"
         raise errors.ConnectionLost(detail) from error
--- a/cassiahill/objects.py
+++ b/cassiahill/objects.py
@@ -74,6 +74,9 @@
         """
         raise NotImplementedError
 
+    def close(self):
+        """End the calls in flight of other threads; nothing by default."""
+
 
 def _check_value(value):
     if len(value) > MAX_VALUE_BYTES:
@@ -161,6 +164,7 @@
         self._domain = domain
         self._clock = clock_source or clock.SystemClock()
         self._ssl_context = ssl_context
+        self._open_sockets = blocking_http.OpenSockets()
 
     def get(self, kind, name, deadline):
         """Return an ``Object``."""
@@ -189,6 +193,10 @@
         answer = self._call("GET", _path(kind), deadline, query=query)
         return [_object_of(item) for item in _field(answer, "objects")]
 
+    def close(self):
+        """End the calls in flight; a watch would otherwise wait for its deadline."""
+        self._open_sockets.close()
+
     def hosts(self, deadline):
         """Return the platform's list of hosts as decoded JSON."""
         return self._call("GET", "/hosts", deadline)
@@ -201,7 +209,12 @@
         request = http1.Request(method, path, query, headers, body)
         try:
             response = blocking_http.exchange(
-                self._address, request, deadline, self._clock, self._ssl_context
+                self._address,
+                request,
+                deadline,
+                self._clock,
+                self._ssl_context,
+                self._open_sockets,
             )
             return http1.decode_response(response)
         except errors.ConnectionLost as error:
@@ -258,6 +271,7 @@
         self._uniform = uniform or random.random
         self._changed = threading.Condition()
         self._waiting = 0
+        self._closed = False
 
     def get(self, kind, name, deadline):
         """Return an ``Object``."""
@@ -283,6 +297,13 @@
             counted=False,
         )
 
+    def close(self):
+        """End the calls in flight and those that wait."""
+        with self._changed:
+            self._closed = True
+            self._changed.notify_all()
+        self._store.close()
+
     def _repeat(self, call, deadline, read=True, counted=True):
         while True:
             self._wait_for_start(deadline)
@@ -294,7 +315,8 @@
             except errors.PlatformUnavailable as error:
                 answered = False
                 sent = error.may_have_run is not errors.MayHaveRun.NO
-                if (sent and not read) or self._clock.now() >= deadline:
+                ended = self._closed or self._clock.now() >= deadline
+                if (sent and not read) or ended:
                     raise
             finally:
                 self._record(answered)
@@ -309,6 +331,9 @@
             self._waiting += 1
             try:
                 while not self._budget.try_start(now := self._clock.now()):
+                    if self._closed:
+                        detail = "the process ends"
+                        raise errors.PlatformUnavailable(detail, may_have_run="no")
                     if now >= deadline:
                         detail = "the platform did not answer earlier calls"
                         raise errors.PlatformUnavailable(detail, may_have_run="no")
--- a/cassiahill/platformlink.py
+++ b/cassiahill/platformlink.py
@@ -74,8 +74,13 @@
         return self._submit(publisher.publish, batch, deadline, ended)
 
     def close(self):
-        """Stop the loops; calls in flight end by their deadlines."""
+        """Stop the loops and the calls in flight.
+
+        The interpreter waits for the executor's threads when the process ends, so a
+        watch that went on would hold it up for as long as ``WATCH_TIMEOUT``.
+        """
         self._closed = True
+        self._store.close()
         self._executor.shutdown(wait=False, cancel_futures=True)
 
     def _submit(self, function, *args):
--- a/cassiahill/proxy.py
+++ b/cassiahill/proxy.py
@@ -117,6 +117,10 @@
         """
         self.loop.spawn(self._start(on_ready))
         self.loop.run()
+        # A request on a connection that stays open would wait for an answer in vain.
+        for server in (self.callers, self.operators, self.peer_listener):
+            if server is not None:
+                server.close()
         self.fleet.close()
         self.gateway.close()
         self.topology.close()
@@ -322,8 +326,7 @@
         yield self.loop.sleep_until(min(deadline, now + DRAIN_NOTICE))
         if self.callers is not None:
             self.callers.stop_listening()
-        while self.loop.clock.now() < deadline and self._busy():
-            yield self.loop.sleep_until(self.loop.clock.now() + DRAIN_CHECK)
+        yield from self._wait_until_idle(deadline)
         left = self._requests_in_flight() + self.transactions.count
         last = self.loop.with_deadline(
             self._store_figures(ended=True),
@@ -334,9 +337,14 @@
             yield last
         except errors.CassiahillError as error:
             logging.warning("event=figures_lost detail=%s", error)
-        finally:
-            logging.info("event=drained proxy=%s left=%d", self.settings.name, left)
-            self.loop.stop()
+        # Requests on open connections are served while the figures are stored.
+        yield from self._wait_until_idle(deadline)
+        logging.info("event=drained proxy=%s left=%d", self.settings.name, left)
+        self.loop.stop()
+
+    def _wait_until_idle(self, deadline):
+        while self.loop.clock.now() < deadline and self._busy():
+            yield self.loop.sleep_until(self.loop.clock.now() + DRAIN_CHECK)
 
     def _busy(self):
         return (
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -1,7 +1,9 @@
 """Tests of ``cassiahill.objects``: one contract for every store."""
 
 import threading
+import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 from cassiahill import clock, errors, objects, platform_calls
 from tests import operator_builders
@@ -89,6 +91,18 @@
         with self.assertRaises(errors.PlatformUnavailable):
             store.get("c", "x", self.deadline())
 
+    def test_close_ends_a_watch(self):
+        """Guards against a process that cannot end while a watch waits."""
+        store = self.store
+        with ThreadPoolExecutor(1) as executor:
+            watch = executor.submit(store.watch, "w", 10**6, self.deadline(30.0))
+            time.sleep(0.2)  # for the watch to be in flight
+            store.close()
+            with self.assertRaises(errors.PlatformUnavailable):
+                watch.result(timeout=5.0)
+        with self.assertRaises(errors.PlatformUnavailable):
+            store.get("w", "x", self.deadline(1.0))
+
     def test_refused_connection_is_not_run(self):
         """Guards against an unknown outcome where nothing was sent."""
         store = objects.HttpObjectStore(("127.0.0.1", 1))
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -8,10 +8,11 @@
 import urllib.request
 
 from bench import deployment
-from cassiahill import client, configuration, errors, objects
+from cassiahill import client, configuration, errors, objects, proxy
 
 GROUP = "fees"
 WAIT_SECONDS = 60.0
+DRAIN_SLACK_SECONDS = 5.0  # for the end of the process on a busy machine
 
 
 class WholePathTest(unittest.TestCase):
@@ -204,6 +205,26 @@
                 thread.join()
         self.assertEqual((code, failures), (0, []))
 
+    def test_process_ends_with_its_drain_and_closes_idle_connections(self):
+        """Guards against a request that a process without its loop never answers.
+
+        The watch of the platform held the process up for 15 s after its drain, with
+        the callers' connections open.
+        """
+        with deployment.running(deployment.SAFEPLATE, proxy_count=2) as running:
+            address = running.callers_by_proxy["proxy-1"]
+            connection = http.client.HTTPConnection(*address, timeout=WAIT_SECONDS)
+            self.addCleanup(connection.close)
+            body = {"group": GROUP, "kind": "read", "sql": "select 1"}
+            self.assertEqual(send(connection, "/v1/statements", body)["rows"], [[1]])
+            running.kill("proxy-1", deployment.signal.SIGTERM)
+            started_at = time.monotonic()
+            self.assertEqual(connection.sock.recv(1), b"")
+            code = running.processes_by_name["proxy-1"].wait(WAIT_SECONDS)
+            took = time.monotonic() - started_at
+        self.assertEqual(code, 0)
+        self.assertLess(took, proxy.DRAIN_NOTICE + DRAIN_SLACK_SECONDS)
+
 
 def send(connection, path, body):
     """Send one request on a connection of its own and return the answer."""
