Promote without silent replicas where commits are acknowledged alone

Cause: GroupLimits.synchronous was decoded but not used. A group without synchronous replication waited for every replica before a promotion, although the newest commits are lost with its primary in any case; one replica that was down kept the group without a primary. Now only synchronous groups wait for all of them.

Ruled out: a change for synchronous groups; their tests and the search are unchanged.

--- a/cassiahill/catalog.py
+++ b/cassiahill/catalog.py
@@ -47,7 +47,15 @@
 
 @attrs.frozen
 class GroupLimits:
-    """Limits of each backend server of a group."""
+    """Limits of each backend server of a group.
+
+    Attributes
+    ----------
+    group : str
+    connections : int
+    synchronous : bool
+        Whether a commit is acknowledged only after a replica has received it.
+    """
 
     group: str
     connections: int
--- a/cassiahill/groupwork.py
+++ b/cassiahill/groupwork.py
@@ -87,6 +87,7 @@
         self._timer = None
         self.name = group
         self.active = True
+        self.synchronous = True
         self.used_at = float("-inf")
         self.primary = primaries.PrimaryView()
         self.evidence = evidence.GroupEvidence()
@@ -139,9 +140,17 @@
         if self.primary.removed(server_id, self._loop.clock.now()):
             self._log_primary("removed")
 
-    def set_limits(self, connection_limit, proxies):
-        """Take the connection limit of each server and the number of proxies."""
-        self._connection_limit = connection_limit
+    def set_limits(self, limits, proxies):
+        """Take the limits of each server and the number of proxies.
+
+        Parameters
+        ----------
+        limits : catalog.GroupLimits
+        proxies : int
+            Proxies that hold connections to the servers.
+        """
+        self.synchronous = limits.synchronous
+        self._connection_limit = limits.connections
         self._proxies = max(1, proxies)
         for pool in self.pools_by_id.values():
             pool.share = self._share()
--- a/cassiahill/sessionproxy.py
+++ b/cassiahill/sessionproxy.py
@@ -276,7 +276,7 @@
         for name, limits in configuration.groups_by_name.items():
             total = self.owners.choose(name, limits.connections)
             if name in self._groups_by_name:
-                self._groups_by_name[name].set_limits(limits.connections, total)
+                self._groups_by_name[name].set_limits(limits, total)
 
     def _supervise(self):
         now = self._loop.clock.now()
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -131,20 +131,24 @@
     term: int = 0
 
 
-def choose_successor(standings):
+def choose_successor(standings, synchronous=True):
     """Return the id of the replica to promote, or None while that is not safe.
 
     An unanswered replica may be the only one with an acknowledged commit, and so may a
-    draining one, whose log leaves with it.
+    draining one, whose log leaves with it. Without synchronous replication the newest
+    commits are lost with the primary in any case, so nobody waits for silent replicas.
 
     Parameters
     ----------
     standings : list of Standing
         All registered servers of the group but the primary.
+    synchronous : bool
+        Whether the group acknowledges commits only after a replica has them.
     """
-    if not standings or any(one.received is None for one in standings):
+    answered = [one for one in standings if one.received is not None]
+    if not answered or (synchronous and len(answered) < len(standings)):
         return None
-    staying = [one for one in standings if not one.draining] or standings
+    staying = [one for one in answered if not one.draining] or answered
     return max(staying, key=lambda one: (one.received, one.server_id)).server_id
 
 
@@ -222,7 +226,7 @@
         if reason == UNREACHABLE and (yield asked_old).received is not None:
             self._log("takeover_needless", reason, primary, standings)
             return False
-        successor = choose_successor(standings)
+        successor = choose_successor(standings, self._group.synchronous)
         if successor is None:
             self._log("takeover_waits", reason, primary, standings)
             self._waits += 1
@@ -231,7 +235,7 @@
             return False
         self._waits = 0
         others = [one for one in replicas if one != successor]
-        term = 1 + max(one.term for one in standings)
+        term = 1 + max(one.term for one in standings if one.received is not None)
         try:
             successor = yield from self._make_safe(primary, successor, others, term)
             if successor is None:
@@ -246,9 +250,10 @@
         """Pause the others and let the successor catch up; return whom to promote."""
         paused_at = self._loop.clock.now()
         paused = yield from self._ask_all(others, statements.PauseReceiving(term))
-        if any(one.received is None for one in paused):
+        answered = [one for one in paused if one.received is not None]
+        if self._group.synchronous and len(answered) < len(paused):
             return None
-        needed = max((one.received for one in paused), default=None)
+        needed = max((one.received for one in answered), default=None)
         seconds = UNPLANNED_CATCH_UP_SECONDS
         old = Standing(primary, False, None)
         if primary in self._group.pools_by_id:
@@ -278,7 +283,7 @@
             yield self._loop.sleep_until(self._loop.clock.now() + DELIVERY_SECONDS)
             if self._group.acknowledged_at > paused_at:
                 return primary
-        return longest_log([*paused, last])
+        return longest_log([*answered, last])
 
     def _order(self, successor, token):
         for _ in range(CONFIRM_ROUNDS):
