Connect to backend servers only as an owner of their group

After the loss of power of all, 88 processes asked each server for one of its 46 connections: 1,356 openings were refused in the first 2 s, and what the others had got stayed idle for 4 s. Owners without a connection to the primary refused 1,192 requests ("NotProvable" and "OnPrimary" with a primary believed).

Change: a group is not active until the process is one of its owners, and a process that is none closes idle connections after 0.25 s.

Ruled out: the connections that servers keep for clients that lost power; owners keep at most half of the limit. Both new tests failed before.

--- a/cassiahill/groupwork.py
+++ b/cassiahill/groupwork.py
@@ -86,7 +86,8 @@
         self._pumping = False
         self._timer = None
         self.name = group
-        self.active = True
+        # Only owners connect: at a start, all proxies together would take the limit.
+        self.active = False
         self.synchronous = True
         self.used_at = float("-inf")
         self.primary = primaries.PrimaryView()
--- a/cassiahill/serverpool.py
+++ b/cassiahill/serverpool.py
@@ -199,11 +199,14 @@
             self._loop.spawn(self._open())
 
     def trim(self, now, keep):
-        """Close connections that have been idle, all but some."""
+        """Close connections that have been idle, all but ``keep``.
+
+        A process that keeps none serves the group no more; owners need the places.
+        """
         for connection in list(self._idle):
             if self.size <= keep:
                 return
-            borrowed = self.size > self.share
+            borrowed = self.size > self.share or not keep
             limit = BORROWED_IDLE_SECONDS if borrowed else IDLE_SECONDS
             if now - connection.used_at > limit:
                 connection.close()
--- a/tests/session_builders.py
+++ b/tests/session_builders.py
@@ -42,6 +42,7 @@
             self.draining_since_by_id.get,
             self.servers.connect,
         )
+        self.group.active = True
         self.group.set_limits(GroupLimits("orders", 20, synchronous), 1)
         for server_id in servers:
             self.group.put_server(self.servers.registered(server_id), None)
--- a/tests/session_load.py
+++ b/tests/session_load.py
@@ -112,6 +112,7 @@
             {}.get,
             self.servers.connect,
         )
+        group.active = True
         group.set_limits(GroupLimits("orders", 23, True), PROXIES)
         for server_id in self.servers.by_id:
             server = self.servers.registered(server_id, slots=SLOTS)
--- a/tests/test_serverpool.py
+++ b/tests/test_serverpool.py
@@ -47,6 +47,18 @@
         self.assertEqual(pool.size, 1)
         self.assertEqual(self.servers.by_id["a"].connections, 1)
 
+    def test_process_that_is_no_owner_keeps_nothing(self):
+        """Guards against owners that starve because others hold idle connections."""
+        pool = self.make(share=3)
+        for connection in self.open(pool, 1):
+            pool.finished(self.loop.clock.now())
+            pool.give_back(connection)
+        self.loop.advance(2 * BORROWED_IDLE_SECONDS)
+        pool.trim(self.loop.clock.now(), 1)
+        self.assertEqual(pool.size, 1)
+        pool.trim(self.loop.clock.now(), 0)
+        self.assertEqual(pool.size, 0)
+
     def test_refused_connection_waits(self):
         """Guards against a storm of connections at a server that is full."""
         self.servers.by_id["a"].limit = 0
--- a/tests/test_sessionwork.py
+++ b/tests/test_sessionwork.py
@@ -3,8 +3,11 @@
 import unittest
 
 from cassiahill.catalog import Consistency
+from cassiahill.groupwork import GroupWork
 from cassiahill.statements import Access, Code, Shape, TransactionState
+from tests.line_group import LineGroup, TypedDialect
 from tests.session_builders import TIMEOUT, Bench
+from tests.stepped_loop import SteppedLoop
 
 
 class WriteTest(unittest.TestCase):
@@ -12,6 +15,21 @@
         self.bench = Bench()
         self.session = self.bench.session()
 
+    def test_process_connects_only_once_it_is_an_owner(self):
+        """Guards against a start of all proxies that takes the connection limit."""
+        loop = SteppedLoop()
+        servers = LineGroup(loop)
+        group = GroupWork(
+            loop, TypedDialect(), "orders", "proxy-1", "a", {}.get, servers.connect
+        )
+        for server_id in servers.by_id:
+            group.put_server(servers.registered(server_id), None)
+        loop.advance(0.5)
+        self.assertEqual([one.connections for one in servers.by_id.values()], [0] * 3)
+        group.active = True
+        loop.advance(0.5)
+        self.assertEqual([one.connections for one in servers.by_id.values()], [1] * 3)
+
     def test_write_runs_once_at_the_primary(self):
         """Guards against a write that is sent elsewhere or twice."""
         reply = self.bench.write(self.session)
