Keep a member's entry unchanged when its process restarts

Cause: the entry in the store held an incarnation that differs for each start, and only the promoter's own object uses it.

Change: the incarnation belongs to the promoter's place; a member's entry holds only addresses and domain. A process whose entry is removed while it runs writes it again.

Ruled out: a longer pause between watches, which would only delay what is learned.

--- a/cassiahill/promoters.py
+++ b/cassiahill/promoters.py
@@ -6,6 +6,8 @@
 its lower tokens.
 """
 
+import secrets
+
 import attrs
 import xxhash
 
@@ -54,8 +56,7 @@
     store : sharedstore.SharedStore
     kind : str
         Kind of the object that names the promoter.
-    own : object
-        This process, with ``name`` and ``incarnation``.
+    own_name : str
     member_names : callable
         Returns the names of all registered proxies.
 
@@ -66,11 +67,13 @@
         Whether this process stops; it orders nothing more then.
     """
 
-    def __init__(self, loop, store, kind, own, member_names):
+    def __init__(self, loop, store, kind, own_name, member_names):
         self._loop = loop
         self._store = store
         self._kind = kind
-        self._own = own
+        self._own_name = own_name
+        # Differs for each start, so that a restarted promoter claims its place anew.
+        self._incarnation = secrets.token_hex(8)
         self._member_names = member_names
         self._tokens = None
         self._claiming = False
@@ -141,7 +144,7 @@
         promoter = self.promoter
         if self._tokens is None or promoter is None:
             return
-        own = (self._own.name, self._own.incarnation)
+        own = (self._own_name, self._incarnation)
         if (promoter.name, promoter.incarnation) == own:
             return
         if promoter.revision > self._tokens.revision:
@@ -152,12 +155,12 @@
         """Return this proxy's place among those that may follow the promoter."""
         gone = None if self.promoter is None else self.promoter.name
         names = {name for name in self._member_names() if name != gone}
-        names.add(self._own.name)
+        names.add(self._own_name)
         seed = 0 if self.promoter is None else self.promoter.revision
         ordered = sorted(
             names, key=lambda name: xxhash.xxh3_64_intdigest(name.encode(), seed)
         )
-        return ordered.index(self._own.name)
+        return ordered.index(self._own_name)
 
     def consider_claim(self, now):
         """Take the promoter's place when it has been silent for long enough."""
@@ -166,7 +169,7 @@
         promoter = self.promoter
         if promoter is None:
             wait = FIRST_RANK_SECONDS * self._rank()
-        elif promoter.name == self._own.name:
+        elif promoter.name == self._own_name:
             wait = 0.0
         else:
             wait = SILENT_SECONDS + RANK_SECONDS * self._rank()
@@ -175,7 +178,7 @@
             self._loop.spawn(self._claim(promoter))
 
     def _claim(self, promoter):
-        value = {"holder": self._own.name, "incarnation": self._own.incarnation}
+        value = self._own_value()
         try:
             if promoter is None:
                 stored = yield self._store.create(self._kind, PROMOTER_NAME, value)
@@ -202,12 +205,12 @@
         if stored is None:
             return
         self.take_stored(stored)
-        if stored.value == {
-            "holder": self._own.name,
-            "incarnation": self._own.incarnation,
-        }:
+        if stored.value == self._own_value():
             self._own_claim(stored)
 
+    def _own_value(self):
+        return {"holder": self._own_name, "incarnation": self._incarnation}
+
     def _confirm(self):
         deadline = self._loop.clock.now() + CONFIRM_SECONDS
         late = errors.PlatformUnavailable("no answer in time")
--- a/cassiahill/pulses.py
+++ b/cassiahill/pulses.py
@@ -54,24 +54,24 @@
     relay_address : tuple of (str, int)
         For sessions that other proxies relay there.
     failure_domain : str
-    incarnation : str
-        Differs for each start of the process.
     """
 
     name: str
     address: tuple
     relay_address: tuple
     failure_domain: str
-    incarnation: str
 
 
 def encode_member(member):
-    """Return the plain values of a member's object in the store."""
+    """Return the plain values of a member's object in the store.
+
+    They stay the same when the process restarts, so that it need not write them again
+    and the watches of all others go on.
+    """
     return {
         "address": list(member.address),
         "relay_address": list(member.relay_address),
         "failure_domain": member.failure_domain,
-        "incarnation": member.incarnation,
     }
 
 
@@ -85,7 +85,6 @@
             (str(value["address"][0]), int(value["address"][1])),
             (str(value["relay_address"][0]), int(value["relay_address"][1])),
             str(value["failure_domain"]),
-            str(value["incarnation"]),
         )
     except (KeyError, IndexError, TypeError, ValueError) as error:
         eventlog.event("member_unreadable", name=stored_name, cause=repr(error))
--- a/cassiahill/sessionfleet.py
+++ b/cassiahill/sessionfleet.py
@@ -105,7 +105,7 @@
         self.silent_guides = 0  # Moves on to the next guide.
         self.members_by_name = {}
         self.place = promoters.PromoterPlace(
-            loop, store, KIND, own, lambda: self.members_by_name
+            loop, store, KIND, own.name, lambda: self.members_by_name
         )
         self.follower = following.KindFollower(
             loop,
@@ -205,6 +205,8 @@
         else:
             name = change.stored.name.removeprefix(MEMBER_PREFIX)
             self.members_by_name.pop(name, None)
+            if name == self._own.name:
+                self._loop.spawn(self._register(None))
         self._local.members_changed()
 
     def _take_stored(self, stored):
--- a/cassiahill/sessionproxy.py
+++ b/cassiahill/sessionproxy.py
@@ -1,7 +1,6 @@
 """The session proxy: a daemon whose clients' connections are their sessions."""
 
 import math
-import secrets
 import signal
 
 import attrs
@@ -93,7 +92,6 @@
             settings.peer_address,
             settings.relay_address,
             settings.failure_domain,
-            secrets.token_hex(8),
         )
         self.fleet = sessionfleet.SessionFleet(
             loop, store, own, rng, self, settings.seed_addresses
--- a/tests/session_server.py
+++ b/tests/session_server.py
@@ -38,7 +38,7 @@
         if not self._servers.owner_up:
             return []
         address = self._servers.owner.relay_address
-        return [Member("owner", ANY_PORT, address, "domain-a", "start-1")]
+        return [Member("owner", ANY_PORT, address, "domain-a")]
 
     def owner_failed(self, group, member):
         pass
--- a/tests/test_sessionfleet.py
+++ b/tests/test_sessionfleet.py
@@ -80,20 +80,12 @@
     def setUp(self):
         self.loop = SteppedLoop()
         self.store = LostAnswers()
-        self.started = 0
 
     def start(self, name, cut_off=False):
         """Start a proxy and let it register."""
         local = Local()
         local.cut_off = cut_off
-        self.started += 1
-        own = Member(
-            name,
-            ("127.0.0.1", 1),
-            ("127.0.0.1", 2),
-            "domain-a",
-            f"start-{self.started}",
-        )
+        own = Member(name, ("127.0.0.1", 1), ("127.0.0.1", 2), "domain-a")
         fleet = SilentFleet(self.loop, self.store, own, random.Random(1), local)
         self.loop.advance(2.0)
         return fleet
@@ -201,7 +193,22 @@
         self.start("p1")
         self.loop.advance(3.0)
         stored = self.store.get(KIND, "proxy.p1").result()
-        self.assertEqual(stored.value["incarnation"], "start-1")
+        self.assertEqual(stored.value["failure_domain"], "domain-a")
+
+    def test_restart_leaves_the_entry_as_it_is(self):
+        """Guards against a restart that ends the watches of all proxies."""
+        self.start("p1")
+        before = self.store.get(KIND, "proxy.p1").result().revision
+        self.start("p1")
+        after = self.store.get(KIND, "proxy.p1").result().revision
+        self.assertEqual(after, before)
+
+    def test_entry_is_written_again_after_its_removal(self):
+        """Guards against a proxy that no other knows, because its entry was removed."""
+        self.start("p1")
+        self.store.delete(KIND, "proxy.p1")
+        self.loop.advance(6.0)
+        self.assertIsNotNone(self.store.get(KIND, "proxy.p1").result())
 
     def test_entry_is_written_after_an_outage(self):
         """Guards against a proxy that gives up while the store is away."""
@@ -219,7 +226,7 @@
     def test_many_lacking_proxies_are_reported(self):
         """Guards against a primary that only the promoter reaches."""
         loop = SteppedLoop()
-        own = Member("p1", ("127.0.0.1", 1), ("127.0.0.1", 2), "domain-a", "start-1")
+        own = Member("p1", ("127.0.0.1", 1), ("127.0.0.1", 2), "domain-a")
         fleet = SilentFleet(loop, MemorySharedStore(), own, random.Random(1), Local())
         loop.advance(2.0)
         for lacking in (["orders"], []):
@@ -234,7 +241,7 @@
     def test_garbage_is_refused(self):
         """Guards against a stranger's message that ends the process."""
         loop = SteppedLoop()
-        own = Member("p1", ("127.0.0.1", 1), ("127.0.0.1", 2), "domain-a", "start-1")
+        own = Member("p1", ("127.0.0.1", 1), ("127.0.0.1", 2), "domain-a")
         fleet = SilentFleet(loop, MemorySharedStore(), own, random.Random(1), Local())
         for body in (b"", b"[]", b"\xff", b'{"name": 3}'):
             with self.assertRaises(errors.MalformedRequest):
