Split the work at a group and the statements of a session

The questions to servers, the count of unacknowledged writes, and the steps of a statement on a lent connection are modules of their own now.

--- a/cassiahill/groupwork.py
+++ b/cassiahill/groupwork.py
@@ -12,21 +12,18 @@
     eventlog,
     evidence,
     lineconnections,
+    outstandingwrites,
     placement,
     primaries,
     reachability,
     serverpool,
-    statements,
+    serverprobes,
     takeover,
     waiting,
 )
 from cassiahill.loop import LoopFuture
 from cassiahill.statements import Code
 
-PROBE_SECONDS = 0.2  # A read of any age that clients ask for finds a proof this young.
-SEARCH_SECONDS = 0.1  # Between questions for the primary while none is known.
-PROBE_TIMEOUT_SECONDS = 0.3
-CONTACT_SECONDS = 0.4  # A server that nothing was heard of for this long is asked.
 TICK_SECONDS = 0.02
 FIRST_READ_SECONDS = 0.03
 READ_WEIGHT = 0.1
@@ -36,7 +33,6 @@
 SHARED_PART = 2
 WARM_CONNECTIONS = 1  # One spares a request the opening; more would take others' share.
 LACKING_SECONDS = 1.5
-STUCK_WRITES = 2  # A single answer may be lost on its way.
 # A full server has answered some statements after this; refusals in a row double it, so
 # that many proxies together do not keep the server busy with refusing.
 BUSY_PAUSE_SECONDS = 0.02
@@ -80,11 +76,11 @@
         self._waiting = waiting.WaitingList()
         self._connection_limit = 1
         self._proxies = 1
-        self._probing = set()
         self._busy_by_id = {}
         self._rng = random.Random(f"{own_name} {group}")
         self._pumping = False
         self._timer = None
+        self._probes = serverprobes.ServerProbes(loop, self)
         self.name = group
         # Only owners connect: at a start, all proxies together would take the limit.
         self.active = False
@@ -96,10 +92,7 @@
         self.progress_by_id = {}
         self.probe_failed_since = None
         self._usual_seconds_by_database = {}
-        self._writes_outstanding = 0
-        self._writes_unanswered = 0
-        self._writes_stuck_since = None
-        self.acknowledged_at = float("-inf")
+        self.writes = outstandingwrites.OutstandingWrites(loop.clock)
         self._ticked_at = loop.clock.now()
         self._tick()
 
@@ -235,6 +228,11 @@
         if reply.position is not None and self.primary.believed == server_id:
             self.evidence.record(evidence.Proof(asked_at, server_id, reply.position))
 
+    def unanswered(self, server_id, asked_at):
+        """Take note that a server did not answer a question whether it leads."""
+        if server_id == self.primary.believed:
+            self.probe_failed_since = self.probe_failed_since or asked_at
+
     def refused(self, connection, code, after=None):
         """Take the refusal of a statement that did not run.
 
@@ -321,7 +319,7 @@
     def forget_silence(self):
         """Start anew to judge whether the primary answers."""
         self.probe_failed_since = None
-        self._writes_stuck_since = None
+        self.writes.forget_silence()
 
     def contacts(self, now):
         """Return what is known of the path to each server."""
@@ -337,9 +335,6 @@
         server_id = self.primary.believed
         pool = self.pools_by_id.get(server_id)
         draining = pool is not None and pool.server.draining
-        stuck_since = None
-        if self._writes_unanswered >= STUCK_WRITES:
-            stuck_since = self._writes_stuck_since
         unknown_since = None
         if server_id is None and self.pools_by_id:
             unknown_since = self.primary.lost_at
@@ -349,27 +344,10 @@
             unreachable_since=self.probe_failed_since,
             refuses=pool is not None and pool.refuses,
             unknown_since=unknown_since,
-            writes_stuck_since=stuck_since,
+            writes_stuck_since=self.writes.stuck_since,
             reported_since=reported_since,
         )
 
-    def write_sent(self):
-        """Count a write or commit that a primary is to acknowledge."""
-        self._writes_outstanding += 1
-        self._writes_unanswered += 1
-        if self._writes_stuck_since is None:
-            self._writes_stuck_since = self._loop.clock.now()
-
-    def write_ended(self, reply):
-        """Count its end; without a reply, the time since the last one goes on."""
-        self._writes_outstanding -= 1
-        if reply is not None:
-            now = self._loop.clock.now()
-            if reply.code is None:
-                self.acknowledged_at = now
-            self._writes_unanswered = self._writes_outstanding
-            self._writes_stuck_since = now if self._writes_outstanding else None
-
     # Decisions
 
     def _share(self):
@@ -459,82 +437,9 @@
         for pool in self.pools_by_id.values():
             pool.trim(now, WARM_CONNECTIONS if self.active else 0)
         if self.active:
-            self._probe(now)
+            self._probes.tick(now)
         self._timer = self._loop.call_at(now + TICK_SECONDS, self._tick)
 
-    def _probe(self, now):
-        believed = self.primary.believed
-        latest = self.evidence.latest
-        if believed is not None and (
-            latest is None or now - latest.asked_at > PROBE_SECONDS
-        ):
-            self._probe_server(believed, now)
-        for server_id, pool in self.pools_by_id.items():
-            if believed is None or now - pool.answered_at > CONTACT_SECONDS:
-                self._probe_server(server_id, now)
-
-    def _probe_server(self, server_id, now):
-        pool = self.pools_by_id.get(server_id)
-        if pool is None or server_id in self._probing:
-            return
-        connection = pool.lend({}, now)
-        if connection is None:
-            if server_id == self.primary.believed and pool.failures:
-                self.probe_failed_since = self.probe_failed_since or now
-            return
-        self._probing.add(server_id)
-        self._loop.spawn(self._ask_whether_primary(pool, connection))
-
-    def _ask_whether_primary(self, pool, connection):
-        """Begin and end an empty transaction, which only a primary allows."""
-        loop = self._loop
-        server_id = pool.server.server_id
-        asked_at = loop.clock.now()
-        late = errors.ConnectionLost("no answer to a probe")
-        try:
-            reply = yield loop.with_deadline(
-                connection.ask(statements.Begin(read_only=False)),
-                asked_at + PROBE_TIMEOUT_SECONDS,
-                late,
-            )
-        except errors.CassiahillError:
-            connection.close()
-            pool.missed(loop.clock.now())
-            pool.finished(loop.clock.now())
-            self._probing.discard(server_id)
-            if server_id == self.primary.believed:
-                self.probe_failed_since = self.probe_failed_since or asked_at
-            return
-        pool.heard(loop.clock.now())
-        pool.finished(loop.clock.now())
-        self.observe(connection, reply)
-        if reply.code is None:
-            self.proved(connection, asked_at, reply)
-            yield from self._end(connection)
-        else:
-            self.refused(connection, reply.code)
-        pool.give_back(connection)
-        pause_until = asked_at + SEARCH_SECONDS
-        yield loop.sleep_until(pause_until)
-        self._probing.discard(server_id)
-
-    def _end(self, connection):
-        """End the probe's transaction; without an answer the connection is closed.
-
-        Until then the server is not asked again, so the answer is not awaited for long.
-        """
-        deadline = self._loop.clock.now() + PROBE_TIMEOUT_SECONDS
-        late = errors.ConnectionLost("no answer to the end of a probe")
-        try:
-            yield self._loop.with_deadline(
-                connection.ask(statements.Rollback()), deadline, late
-            )
-        except errors.CassiahillError as error:
-            connection.close()
-            eventlog.event(
-                "probe_lost", server=connection.server.server_id, cause=error.detail
-            )
-
     def _log_primary(self, source):
         self.forget_silence()
         latest = self.evidence.latest
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -3,7 +3,8 @@
 import collections
 
 from cassiahill import errors, eventlog, relays, sessionwork, statements, transport
-from cassiahill.sessionwork import Job, SessionState, SessionWork, Transaction
+from cassiahill.leasesteps import Job, SessionState
+from cassiahill.sessionwork import SessionWork, Transaction
 from cassiahill.statements import Code, Reply, TransactionState
 
 LINE_END = b"\r\n"
--- a/cassiahill/sessionwork.py
+++ b/cassiahill/sessionwork.py
@@ -8,15 +8,9 @@
 
 import attrs
 
-from cassiahill import (
-    errors,
-    eventlog,
-    lineconnections,
-    placement,
-    statements,
-    waiting,
-)
+from cassiahill import eventlog, placement, statements, waiting
 from cassiahill.catalog import Consistency
+from cassiahill.leasesteps import LeaseSteps, Retry
 from cassiahill.statements import NOT_RUN_CODES, Access, Code, Reply, TransactionState
 
 MAX_ATTEMPTS = 8
@@ -24,25 +18,6 @@
 # counts. Its own answer may be lost, or its server may have gone silent.
 SLOW_FACTOR = 6.0
 SLOW_FLOOR_SECONDS = 0.12
-ROLLBACK_SECONDS = 1.0
-
-
-@attrs.define
-class SessionState:
-    """What a session has set and seen.
-
-    Attributes
-    ----------
-    values_by_name : dict
-    shapes_by_name : dict
-        Prepared statements.
-    own_commit : positions.LogPosition or None
-        Position of the session's last commit.
-    """
-
-    values_by_name: dict = attrs.field(factory=dict)
-    shapes_by_name: dict = attrs.field(factory=dict)
-    own_commit: object = None
 
 
 @attrs.define(eq=False)
@@ -70,36 +45,6 @@
     failed: bool = False
 
 
-@attrs.frozen
-class Job:
-    """One statement on its way.
-
-    Attributes
-    ----------
-    request_id : str
-    statement : object
-    shape : statements.Shape or None
-        For a prepared statement.
-    access : statements.Access or None
-        None for a commit.
-    arrived_at, deadline : float
-    """
-
-    request_id: str
-    statement: object
-    shape: object
-    access: object
-    arrived_at: float
-    deadline: float
-
-
-@attrs.frozen
-class Retry:
-    """The attempt did not run, or may be repeated."""
-
-    cause: str
-
-
 class SessionWork:
     """Statements of one session.
 
@@ -116,6 +61,7 @@
         self._group = group
         self._route = route
         self._state = state
+        self._steps = LeaseSteps(loop, group, state)
 
     @property
     def route(self):
@@ -152,24 +98,24 @@
 
     def _write(self, lease, job):
         asked_at = self._loop.clock.now()
-        ready = yield from self._set_up(lease, job)
+        ready = yield from self._steps.set_up(lease, job)
         if ready is not None:
-            self._give_back(lease)
+            self._steps.give_back(lease)
             return ready
-        self._group.write_sent()
-        reply = yield from self._ask(lease, job)
-        self._group.write_ended(reply)
+        self._group.writes.sent()
+        reply = yield from self._steps.ask(lease, job)
+        self._group.writes.ended(reply)
         if reply is None:
-            self._drop(lease)
+            self._steps.drop(lease)
             return Reply(code=Code.OUTCOME_UNKNOWN, detail="no answer to a write")
         if reply.code in NOT_RUN_CODES:
             self._group.refused(lease.connection, reply.code)
-            self._give_back(lease)
+            self._steps.give_back(lease)
             return Retry(reply.code.value)
         if reply.code is None:
             self._group.proved(lease.connection, asked_at, reply)
             self._state.own_commit = reply.position or self._state.own_commit
-        self._give_back(lease)
+        self._steps.give_back(lease)
         return reply
 
     def _hedged_read(self, lease, job, request):
@@ -215,7 +161,7 @@
 
         def give_back(future):
             if future.result() is not None:
-                self._give_back(future.result())
+                self._steps.give_back(future.result())
 
         self._group.withdraw(request.request_id)
         self._loop.when_done(granted, give_back)
@@ -234,30 +180,30 @@
         begun = yield from self._begin(transaction, job)
         if begun is not None:
             return begun
-        reply = yield from self._ask(lease, job)
+        reply = yield from self._steps.ask(lease, job)
         if reply is None:
-            self._drop(lease)
+            self._steps.drop(lease)
             return Retry("no answer to a read")
-        self._give_back(lease)
+        self._steps.give_back(lease)
         if reply.code in NOT_RUN_CODES:
             self._group.refused(lease.connection, reply.code)
             return Retry(reply.code.value)
         return attrs.evolve(reply, state=TransactionState.IDLE)
 
     def _read(self, lease, job):
-        ready = yield from self._set_up(lease, job)
+        ready = yield from self._steps.set_up(lease, job)
         if ready is not None:
-            self._give_back(lease)
+            self._steps.give_back(lease)
             return ready
-        reply = yield from self._ask(lease, job, after=lease.after)
+        reply = yield from self._steps.ask(lease, job, after=lease.after)
         if reply is None:
-            self._drop(lease)
+            self._steps.drop(lease)
             return Retry("no answer to a read")
         if reply.code in NOT_RUN_CODES:
             self._group.refused(lease.connection, reply.code, lease.after)
-            self._give_back(lease)
+            self._steps.give_back(lease)
             return Retry(reply.code.value)
-        self._give_back(lease)
+        self._steps.give_back(lease)
         return reply
 
     # Inside a transaction
@@ -275,12 +221,12 @@
         if job.access is None:
             return (yield from self._commit(transaction, job))
         had = dict(lease.connection.values_by_name)
-        ready = yield from self._set_up(lease, job)
+        ready = yield from self._steps.set_up(lease, job)
         transaction.changed_values |= lease.connection.values_by_name != had
         if ready is not None:
             return self._fail(transaction, Code.ABORTED, ready.cause)
         asked_at = self._loop.clock.now()
-        reply = yield from self._ask(lease, job)
+        reply = yield from self._steps.ask(lease, job)
         if reply is None:
             return self._fail(transaction, Code.ABORTED, "the connection was lost")
         transaction.wrote |= job.access is Access.WRITE and reply.code is None
@@ -302,7 +248,7 @@
         if transaction.changed_values:
             # Whether a rollback also takes values back is not known.
             lease.connection.values_by_name = None
-        self._give_back(lease)
+        self._steps.give_back(lease)
 
     def _start(self, transaction, job):
         """Find a connection and begin; return the reply of a failure, or None."""
@@ -324,19 +270,19 @@
     def _begin(self, transaction, job):
         """Begin on the leased connection; return None, or why it did not begin."""
         lease = transaction.lease
-        ready = yield from self._set_up(lease, job)
+        ready = yield from self._steps.set_up(lease, job)
         if ready is not None:
-            self._give_back(lease)
+            self._steps.give_back(lease)
             return ready
         asked_at = self._loop.clock.now()
         begin = statements.Begin(transaction.read_only)
-        reply = yield from self._own(lease, begin, job.deadline, lease.after)
+        reply = yield from self._steps.ask_own(lease, begin, job.deadline, lease.after)
         if reply is None:
-            self._drop(lease)
+            self._steps.drop(lease)
             return Retry("no answer to a begin")
         if reply.code is not None:
             self._group.refused(lease.connection, reply.code, lease.after)
-            self._give_back(lease)
+            self._steps.give_back(lease)
             return Retry(reply.code.value)
         if not transaction.read_only:
             self._group.proved(lease.connection, asked_at, reply)
@@ -346,13 +292,13 @@
         lease = transaction.lease
         asked_at = self._loop.clock.now()
         if transaction.wrote:
-            self._group.write_sent()
-        reply = yield from self._ask(lease, job)
+            self._group.writes.sent()
+        reply = yield from self._steps.ask(lease, job)
         if transaction.wrote:
-            self._group.write_ended(reply)
+            self._group.writes.ended(reply)
         transaction.lease = None
         if reply is None:
-            self._drop(lease)
+            self._steps.drop(lease)
             if transaction.wrote:
                 return Reply(code=Code.OUTCOME_UNKNOWN, detail="no answer to a commit")
             return Reply(code=Code.ABORTED, detail="no answer to an empty commit")
@@ -363,11 +309,11 @@
             lease.connection.values_by_name = None
         if reply.code in NOT_RUN_CODES:
             self._group.refused(lease.connection, reply.code)
-        self._give_back(lease)
+        self._steps.give_back(lease)
         return attrs.evolve(reply, state=TransactionState.IDLE)
 
     def _fail(self, transaction, code, detail):
-        self._drop(transaction.lease)
+        self._steps.drop(transaction.lease)
         transaction.lease = None
         transaction.failed = True
         return Reply(code=code, detail=detail, state=TransactionState.FAILED)
@@ -401,75 +347,6 @@
             self._state.values_by_name,
         )
 
-    def _set_up(self, lease, job):
-        """Give the connection the session's values and the statement's preparation.
-
-        Returns None, or a ``Retry`` when a step failed; the statement has not been
-        sent then.
-        """
-        connection = lease.connection
-        while step := lineconnections.next_setup(
-            connection, self._state.values_by_name, job.shape
-        ):
-            reply = yield from self._own(lease, step, job.deadline)
-            if reply is None or reply.code is not None:
-                connection.close()
-                return Retry("the session could not be set up")
-            lineconnections.apply_setup(connection, step)
-        return None
-
-    def _own(self, lease, statement, deadline, after=None):
-        """Send a statement of the proxy's own; return its reply, or None."""
-        loop = self._loop
-        late = errors.ConnectionLost("no answer before the deadline")
-        future = lease.connection.ask(statement, None, after)
-        try:
-            reply = yield loop.with_deadline(future, deadline, late)
-        except errors.CassiahillError:
-            return None
-        self._group.observe(lease.connection, reply)
-        return reply
-
-    def _ask(self, lease, job, after=None):
-        """Send the client's statement; return the reply, or None."""
-        loop = self._loop
-        connection = lease.connection
-        statement = job.statement
-        if job.shape is not None:
-            name = connection.names_by_shape[job.shape]
-            statement = attrs.evolve(statement, name=name)
-        asked_at = loop.clock.now()
-        late = errors.ConnectionLost("no answer before the deadline")
-        future = connection.ask(statement, job.request_id, after)
-        try:
-            reply = yield loop.with_deadline(future, job.deadline, late)
-        except errors.CassiahillError:
-            return None
-        now = loop.clock.now()
-        lease.finish(now, now - asked_at)
-        self._group.observe(connection, reply)
-        return reply
-
-    def _give_back(self, lease):
-        """Return a connection to its pool, ending what is open on it first."""
-        lease.finish(self._loop.clock.now())
-        if lease.connection.state is TransactionState.IDLE:
-            lease.pool.give_back(lease.connection)
-        else:
-            self._loop.spawn(self._end_and_give_back(lease))
-
-    def _end_and_give_back(self, lease):
-        deadline = self._loop.clock.now() + ROLLBACK_SECONDS
-        reply = yield from self._own(lease, statements.Rollback(), deadline)
-        if reply is None:
-            lease.connection.close()
-        lease.pool.give_back(lease.connection)
-
-    def _drop(self, lease):
-        lease.connection.close()
-        lease.pool.missed(self._loop.clock.now())
-        lease.finish(self._loop.clock.now())
-
     def _refusal(self, job, request):
         eventlog.event(
             "refused",
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -275,13 +275,13 @@
         # All known replicas are paused. One that has just started may not be known, so
         # a primary that can be reached must stop before its commits are given up.
         if old.received is not None:
-            if self._group.acknowledged_at > paused_at:
+            if self._group.writes.acknowledged_at > paused_at:
                 return None
             stopped = yield from self._ask(primary, statements.StepDown(term))
             if stopped.received is None:
                 return None
             yield self._loop.sleep_until(self._loop.clock.now() + DELIVERY_SECONDS)
-            if self._group.acknowledged_at > paused_at:
+            if self._group.writes.acknowledged_at > paused_at:
                 return primary
         return longest_log([*answered, last])
 
--- a/tests/session_builders.py
+++ b/tests/session_builders.py
@@ -2,7 +2,8 @@
 
 from cassiahill.catalog import Consistency, GroupLimits, Route
 from cassiahill.groupwork import GroupWork
-from cassiahill.sessionwork import Job, SessionState, SessionWork, Transaction
+from cassiahill.leasesteps import Job, SessionState
+from cassiahill.sessionwork import SessionWork, Transaction
 from cassiahill.statements import Access, Commit, Execute, Run
 from tests.line_group import LineGroup, TypedDialect
 from tests.stepped_loop import SteppedLoop
--- a/tests/session_load.py
+++ b/tests/session_load.py
@@ -12,7 +12,8 @@
 from cassiahill import waiting
 from cassiahill.catalog import Consistency, GroupLimits, Route
 from cassiahill.groupwork import GroupWork
-from cassiahill.sessionwork import Job, SessionState, SessionWork
+from cassiahill.leasesteps import Job, SessionState
+from cassiahill.sessionwork import SessionWork
 from cassiahill.statements import Access, Code, Run
 from tests.line_group import LineGroup, TypedDialect
 from tests.stepped_loop import SteppedLoop
