Serve those first that can still be answered inside their target

Change: a request that can no longer be answered inside its route's target goes behind its equals that can. Priorities stay strict, and nobody is held longer than before.

--- a/cassiahill/groupwork.py
+++ b/cassiahill/groupwork.py
@@ -391,6 +391,7 @@
         """Grant what can be granted, refuse what cannot be served, open connections."""
         self._pumping = False
         now = self._loop.clock.now()
+        self._waiting.mark_late(now)
         wanted_by_id = dict.fromkeys(self.pools_by_id, 0)
         for request in self._waiting:
             need = request.placement()
--- a/cassiahill/sessionwork.py
+++ b/cassiahill/sessionwork.py
@@ -345,6 +345,9 @@
             job.deadline,
             needed,
             self._state.values_by_name,
+            target_at=job.arrived_at
+            + self._route.target
+            - self._group.usual_seconds(self._route.database),
         )
 
     def _refusal(self, job, request):
--- a/cassiahill/waiting.py
+++ b/cassiahill/waiting.py
@@ -1,12 +1,16 @@
 """Requests that wait for a backend server: their order, and when to refuse.
 
-It answers bursts of one kind of request and the time without a primary. The more urgent
-request goes first; within a priority the one that came first. A request is refused as
-soon as it is known that it cannot be served in time, and at the latest when it has
-waited for the larger part of its time.
+It answers bursts of one kind of request, replicas that lag so that the primary serves
+all reads, and the time without a primary. The more urgent request goes first. Within a
+priority, those that can still be answered inside their target go before those that
+cannot: under overload, first come first served would answer all of them late. Among
+equals the one that came first goes first. A request is refused as soon as it is known
+that it cannot be served in time, and at the latest when it has waited for the larger
+part of its time.
 """
 
 import itertools
+import math
 
 import attrs
 from sortedcontainers import SortedKeyList
@@ -35,6 +39,10 @@
         Ids of the servers that have failed this request.
     settle : callable or None
         Called once with a lease, or with None when the request is refused.
+    target_at : float
+        Instant until which it must be granted to be answered inside its target.
+    late : bool
+        Whether that instant has passed.
     """
 
     request_id: str
@@ -45,6 +53,8 @@
     values_by_name: dict = attrs.field(factory=dict)
     avoid: set = attrs.field(factory=set)
     settle: object = None
+    target_at: float = math.inf
+    late: bool = False
     order: int = attrs.field(factory=itertools.count().__next__)
 
     @property
@@ -57,7 +67,9 @@
     """Requests in the order in which they are served."""
 
     def __init__(self):
-        self._requests = SortedKeyList(key=lambda one: (one.priority, one.order))
+        self._requests = SortedKeyList(
+            key=lambda one: (one.priority, one.late, one.order)
+        )
 
     def __len__(self):
         return len(self._requests)
@@ -73,6 +85,14 @@
         """Remove a request; nothing happens when it has gone already."""
         self._requests.discard(request)
 
+    def mark_late(self, now):
+        """Put the requests that miss their target behind those that may meet it."""
+        passed = [one for one in self._requests if not one.late and now > one.target_at]
+        for one in passed:
+            self._requests.remove(one)
+            one.late = True
+            self._requests.add(one)
+
     def overdue(self, now, primary_expected_at, needs_primary):
         """Return the requests to refuse now.
 
--- a/tests/session_load.py
+++ b/tests/session_load.py
@@ -1,9 +1,10 @@
 """Plays the load of a heavy day on proxies and one group in memory, in virtual time.
 
-``python -m tests.session_load`` prints what callers get under three policies.
+``python -m tests.session_load`` prints what callers get under four policies.
 """
 
 import collections
+import contextlib
 import random
 from unittest import mock
 
@@ -176,16 +177,23 @@
     return tuple(attrs.evolve(kind, priority=0) for kind in kinds)
 
 
+def ignore_targets():
+    """Let requests of one priority go in the order in which they came."""
+    return mock.patch.object(waiting.WaitingList, "mark_late", lambda *_: None)
+
+
 def main():
-    """Print the three policies, with one replica that does not apply."""
+    """Print the four policies, with two replicas that do not apply."""
+    share = waiting.WAIT_SHARE
     policies = (
-        ("first come, first served", first_come(KINDS), waiting.WAIT_SHARE),
-        ("priority, held to the end", KINDS, 1.0),
-        ("priority, refused early", KINDS, waiting.WAIT_SHARE),
+        ("first come, first served", first_come(KINDS), share, ignore_targets),
+        ("priority, held to the end", KINDS, 1.0, ignore_targets),
+        ("priority, refused early", KINDS, share, ignore_targets),
+        ("and those in target first", KINDS, share, contextlib.nullcontext),
     )
     print("policy, kind: in aim, late, refused early, refused late, failed")
-    for name, kinds, share in policies:
-        with mock.patch.object(waiting, "WAIT_SHARE", share):
+    for name, kinds, wait_share, targets in policies:
+        with mock.patch.object(waiting, "WAIT_SHARE", wait_share), targets():
             outcomes = Load(1, lagging=("b", "c"), kinds=kinds).play()
         for kind in kinds:
             one = outcomes[kind.name]
--- a/tests/test_session_load.py
+++ b/tests/test_session_load.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tests.session_load import Load
+from tests.session_load import Load, ignore_targets
 
 
 class HeavyLoadTest(unittest.TestCase):
@@ -23,6 +23,14 @@
             self.assertEqual(outcome.refused_late, 0, name)
             self.assertEqual(outcome.failed, 0, name)
 
+    def test_overload_leaves_those_in_target_in_time(self):
+        """Guards against a queue that answers every request just too late."""
+        with_targets = Load(1, lagging=("b", "c")).play()["amendment"]
+        with ignore_targets():
+            in_order = Load(1, lagging=("b", "c")).play()["amendment"]
+        self.assertGreater(with_targets.share_in_aim, in_order.share_in_aim)
+        self.assertLess(with_targets.late, in_order.late)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -29,6 +29,26 @@
             waiting.add(request(request_id, priority))
         self.assertEqual([one.request_id for one in waiting], ["z", "y", "w", "x"])
 
+    def test_those_that_miss_their_target_go_behind_their_equals(self):
+        """Guards against an overload in which every request is answered late."""
+        waiting = WaitingList()
+        for request_id, priority, target_at in (
+            ("missed", 1, 0.2),
+            ("fresh", 1, 0.5),
+            ("lookup", 2, 0.5),
+        ):
+            one = request(request_id, priority)
+            one.target_at = target_at
+            waiting.add(one)
+        waiting.mark_late(0.1)
+        self.assertEqual(
+            [one.request_id for one in waiting], ["missed", "fresh", "lookup"]
+        )
+        waiting.mark_late(0.3)
+        self.assertEqual(
+            [one.request_id for one in waiting], ["fresh", "missed", "lookup"]
+        )
+
     def test_refused_while_the_client_has_time_for_another_attempt(self):
         """Guards against a refusal that comes too late to be of use."""
         waiting = WaitingList()
