--- a/cassiahill/blocking_http.py
+++ b/cassiahill/blocking_http.py
@@ -45,11 +45,6 @@
         self._sockets = set()
         self._closed = False
 
-    @property
-    def closed(self):
-        """Whether ``close`` was called."""
-        return self._closed
-
     @contextlib.contextmanager
     def tracking(self, sock):
         """Let ``close`` end the exchange on a socket within the block."""
