Do not promote while a replica may live on behind the primary's cut

Change: in a synchronous group, a replica whose entry has gone since the primary's last proof is awaited for 10 s, which a cut outlasts seldom. An entry that went before, as after an orderly release, is not awaited. The set is taken together with the list of replicas that are asked: taken later, a replica that registers meanwhile would be neither awaited nor asked (the new test showed that).

Ruled out: pausing the draining replica, since the same holds for a new replica in the zone of a draining primary; refusing writes sooner behind a cut, since a cut is seen after 0.6 s at the earliest.

Tests: a replica that left with the primary is awaited, one that left for good not for ever, one that left before not at all; the first failed before.

--- a/cassiahill/groupwork.py
+++ b/cassiahill/groupwork.py
@@ -91,6 +91,7 @@
         self.evidence = evidence.GroupEvidence()
         self.pools_by_id = {}
         self.progress_by_id = {}
+        self._gone_at_by_id = {}
         self.probe_failed_since = None
         self._usual_seconds_by_database = {}
         self.writes = outstandingwrites.OutstandingWrites(loop.clock)
@@ -102,6 +103,7 @@
     def put_server(self, server, before):
         """Take a server that registered or changed."""
         now = self._loop.clock.now()
+        self._gone_at_by_id.pop(server.server_id, None)
         pool = self.pools_by_id.get(server.server_id)
         restarted = before is not None and (
             before.address != server.address or before.born != server.born
@@ -130,9 +132,12 @@
         """Stop using a server."""
         pool = self.pools_by_id.pop(server_id, None)
         self.progress_by_id.pop(server_id, None)
+        now = self._loop.clock.now()
         if pool is not None:
             pool.close()
-        if self.primary.removed(server_id, self._loop.clock.now()):
+            if not pool.server.says_primary:
+                self._gone_at_by_id[server_id] = now
+        if self.primary.removed(server_id, now):
             self._log_primary("removed")
 
     def set_limits(self, limits, proxies):
@@ -212,6 +217,25 @@
             return placement.NotProvable()
         return placement.AtPosition(position)
 
+    def gone_with_primary(self, seconds):
+        """Return the replicas whose entries have gone since the primary's last proof.
+
+        They may live on where the primary is, out of reach for this process.
+
+        Parameters
+        ----------
+        seconds : float
+            Those that have gone for longer are left out.
+        """
+        now = self._loop.clock.now()
+        latest = self.evidence.latest
+        proved_at = float("-inf") if latest is None else latest.asked_at
+        return [
+            server_id
+            for server_id, gone_at in self._gone_at_by_id.items()
+            if gone_at >= proved_at and now - gone_at < seconds
+        ]
+
     # Answers
 
     def observe(self, connection, reply):
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -31,6 +31,8 @@
 CONFIRM_ROUNDS = 9
 STEP_SECONDS = 0.03
 DELIVERY_SECONDS = 0.06  # An acknowledgement on its way has arrived after this.
+# A cut that hides the primary and a replica is over by then, and both are asked again.
+GONE_SECONDS = 10.0
 WAITS_UNTIL_RESIGNING = 2  # Another process may reach the replicas that this one lacks.
 
 
@@ -219,6 +221,8 @@
         if token is None or not (yield self._confirm()):
             return False
         replicas = [one for one in self._group.pools_by_id if one != primary]
+        # A replica that registers again from here on is not among those that are asked.
+        gone = self._group.gone_with_primary(GONE_SECONDS)
         asked_old = self._loop.spawn(
             self._ask(primary, statements.ReadStatus(), LAST_QUESTION_SECONDS)
         )
@@ -233,6 +237,15 @@
             if self._waits % WAITS_UNTIL_RESIGNING == 0:
                 self._resign()
             return False
+        if gone and self._group.synchronous:
+            # Behind a cut, such a replica may acknowledge commits of the primary.
+            eventlog.event(
+                "takeover_waits_for_gone",
+                group=self._group.name,
+                primary=primary,
+                gone=" ".join(gone),
+            )
+            return False
         self._waits = 0
         others = [one for one in replicas if one != successor]
         term = 1 + max(one.term for one in standings if one.received is not None)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -156,6 +156,48 @@
         self.run_for(3.0)
         self.assertEqual([one for one, _ in self.orders.given][:1], ["c"])
 
+    def test_waits_for_a_replica_that_left_with_the_primary(self):
+        """Guards against the loss of what a cut-off replica has acknowledged.
+
+        Found by a hunt (roll-and-reset at Entulho, seed 94884192804): a draining
+        replica was behind the same cut as the primary, its entry lapsed, and another
+        replica was promoted without the commits of the first second of the cut.
+        """
+        self.make()
+        servers = self.bench.servers
+        draining = servers.registered("c", draining=True)
+        self.bench.group.put_server(draining, servers.registered("c"))
+        servers.by_id["b"].deaf = True
+        self.bench.write(self.bench.session())
+        servers.by_id["a"].dark = servers.by_id["c"].dark = True
+        self.run_for(2.0)
+        self.bench.group.remove_server("c")  # Its entry has lapsed.
+        self.run_for(4.0)
+        self.assertEqual(self.orders.given, [])
+        servers.by_id["a"].dark = servers.by_id["c"].dark = False
+        self.bench.group.put_server(draining, None)
+        self.run_for(2.0)
+        self.assertEqual(self.bench.group.primary.believed, "a")
+
+    def test_replica_that_left_for_good_is_not_awaited_for_ever(self):
+        """Guards against a group that stays without a primary."""
+        self.make()
+        servers = self.bench.servers
+        servers.by_id["a"].dark = servers.by_id["c"].dark = True
+        self.run_for(2.0)
+        self.bench.group.remove_server("c")
+        self.run_for(takeover.GONE_SECONDS + 2.0)
+        self.assertEqual([one for one, _ in self.orders.given], ["b"])
+
+    def test_replica_that_left_before_is_not_awaited(self):
+        """Guards against an outage after an orderly release."""
+        self.make()
+        self.bench.group.remove_server("c")
+        self.run_for(1.0)
+        self.bench.servers.by_id["a"].dark = True
+        self.run_for(3.0)
+        self.assertEqual([one for one, _ in self.orders.given], ["b"])
+
     def test_asynchronous_group_switches_with_one_replica_down(self):
         """Guards against an outage that only waits for a replica that is down."""
         self.make(synchronous=False)
