Close the store in its test only once the watch is in flight

The test slept for 0.2 s; on a busy machine the watch might not have begun, and the test would have passed without one.

--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -1,7 +1,6 @@
 """Tests of ``cassiahill.objects``: one contract for every store."""
 
 import threading
-import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
@@ -96,7 +95,10 @@
         store = self.store
         with ThreadPoolExecutor(1) as executor:
             watch = executor.submit(store.watch, "w", 10**6, self.deadline(30.0))
-            time.sleep(0.2)  # for the watch to be in flight
+            in_flight = store._open_sockets._sockets
+            while not in_flight and not watch.done():
+                threading.Event().wait(0.01)
+            self.assertFalse(watch.done())
             store.close()
             with self.assertRaises(errors.PlatformUnavailable):
                 watch.result(timeout=5.0)
