--- a/cassiahill/catalog_feed.py
+++ b/cassiahill/catalog_feed.py
@@ -1,11 +1,15 @@
 """Keeps the catalog up to date from the shared store, or from peers in an outage."""
 
 import attrs
+import msgspec
 
-from cassiahill import event_log, store_watcher
+from cassiahill import errors, event_log, store_watcher
 from cassiahill.catalog import ServerAdded
 from cassiahill.heartbeats import View
 
+# A reader sends a configuration of this size to the followers of its failure domain in
+# a second or less. They read a larger one in the store.
+LARGE_CONFIGURATION_BYTES = 65_536
 LAPSE_CHECK_INTERVAL_SECONDS = 0.2
 # Longer for processes without connections: the store limits the calls of all proxies.
 UNCONNECTED_WATCH_PAUSE_SECONDS = 2.0
@@ -54,8 +58,12 @@
         self._source = source
         self._on_configuration = on_configuration
         self._on_server = on_server
+        self._store = store
         self._documents_by_id = {}
-        self._servers_revision_from_peer = 0
+        self._reading_configuration = False
+        self._measured_version = 0
+        self._configuration_bytes = 0
+        self._resting = False
         self._closed = False
         self._configuration_watcher = store_watcher.StoreWatcher(
             loop,
@@ -63,7 +71,7 @@
             source.configuration_kind,
             rng,
             self._apply_configuration_snapshot,
-            lambda change: self._apply_configuration(change.stored, "store"),
+            self._apply_configuration_changes,
         )
         self._server_watcher = store_watcher.StoreWatcher(
             loop,
@@ -71,7 +79,7 @@
             source.servers_kind,
             rng,
             self._apply_server_snapshot,
-            self._apply_server_change,
+            self._apply_server_changes,
         )
         self._remove_lapsed_servers()
 
@@ -80,44 +88,103 @@
         """Version of the configuration and revision of the list of servers."""
         configuration = self._catalog.configuration
         version = 0 if configuration is None else configuration.version
-        return version, max(
-            self._server_watcher.revision, self._servers_revision_from_peer
-        )
+        return version, self._server_watcher.changed_revision
 
     @property
     def is_store_unreachable(self):
         """Whether the store does not answer one of the watchers."""
-        reachabilities = (
-            self._configuration_watcher.reachability,
-            self._server_watcher.reachability,
-        )
-        return any(
-            reachability.unreachable_since is not None
-            for reachability in reachabilities
+        return (
+            self._configuration_watcher.is_store_unreachable
+            or self._server_watcher.is_store_unreachable
         )
 
-    def view(self):
-        """Return the ``View`` of configuration and servers for a peer."""
+    def view(self, known):
+        """Return the ``View`` of configuration and servers for a peer.
+
+        Parameters
+        ----------
+        known : heartbeats.KnownVersions
+            What the peer has already.
+        """
+        version, servers_revision = self.versions
+        newer_configuration = newer_servers = None
+        if version > known.configuration and (
+            known.accepts_large or not self._is_configuration_large()
+        ):
+            newer_configuration = self._catalog.configuration.document
+        if servers_revision > known.servers:
+            newer_servers = dict(self._documents_by_id)
+        return View(newer_configuration, servers_revision, newer_servers)
+
+    def _is_configuration_large(self):
+        """Return whether many copies of the configuration would fill a host's link."""
         configuration = self._catalog.configuration
-        document = None if configuration is None else configuration.document
-        return View(document, self.versions[1], dict(self._documents_by_id))
+        if self._measured_version != configuration.version:
+            self._measured_version = configuration.version
+            self._configuration_bytes = len(msgspec.json.encode(configuration.document))
+        return self._configuration_bytes > LARGE_CONFIGURATION_BYTES
 
     def apply_view(self, view, peer):
         """Take over what is newer in a peer's ``View``.
 
-        Servers are taken over only while the store does not answer.
+        Servers are taken over only while this process does not read them in the store.
         """
         if view.configuration is not None:
             self._install_configuration(view.configuration, f"peer {peer}")
-        if self.is_store_unreachable and view.servers_revision > self.versions[1]:
-            self._servers_revision_from_peer = view.servers_revision
+            self._configuration_watcher.record_objects_of_peer(0)
+        reads_servers = not (self._resting or self.is_store_unreachable)
+        if reads_servers or view.servers is None:
+            return
+        if view.servers_revision > self._server_watcher.changed_revision:
+            self._server_watcher.record_objects_of_peer(view.servers_revision)
             event_log.event(
-                "servers_from_peer",
-                peer=peer,
-                revision=self._servers_revision_from_peer,
+                "servers_from_peer", peer=peer, revision=view.servers_revision
             )
             self._replace_servers(view.servers)
 
+    def set_resting(self, resting):
+        """Set whether a peer announces changes, so that the store is not watched."""
+        self._resting = resting
+        self._configuration_watcher.set_resting(resting)
+        self._server_watcher.set_resting(resting)
+
+    def request_lists(self):
+        """List configuration and servers now, also while the watchers rest."""
+        self._configuration_watcher.request_list()
+        self._server_watcher.request_list()
+
+    def read_configuration(self, version):
+        """Read an announced version of the configuration in the store; a task.
+
+        Parameters
+        ----------
+        version : int
+
+        Returns
+        -------
+        bool
+            Whether that version or a newer one is installed.
+        """
+        if self._reading_configuration:
+            return True
+        self._reading_configuration = True
+        try:
+            for may_be_stale in (True, False):
+                stored = yield self._store.get(
+                    self._source.configuration_kind,
+                    self._source.configuration_name,
+                    may_be_stale,
+                )
+                if stored is not None:
+                    self._apply_configuration(stored, "store")
+                if self.versions[0] >= version:
+                    return True
+        except errors.CassiahillError as error:
+            event_log.event("configuration_unread", cause=error.detail)
+        finally:
+            self._reading_configuration = False
+        return False
+
     def set_server_watch_pause(self, short):
         """Set how soon changes of servers are read.
 
@@ -144,6 +211,10 @@
         for stored in snapshot.objects:
             self._apply_configuration(stored, "store")
 
+    def _apply_configuration_changes(self, changes):
+        for change in changes:
+            self._apply_configuration(change.stored, "store")
+
     def _apply_configuration(self, stored, origin):
         if stored.name == self._source.configuration_name:
             self._install_configuration(stored.value, origin)
@@ -176,12 +247,13 @@
         for server_id, document in documents_by_id.items():
             self._put_server(server_id, document, now)
 
-    def _apply_server_change(self, change):
+    def _apply_server_changes(self, changes):
         now = self._loop.clock.now()
-        if change.deleted:
-            self._mark_server_unregistered(change.stored.name, now)
-        else:
-            self._put_server(change.stored.name, change.stored.value, now)
+        for change in changes:
+            if change.deleted:
+                self._mark_server_unregistered(change.stored.name, now)
+            else:
+                self._put_server(change.stored.name, change.stored.value, now)
 
     def _put_server(self, server_id, document, now):
         self._documents_by_id[server_id] = document
--- a/cassiahill/group_owners.py
+++ b/cassiahill/group_owners.py
@@ -8,7 +8,8 @@
 """
 
 import attrs
-import xxhash
+
+from cassiahill import rendezvous
 
 # One of them is the proxy's quota; the quotas of all proxies add up to half of the
 # server's connection limit.
@@ -95,14 +96,7 @@
     -------
     GroupOwners
     """
-    proxy_names_by_domain = {}
-    for name, domain in domains_by_name.items():
-        proxy_names_by_domain.setdefault(domain, []).append(name)
-    for names in proxy_names_by_domain.values():
-        names.sort(
-            key=lambda name: xxhash.xxh3_64_intdigest(f"{group}\0{name}".encode()),
-            reverse=True,
-        )
+    proxy_names_by_domain = rendezvous.rank_by_domain(group, domains_by_name)
     proxy_count = len(domains_by_name)
     limit_suffices = proxy_count * CONNECTIONS_PER_PROXY <= connection_limit
     every_proxy_serves = limit_suffices and proxy_count <= MAX_DIRECT_PROXIES
--- a/cassiahill/heartbeats.py
+++ b/cassiahill/heartbeats.py
@@ -1,5 +1,7 @@
 """Messages between session proxies, and the members that send them."""
 
+import urllib.parse
+
 import attrs
 import msgspec
 
@@ -24,6 +26,10 @@
         Watched groups whose primary the sender does not reach.
     watched : list of str
         Groups whose servers the sender is connected to.
+    members_revision : int
+        Revision of the sender's list of members.
+    reads_store : bool
+        Whether the sender reads the shared store, and the store answers it.
     """
 
     name: str
@@ -31,6 +37,8 @@
     servers_revision: int
     lacking: list[str] = []
     watched: list[str] = []
+    members_revision: int = 0
+    reads_store: bool = False
 
 
 class HeartbeatAnswer(msgspec.Struct):
@@ -46,12 +54,45 @@
         Whether it is the promoter.
     cut_off : bool
         Whether it does not reach the other failure domains.
+    members_revision : int
+        Revision of its list of members.
+    reads_store : bool
+        Whether it reads the shared store, and the store answers it.
     """
 
     version: int
     servers_revision: int
     promoter: bool
     cut_off: bool = False
+    members_revision: int = 0
+    reads_store: bool = False
+
+
+class StoredPromoter(msgspec.Struct):
+    """The stored object that names the promoter."""
+
+    revision: int
+    value: object
+
+
+@attrs.frozen
+class KnownVersions:
+    """What a proxy knows already when it asks another one for a ``View``.
+
+    Attributes
+    ----------
+    configuration : int
+        Version of the configuration.
+    servers, members : int
+        Revisions of the list of servers and of the list of members.
+    accepts_large : int
+        1 if the proxy wants a large configuration too, 0 if it can read it elsewhere.
+    """
+
+    configuration: int = 0
+    servers: int = 0
+    members: int = 0
+    accepts_large: int = 1
 
 
 class View(msgspec.Struct):
@@ -60,18 +101,24 @@
     Attributes
     ----------
     configuration : object
-        Document of the configuration, or None.
+        Document of the configuration; None if the other proxy has that version, or
+        does not want a large one.
     servers_revision : int
-    servers : dict of str to object
-        Documents of the servers by id.
-    members : dict of str to object
-        Documents of the session proxies by object name.
+    servers : dict of str to object, or None
+        Documents of the servers by id; None if the other proxy has that revision.
+    members : dict of str to object, or None
+        Documents of the session proxies by object name; None if the other proxy has
+        that revision.
+    members_revision : int
+    promoter : StoredPromoter or None
     """
 
     configuration: object
     servers_revision: int
-    servers: dict[str, object]
-    members: dict[str, object] = {}
+    servers: dict[str, object] | None
+    members: dict[str, object] | None = None
+    members_revision: int = 0
+    promoter: StoredPromoter | None = None
 
 
 @attrs.frozen
@@ -143,6 +190,37 @@
     return _decode(_heartbeat_answer_decoder, body)
 
 
+def encode_view_path(known):
+    """Return the path and query to ask a proxy for what is newer than known.
+
+    Parameters
+    ----------
+    known : KnownVersions
+    """
+    return f"{VIEW_PATH}?{urllib.parse.urlencode(attrs.asdict(known))}"
+
+
+def decode_known_versions(query):
+    """Return the ``KnownVersions`` in the query of a request for a view.
+
+    Fields that are left out have their defaults.
+
+    Raises
+    ------
+    errors.MalformedRequest
+    """
+    fields = dict(urllib.parse.parse_qsl(query))
+    try:
+        return KnownVersions(
+            *(
+                int(fields.get(field.name, field.default))
+                for field in attrs.fields(KnownVersions)
+            )
+        )
+    except ValueError as error:
+        raise errors.MalformedRequest("a version is not a number") from error
+
+
 def decode_view(body):
     """Return the view in a response body; raises as ``decode_heartbeat`` does."""
     return _decode(_view_decoder, body)
--- /dev/null
+++ b/cassiahill/member_registry.py
@@ -0,0 +1,246 @@
+"""The registered session proxies, and this process's own entry among them.
+
+Entries are objects in the shared store. The process reads them there, or from a peer
+that does.
+"""
+
+from cassiahill import (
+    errors,
+    event_log,
+    heartbeats,
+    promoter_election,
+    shared_store,
+    store_readers,
+    store_watcher,
+)
+from cassiahill.heartbeats import MEMBER_PREFIX
+
+PROXIES_KIND = "proxies"
+REGISTRATION_RETRY_SECONDS = 1.0
+# Proxies that start together register at the same time, and each registration ends the
+# watches of all.
+WATCH_PAUSE_SECONDS = 2.0
+
+
+class MemberRegistry:
+    """Members of the fleet by their entries in the store.
+
+    Parameters
+    ----------
+    loop : loop.EventLoop
+    store : shared_store.SharedStore
+    own_member : heartbeats.Member
+    election : promoter_election.PromoterElection
+        Told of the object that names the promoter, which is of the same kind.
+    rng : random.Random
+    on_changed : callable
+        Called without arguments after a change of the members.
+
+    Attributes
+    ----------
+    members_by_name : dict of str to heartbeats.Member
+    watcher : store_watcher.StoreWatcher
+    fleet_known : bool
+        Whether ``members_by_name`` holds the whole fleet. A process that starts with
+        all others waits until they have registered too.
+    started_with_fleet : bool
+        Whether the process had no entry at its start, so that others may start too.
+    """
+
+    def __init__(self, loop, store, own_member, election, rng, on_changed):
+        self._loop = loop
+        self._store = store
+        self._own_member = own_member
+        self._own_entry_revision = 0
+        self._election = election
+        self._on_changed = on_changed
+        self._registering = False
+        self._closed = False
+        self._documents_by_name = {}
+        self._fleet_registered_at = (
+            loop.clock.now() + store_readers.REGISTRATION_WAIT_SECONDS
+        )
+        self.members_by_name = {}
+        self.fleet_known = False
+        self.started_with_fleet = False
+        self.watcher = store_watcher.StoreWatcher(
+            loop,
+            store,
+            PROXIES_KIND,
+            rng,
+            self._apply_snapshot,
+            self._apply_changes,
+            WATCH_PAUSE_SECONDS,
+            may_be_stale=True,
+        )
+        # The fleet decides who watches the members.
+        self.watcher.set_resting(True)
+        self.watcher.request_list()
+        loop.call_at(self._fleet_registered_at, self._list_registered_fleet)
+
+    @property
+    def revision(self):
+        """Revision up to which the members are known; 0 before the first list."""
+        return self.watcher.changed_revision
+
+    def close(self):
+        """Stop watching and registering."""
+        self._closed = True
+        self.watcher.close()
+
+    def add_to_view(self, view, known):
+        """Add the members and the promoter to a ``View`` unless the peer knows them.
+
+        Parameters
+        ----------
+        view : heartbeats.View
+        known : heartbeats.KnownVersions
+        """
+        view.members_revision = self.revision
+        if self.revision <= known.members:
+            return
+        view.members = dict(self._documents_by_name)
+        promoter = self._election.promoter
+        if promoter is not None:
+            value = {"holder": promoter.name, "incarnation": promoter.incarnation}
+            view.promoter = heartbeats.StoredPromoter(promoter.revision, value)
+
+    def apply_view(self, view, reads_store):
+        """Take over newer members from a peer's ``View``.
+
+        Parameters
+        ----------
+        view : heartbeats.View
+        reads_store : bool
+            Whether this process reads the members in the store itself.
+        """
+        if view.members is None or (reads_store and self.revision):
+            return
+        if view.members_revision <= self.revision:
+            return
+        self.watcher.record_objects_of_peer(view.members_revision)
+        self._documents_by_name = {}
+        for name, value in view.members.items():
+            self._documents_by_name[name] = value
+        if view.promoter is not None:
+            self._election.apply_stored(
+                shared_store.StoredObject(
+                    promoter_election.PROMOTER_NAME,
+                    view.promoter.revision,
+                    view.promoter.value,
+                )
+            )
+        self._replace_members()
+        if (
+            self._own_member.name not in self.members_by_name
+            and view.members_revision > self._own_entry_revision
+        ):
+            self._loop.spawn(self._register_own_member(None))
+
+    def _list_registered_fleet(self):
+        """List the members once those that started with this process registered."""
+        if not self.fleet_known:
+            self.watcher.request_list()
+
+    def _apply_snapshot(self, snapshot):
+        self._documents_by_name = {}
+        promoter_named = False
+        for stored in snapshot.objects:
+            if stored.name == promoter_election.PROMOTER_NAME:
+                self._election.apply_stored(stored)
+                promoter_named = True
+            else:
+                self._documents_by_name[stored.name] = stored.value
+        if not promoter_named:
+            self._election.record_deletion()
+        if self._loop.clock.now() >= self._fleet_registered_at:
+            self.fleet_known = True
+        self._replace_members()
+        self._register_if_changed(snapshot)
+
+    def _apply_changes(self, changes):
+        for change in changes:
+            self._apply_change(change)
+        self._replace_members()
+        own_name = MEMBER_PREFIX + self._own_member.name
+        if any(change.deleted and change.stored.name == own_name for change in changes):
+            self._loop.spawn(self._register_own_member(None))
+
+    def _apply_change(self, change):
+        name = change.stored.name
+        if name == promoter_election.PROMOTER_NAME:
+            if change.deleted:
+                self._election.record_deletion()
+            else:
+                self._election.apply_stored(change.stored)
+        elif change.deleted:
+            self._documents_by_name.pop(name, None)
+        else:
+            self._documents_by_name[name] = change.stored.value
+
+    def _replace_members(self):
+        """Decode the members anew and report the change."""
+        members = (
+            heartbeats.decode_member(name, value)
+            for name, value in self._documents_by_name.items()
+        )
+        self.members_by_name = {
+            member.name: member for member in members if member is not None
+        }
+        if self._own_member.name in self.members_by_name:
+            self.fleet_known = True
+        self.started_with_fleet |= not self.fleet_known
+        self._on_changed()
+
+    def _register_if_changed(self, snapshot):
+        if self.members_by_name.get(self._own_member.name) == self._own_member:
+            return
+        if snapshot.revision < self._own_entry_revision:
+            return
+        name = MEMBER_PREFIX + self._own_member.name
+        revisions = [
+            stored.revision for stored in snapshot.objects if stored.name == name
+        ]
+        self._loop.spawn(self._register_own_member(revisions[0] if revisions else None))
+
+    def _register_own_member(self, revision):
+        """Write this process's entry, with retries until the store has it.
+
+        Parameters
+        ----------
+        revision : int or None
+            Revision of the entry to replace; None to create it.
+        """
+        if self._registering:
+            return
+        self._registering = True
+        name = MEMBER_PREFIX + self._own_member.name
+        value = heartbeats.encode_member(self._own_member)
+        stored = None
+        while not self._closed:
+            try:
+                if revision is None:
+                    stored = yield self._store.create(PROXIES_KIND, name, value)
+                else:
+                    stored = yield self._store.replace(
+                        PROXIES_KIND, name, value, revision
+                    )
+                break
+            except errors.CassiahillError as error:
+                event_log.event("registration_failed", cause=error.detail)
+            yield self._loop.sleep_until(
+                self._loop.clock.now() + REGISTRATION_RETRY_SECONDS
+            )
+            try:
+                # An unanswered write may have succeeded.
+                stored = yield self._store.get(PROXIES_KIND, name)
+            except errors.CassiahillError as error:
+                event_log.event("registration_failed", cause=error.detail)
+                continue
+            if stored is not None and stored.value == value:
+                break
+            revision = None if stored is None else stored.revision
+        if stored is not None:
+            self._own_entry_revision = max(self._own_entry_revision, stored.revision)
+        self.members_by_name[self._own_member.name] = self._own_member
+        self._registering = False
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -1,9 +1,10 @@
-"""Membership and heartbeats of the session proxies of a deployment.
+"""Heartbeats among the session proxies of a deployment.
 
-Each proxy registers itself in the shared store. It sends heartbeats to the promoter, to
-detect its failure and to report unreachable primaries, and to other members, to detect
-a network partition. The answers also announce newer configurations and, for a proxy
-that the store does not answer, newer server lists, which it then fetches.
+A proxy that is connected to servers or reads the shared store sends heartbeats to the
+promoter, to detect its failure and to report unreachable primaries. Each proxy sends
+them to the reader of the store that it follows, and to other members, to detect a
+network partition. The answers announce newer configurations, servers and members, which
+the proxy then fetches.
 """
 
 import msgspec
@@ -13,21 +14,17 @@
     event_log,
     heartbeats,
     http1,
+    member_registry,
     promoter_election,
     reachability,
-    store_watcher,
+    store_readers,
     takeover,
 )
-from cassiahill.heartbeats import HEARTBEAT_PATH, MEMBER_PREFIX, VIEW_PATH
+from cassiahill.member_client import MemberClient
 
-PROXIES_KIND = "proxies"
 HEARTBEAT_INTERVAL_SECONDS = 0.4
 HEARTBEAT_TIMEOUT_SECONDS = 0.4
 REPORT_MAX_AGE_SECONDS = 1.2
-REGISTRATION_RETRY_SECONDS = 1.0
-# Proxies that start together register at the same time, and each registration ends the
-# watches of all.
-WATCH_PAUSE_SECONDS = 2.0
 PEERS_UNREACHABLE_SECONDS = 1.2  # Three heartbeat intervals.
 
 
@@ -50,8 +47,26 @@
         """Return whether this process does not reach the other failure domains."""
         raise NotImplementedError
 
-    def view(self):
-        """Return the ``View`` of configuration and servers for a peer."""
+    def view(self, known):
+        """Return the ``View`` of configuration and servers for a peer.
+
+        Parameters
+        ----------
+        known : heartbeats.KnownVersions
+            What the peer has already.
+        """
+        raise NotImplementedError
+
+    def set_following(self, following):
+        """Set whether a peer announces changes, so that the store is not watched."""
+        raise NotImplementedError
+
+    def request_lists(self):
+        """Read configuration and servers in the store now."""
+        raise NotImplementedError
+
+    def read_configuration(self, version):
+        """Read an announced version in the store; a task that returns its success."""
         raise NotImplementedError
 
     def is_store_unreachable(self):
@@ -75,7 +90,7 @@
 
 
 class SessionFleet:
-    """Membership of this process in the fleet of session proxies.
+    """Heartbeats of this process in the fleet of session proxies.
 
     Parameters
     ----------
@@ -86,18 +101,28 @@
     process_state : ProcessState
     seed_addresses : iterable of (str, int)
         Proxies to ask for the deployment while the store does not answer.
+    member_client : member_client.MemberClient or None
+        None for the client that sends over the network.
 
     Attributes
     ----------
-    members_by_name : dict of str to Member
-        Registered proxies.
+    registry : member_registry.MemberRegistry
+    following : store_readers.ReaderFollowing
     election : PromoterElection
-    watcher : StoreWatcher
     reference_failures : int
         Heartbeats that reference members did not answer; selects the next member.
     """
 
-    def __init__(self, loop, store, own_member, rng, process_state, seed_addresses=()):
+    def __init__(
+        self,
+        loop,
+        store,
+        own_member,
+        rng,
+        process_state,
+        seed_addresses=(),
+        member_client=None,
+    ):
         self._loop = loop
         self._store = store
         self._own_member = own_member
@@ -106,29 +131,30 @@
         self._seed_addresses = tuple(
             address for address in seed_addresses if address != own_member.address
         )
-        self._connections_by_address = {}
+        self._client = member_client or MemberClient(loop)
         self._heartbeats_by_member = {}
         self._reported_since_by_group = {}
-        self._registering = False
+        self._fetching_view = False
+        self._reads_store = False
+        self._announced_versions = (0, 0, 0)
         self._peer_answered_at = loop.clock.now()
         self._reference_partitioned = False
         self._contacts_by_domain = {}
-        self._members_read_from_peer = False
         self._last_tick_at = loop.clock.now()
         self._closed = False
         self.reference_failures = 0
-        self.members_by_name = {}
-        self.election = promoter_election.PromoterElection(
-            loop, store, PROXIES_KIND, own_member.name, lambda: self.members_by_name
+        self.following = store_readers.ReaderFollowing(
+            own_member.name, own_member.failure_domain, rng, loop.clock.now()
         )
-        self.watcher = store_watcher.StoreWatcher(
+        self.election = promoter_election.PromoterElection(
             loop,
             store,
-            PROXIES_KIND,
-            rng,
-            self._apply_snapshot,
-            self._apply_change,
-            WATCH_PAUSE_SECONDS,
+            member_registry.PROXIES_KIND,
+            own_member.name,
+            lambda: self.members_by_name,
+        )
+        self.registry = member_registry.MemberRegistry(
+            loop, store, own_member, self.election, rng, self._on_members_changed
         )
         self._timer = None
         # The random delay lets the store answer before the first heartbeat and spreads
@@ -144,18 +170,20 @@
             or now - self._peer_answered_at > PEERS_UNREACHABLE_SECONDS
         )
 
+    @property
+    def members_by_name(self):
+        """Registered proxies by name, as ``heartbeats.Member``."""
+        return self.registry.members_by_name
+
     @property
     def members_known(self):
         """Whether a list of members has been read from the store or a peer."""
-        return self.watcher.revision > 0 or self._members_read_from_peer
+        return self.registry.revision > 0
 
-    def view(self):
+    def view(self, known):
         """Return the ``View`` of this process for a peer, members included."""
-        view = self._process_state.view()
-        view.members = {
-            MEMBER_PREFIX + name: heartbeats.encode_member(member)
-            for name, member in self.members_by_name.items()
-        }
+        view = self._process_state.view(known)
+        self.registry.add_to_view(view, known)
         return view
 
     def contacts(self):
@@ -179,17 +207,19 @@
         """Return the members and the state of the election, as plain values."""
         return {
             "members": sorted(self.members_by_name),
+            "members_revision": self.registry.revision,
+            "reads_store": self._reads_store,
+            "follows": self.following.reader_to_ask(),
             **self.election.dump(),
         }
 
     def close(self):
         """Stop sending heartbeats and close the connections to members."""
         self._closed = True
-        self.watcher.close()
+        self.registry.close()
         if self._timer is not None:
             self._timer.cancel()
-        for connection in self._connections_by_address.values():
-            connection.close()
+        self._client.close()
 
     def handle_heartbeat(self, body):
         """Return the response to a member's heartbeat.
@@ -205,99 +235,121 @@
         heartbeat = heartbeats.decode_heartbeat(body)
         now = self._loop.clock.now()
         self._heartbeats_by_member[heartbeat.name] = (now, heartbeat)
-        version, revision = self._process_state.versions()
-        if heartbeat.version > version:
-            member = self.members_by_name.get(heartbeat.name)
-            if member is not None:
-                self._loop.spawn(self._fetch_view(member.name, member.address))
+        version, servers_revision = self._process_state.versions()
+        sender = self.members_by_name.get(heartbeat.name)
+        if sender is not None:
+            self._catch_up_with(sender, heartbeat)
         return http1.json_response(
             heartbeats.HeartbeatAnswer(
                 version,
-                revision,
+                servers_revision,
                 self.election.is_promoter,
                 self._process_state.is_partitioned(),
+                self.registry.revision,
+                self._store_answers(),
             )
         )
 
-    # Members and promoter in the store
-
-    def _apply_snapshot(self, snapshot):
-        self.members_by_name = {}
-        for stored in snapshot.objects:
-            self._apply_stored(stored)
-        if all(
-            stored.name != promoter_election.PROMOTER_NAME
-            for stored in snapshot.objects
-        ):
-            self.election.record_deletion()
-        self._process_state.on_members_changed()
-        self._register_if_changed(snapshot)
-
-    def _apply_change(self, change):
-        if not change.deleted:
-            self._apply_stored(change.stored)
-        elif change.stored.name == promoter_election.PROMOTER_NAME:
-            self.election.record_deletion()
-        else:
-            name = change.stored.name.removeprefix(MEMBER_PREFIX)
-            self.members_by_name.pop(name, None)
-            if name == self._own_member.name:
-                self._loop.spawn(self._register_own_member(None))
+    # Reading the store, or following a reader
+
+    def _on_members_changed(self):
+        if self.registry.fleet_known and not self.following.fleet_known:
+            self.following.fleet_known = True
+            if not self.registry.started_with_fleet:
+                # Clients may be waiting for this process, so it waits for no reader.
+                self._process_state.request_lists()
+        self.following.update_members(
+            {
+                member.name: member.failure_domain
+                for member in self.members_by_name.values()
+            }
+        )
         self._process_state.on_members_changed()
+        self._loop.call_soon(self.announce_changes)
+
+    def _store_answers(self):
+        """Return whether this process reads the store, and the store answers it."""
+        return bool(
+            self._reads_store
+            and not self._process_state.is_store_unreachable()
+            and not self.registry.watcher.is_store_unreachable
+        )
 
-    def _apply_stored(self, stored):
-        if stored.name == promoter_election.PROMOTER_NAME:
-            self.election.apply_stored(stored)
+    def _update_following(self, now):
+        """Let the watchers rest while this process follows a reader."""
+        reads_store = self.election.is_promoter or self.following.reads_store(now)
+        if reads_store == self._reads_store:
             return
-        member = heartbeats.decode_member(stored.name, stored.value)
-        if member is not None:
-            self.members_by_name[member.name] = member
+        self._reads_store = reads_store
+        event_log.event(
+            "store_read" if reads_store else "store_followed",
+            reader=self.following.is_reader(),
+            members=len(self.members_by_name),
+        )
+        self.registry.watcher.set_resting(not reads_store)
+        self._process_state.set_following(not reads_store)
+
+    def announce_changes(self):
+        """Send a heartbeat to the followers of this domain if there is news for them.
 
-    def _register_if_changed(self, snapshot):
-        if self.members_by_name.get(self._own_member.name) == self._own_member:
+        Without it they would learn of a change at their next heartbeat.
+        """
+        versions = (*self._process_state.versions(), self.registry.revision)
+        domain = self._own_member.failure_domain
+        announces = self._reads_store and self.following.readers.announces(
+            self._own_member.name, domain
+        )
+        if not announces or versions == self._announced_versions:
             return
-        name = MEMBER_PREFIX + self._own_member.name
-        revisions = [
-            stored.revision for stored in snapshot.objects if stored.name == name
-        ]
-        self._loop.spawn(self._register_own_member(revisions[0] if revisions else None))
+        self._announced_versions = versions
+        for member in self.members_by_name.values():
+            if member.failure_domain == domain:
+                self._start_heartbeat(member)
+
+    def _catch_up_with(self, member, announced):
+        """Fetch what a member's message announces and this process lacks.
 
-    def _register_own_member(self, revision):
-        """Write this process's entry, with retries until the store has it.
+        Servers and members are taken from the reader that this process follows, or from
+        any member while the store does not answer.
 
         Parameters
         ----------
-        revision : int or None
-            Revision of the entry to replace; None to create it.
+        member : Member
+        announced : heartbeats.Heartbeat or heartbeats.HeartbeatAnswer
         """
-        if self._registering:
+        version, servers_revision = self._process_state.versions()
+        follows = not self._reads_store and announced.reads_store
+        newer_servers = announced.servers_revision > servers_revision and (
+            follows or self._process_state.is_store_unreachable()
+        )
+        newer_members = follows and announced.members_revision > self.registry.revision
+        newer_configuration = announced.version > version
+        if self._fetching_view:
             return
-        self._registering = True
-        name = MEMBER_PREFIX + self._own_member.name
-        value = heartbeats.encode_member(self._own_member)
-        while not self._closed:
-            try:
-                if revision is None:
-                    yield self._store.create(PROXIES_KIND, name, value)
-                else:
-                    yield self._store.replace(PROXIES_KIND, name, value, revision)
-                break
-            except errors.CassiahillError as error:
-                event_log.event("registration_failed", cause=error.detail)
-            yield self._loop.sleep_until(
-                self._loop.clock.now() + REGISTRATION_RETRY_SECONDS
+        if newer_configuration or newer_servers or newer_members:
+            self._fetching_view = True
+            self._loop.spawn(self._catch_up(member, announced.version))
+
+    def _catch_up(self, member, version):
+        """Fetch what is newer from a member, or from the store if it is large; a task.
+
+        Parameters
+        ----------
+        member : Member
+        version : int
+            Announced version of the configuration.
+        """
+        follows = not self._reads_store
+        try:
+            yield from self._fetch_view(
+                member.name, member.address, accepts_large=not follows
             )
-            try:
-                # An unanswered write may have succeeded.
-                stored = yield self._store.get(PROXIES_KIND, name)
-            except errors.CassiahillError as error:
-                event_log.event("registration_failed", cause=error.detail)
-                continue
-            if stored is not None and stored.value == value:
-                break
-            revision = None if stored is None else stored.revision
-        self.members_by_name[self._own_member.name] = self._own_member
-        self._registering = False
+            if follows and version > self._process_state.versions()[0]:
+                was_read = yield from self._process_state.read_configuration(version)
+                if not was_read:
+                    yield from self._fetch_view(member.name, member.address)
+        finally:
+            self._fetching_view = False
 
     # Heartbeats to the promoter and to other failure domains
 
@@ -309,19 +361,25 @@
         if now - self._last_tick_at > 2 * HEARTBEAT_INTERVAL_SECONDS:
             # This process was suspended, so missing answers do not show a failure.
             self.election.restart_timeout(now)
+            self.following.restart_timeout(now)
             self._peer_answered_at = now
             self._contacts_by_domain.clear()
         if self._process_state.is_partitioned():
             # In a partition, missing answers do not show that the promoter failed.
             self.election.restart_timeout(now)
         self._last_tick_at = now
+        self._update_following(now)
         if self.election.is_promoter:
             self.election.restart_timeout(now)
             self._update_primary_reports(now)
-        else:
+        elif self._may_become_promoter():
             self._start_heartbeat(self._promoter_member())
-            if self.watcher.revision:
+            if self.members_known:
                 self.election.claim_if_due(now)
+        else:
+            self.election.restart_timeout(now)
+        if not self.following.is_reader():
+            self._start_heartbeat(self._followed_member())
         self._start_heartbeat(self._process_state.reference_member())
         self._start_heartbeat(self._random_member_of_other_domain())
         if not self.members_known and self._seed_addresses:
@@ -340,6 +398,21 @@
             now + HEARTBEAT_INTERVAL_SECONDS * jitter, self._tick
         )
 
+    def _may_become_promoter(self):
+        """Return whether this process sends heartbeats to the promoter.
+
+        In a large fleet most proxies neither read the store nor reach a primary. Their
+        heartbeats would only add load.
+        """
+        return (
+            self._reads_store
+            or not self.following.fleet_known
+            or bool(self._process_state.connected_groups())
+        )
+
+    def _followed_member(self):
+        return self.members_by_name.get(self.following.reader_to_ask())
+
     def _promoter_member(self):
         promoter = self.election.promoter
         return None if promoter is None else self.members_by_name.get(promoter.name)
@@ -359,26 +432,29 @@
 
     def _exchange_heartbeat(self, member):
         """Send a heartbeat to a member and handle the answer; a task."""
-        version, revision = self._process_state.versions()
+        version, servers_revision = self._process_state.versions()
         heartbeat = heartbeats.Heartbeat(
             self._own_member.name,
             version,
-            revision,
+            servers_revision,
             self._process_state.groups_without_primary(),
             self._process_state.connected_groups(),
+            self.registry.revision,
+            self._store_answers(),
         )
         deadline = self._loop.clock.now() + HEARTBEAT_TIMEOUT_SECONDS
         try:
-            connection = self._connection_to(member.address)
-            if connection.busy:
-                return
-            response = yield connection.request(
-                "POST", HEARTBEAT_PATH, msgspec.json.encode(heartbeat), (), deadline
+            response_future = self._client.send_heartbeat(
+                member.address, msgspec.json.encode(heartbeat), deadline
             )
+            if response_future is None:
+                return
+            response = yield response_future
             heartbeat_answer = heartbeats.decode_heartbeat_answer(response.body)
         except errors.CassiahillError:
             # ``PromoterElection`` acts on the time since the last answer.
             self._record_contact(member, answered=False)
+            self.following.record_failure(member.name, self._loop.clock.now())
             reference = self._process_state.reference_member()
             if reference is not None and reference.name == member.name:
                 self.reference_failures += 1
@@ -394,12 +470,11 @@
                 self.election.restart_timeout(self._loop.clock.now())
             else:
                 self.election.record_resignation(self._loop.clock.now())
-        newer_servers = (
-            heartbeat_answer.servers_revision > revision
-            and self._process_state.is_store_unreachable()
-        )
-        if heartbeat_answer.version > version or newer_servers:
-            yield from self._fetch_view(member.name, member.address)
+        if member.name == self.following.reader_to_ask():
+            self.following.record_answer(
+                member.name, heartbeat_answer.reads_store, self._loop.clock.now()
+            )
+        self._catch_up_with(member, heartbeat_answer)
 
     def _record_contact(self, member, answered):
         """Record whether a member of a failure domain answered a heartbeat."""
@@ -411,32 +486,20 @@
             answered_at = now
         self._contacts_by_domain[member.failure_domain] = (answered_at, not answered)
 
-    def _fetch_view(self, name, address):
+    def _fetch_view(self, name, address, accepts_large=True):
         """Fetch a member's ``View`` and apply it; a task."""
+        version, servers_revision = self._process_state.versions()
+        known = heartbeats.KnownVersions(
+            version, servers_revision, self.registry.revision, int(accepts_large)
+        )
         deadline = self._loop.clock.now() + 2 * HEARTBEAT_TIMEOUT_SECONDS
         try:
-            connection = http1.ClientConnection(self._loop, address)
-            response = yield connection.request("GET", VIEW_PATH, b"", (), deadline)
-            view = heartbeats.decode_view(response.body)
-            connection.close()
+            view = yield from self._client.fetch_view(address, known, deadline)
         except errors.CassiahillError as error:
             event_log.event("view_failed", peer=name, cause=repr(error))
             return
         self._process_state.apply_view(view, name)
-        if not self.members_known and view.members:
-            self._members_read_from_peer = True
-            for stored_name, value in view.members.items():
-                member = heartbeats.decode_member(stored_name, value)
-                if member is not None:
-                    self.members_by_name[member.name] = member
-            self._process_state.on_members_changed()
-
-    def _connection_to(self, address):
-        connection = self._connections_by_address.get(address)
-        if connection is None or connection.closed:
-            connection = http1.ClientConnection(self._loop, address)
-            self._connections_by_address[address] = connection
-        return connection
+        self.registry.apply_view(view, bool(self._reads_store))
 
     def _update_primary_reports(self, now):
         """Update since when many proxies report each primary as unreachable."""
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -117,6 +117,8 @@
             self._update_limits,
             self._apply_server_change,
         )
+        # Until the fleet is known, it is not known who reads the store.
+        self.catalog_feed.set_resting(True)
         self.sessions = session_server.SessionServer(
             loop,
             settings.client_address,
@@ -212,9 +214,21 @@
 
     # Interface for the fleet
 
-    def view(self):
+    def view(self, known):
         """Return the ``View`` of configuration and servers for a peer."""
-        return self.catalog_feed.view()
+        return self.catalog_feed.view(known)
+
+    def set_following(self, following):
+        """Set whether a peer announces changes, so that the store is not watched."""
+        self.catalog_feed.set_resting(following)
+
+    def request_lists(self):
+        """Read configuration and servers in the store now."""
+        self.catalog_feed.request_lists()
+
+    def read_configuration(self, version):
+        """Read an announced version in the store; a task that returns its success."""
+        return self.catalog_feed.read_configuration(version)
 
     def versions(self):
         """Return the version of the configuration and the revision of the servers."""
@@ -281,6 +295,7 @@
     # Changes of catalog and fleet
 
     def _apply_server_change(self, change):
+        self._loop.call_soon(self.fleet.announce_changes)
         match change:
             case catalog.ServerAdded(server=server, previous=previous):
                 self.get_group(server.group).put_server(server, previous)
@@ -292,6 +307,7 @@
         configuration = self.catalog.configuration
         if configuration is None:
             return
+        self._loop.call_soon(self.fleet.announce_changes)
         for name, limits in configuration.groups_by_name.items():
             owner_count = self.owners.update_owners(name, limits.connections)
             if name in self._groups_by_name:
@@ -353,7 +369,8 @@
             case ("POST", heartbeats.HEARTBEAT_PATH):
                 return self.fleet.handle_heartbeat(request.body)
             case ("GET", heartbeats.VIEW_PATH):
-                return http1.json_response(self.fleet.view())
+                known = heartbeats.decode_known_versions(request.query)
+                return http1.json_response(self.fleet.view(known))
             case ("GET", path) if path == METRICS_PATH:
                 body = self.metrics.render(self._gauge_values())
                 return http1.Response(200, body, session_metrics.CONTENT_TYPE)
--- a/cassiahill/shared_store.py
+++ b/cassiahill/shared_store.py
@@ -59,20 +59,37 @@
     or refuses the call. A write may have succeeded in that case.
     """
 
-    def list(self, kind):
-        """Return the future of the ``Snapshot`` of a kind."""
+    def list(self, kind, may_be_stale=False):
+        """Return the future of the ``Snapshot`` of a kind.
+
+        Parameters
+        ----------
+        kind : str
+        may_be_stale : bool
+            Whether the snapshot may be some seconds old, which costs the store less.
+        """
         raise NotImplementedError
 
-    def watch(self, kind, revision):
+    def watch(self, kind, revision, may_wait=True):
         """Return the future of the ``ChangeBatch`` after a revision; it may be empty.
 
+        With ``may_wait`` it is answered at the next change, or empty after some time.
+        Without, it is answered at once.
+
         It fails with ``errors.HistoryLost`` when the store no longer has the history
         since the revision.
         """
         raise NotImplementedError
 
-    def get(self, kind, name):
-        """Return the future of a ``StoredObject``, or of None if there is none."""
+    def get(self, kind, name, may_be_stale=False):
+        """Return the future of a ``StoredObject``, or of None if there is none.
+
+        Parameters
+        ----------
+        kind, name : str
+        may_be_stale : bool
+            Whether the object may be some seconds old, which costs the store less.
+        """
         raise NotImplementedError
 
     def create(self, kind, name, value):
@@ -110,7 +127,7 @@
         self._objects_by_key = {}
         self._history = []
 
-    def list(self, kind):
+    def list(self, kind, may_be_stale=False):
         """Return the future of all objects of a kind."""
         if not self.available:
             return failed_future(errors.PlatformUnavailable("the store is down"))
@@ -121,7 +138,7 @@
         )
         return completed_future(Snapshot(objects, self.revision))
 
-    def watch(self, kind, revision):
+    def watch(self, kind, revision, may_wait=True):
         """Return the future of the changes of a kind after a revision."""
         if not self.available:
             return failed_future(errors.PlatformUnavailable("the store is down"))
@@ -136,7 +153,7 @@
         )
         return completed_future(ChangeBatch(changes, self.revision))
 
-    def get(self, kind, name):
+    def get(self, kind, name, may_be_stale=False):
         """Return the future of an object or None."""
         if not self.available:
             return failed_future(errors.PlatformUnavailable("the store is down"))
--- a/cassiahill/store_watcher.py
+++ b/cassiahill/store_watcher.py
@@ -3,6 +3,7 @@
 import attrs
 
 from cassiahill import errors, event_log
+from cassiahill.loop import LoopFuture
 
 BASE_BACKOFF_SECONDS = 0.15
 MAX_BACKOFF_SECONDS = 1.0  # Changes must apply within seconds of an outage's end.
@@ -30,7 +31,8 @@
     """Reports the objects of one kind and their changes.
 
     The watcher lists the objects, then watches for changes. It lists the objects again
-    when the store no longer has the history to continue the watch.
+    when the store no longer has the history to continue the watch. While it rests, it
+    makes no calls but lists that are asked for, because a peer supplies the objects.
 
     Parameters
     ----------
@@ -40,10 +42,21 @@
     rng : random.Random
     on_snapshot : callable
         Called with a ``shared_store.Snapshot``.
-    on_change : callable
-        Called with each ``shared_store.Change``.
+    on_changes : callable
+        Called with the ``shared_store.Change`` objects of one answer, in order.
     pause_seconds : float
         Time between the end of a watch and the next one.
+    may_be_stale : bool
+        Whether lists may be some seconds old.
+
+    Attributes
+    ----------
+    reachability : StoreReachability
+    revision : int
+        Revision from which the next watch continues.
+    changed_revision : int
+        Revision up to which the reported objects are complete. A watch without changes
+        does not increase it, so that peers with the same objects agree on it.
     """
 
     def __init__(
@@ -53,39 +66,80 @@
         kind,
         rng,
         on_snapshot,
-        on_change,
+        on_changes,
         pause_seconds=WATCH_PAUSE_SECONDS,
+        may_be_stale=False,
     ):
         self._loop = loop
         self._store = store
         self._kind = kind
         self._rng = rng
         self._on_snapshot = on_snapshot
-        self._on_change = on_change
+        self._on_changes = on_changes
         self.pause_seconds = pause_seconds
+        self._may_be_stale = may_be_stale
         self._consecutive_failures = 0
         self._closed = False
+        self._has_objects = False
+        self._list_requested = False
+        self._resting = False
+        self._wake_up = LoopFuture()
         self.reachability = StoreReachability()
         self.revision = 0
-        loop.spawn(self._run())
+        self.changed_revision = 0
+        # The owner of the watcher is complete by the time of the first report.
+        loop.call_soon(lambda: loop.spawn(self._run()))
+
+    @property
+    def is_store_unreachable(self):
+        """Whether the store does not answer; False while the watcher rests."""
+        return self.reachability.unreachable_since is not None and not self._resting
 
     def close(self):
         """Stop after the call in progress."""
         self._closed = True
+        self._end_rest()
+
+    def set_resting(self, resting):
+        """Set whether a peer supplies the objects instead of the store."""
+        self._resting = resting
+        if not resting:
+            self._end_rest()
+
+    def request_list(self):
+        """List the objects now, also while the watcher rests."""
+        self._list_requested = True
+        self._end_rest()
+
+    def record_objects_of_peer(self, revision):
+        """Record that a peer has supplied the objects up to a revision.
+
+        The answer to a watch that began before is dropped. It would undo the changes
+        since.
+        """
+        self._has_objects = True
+        self._list_requested = False
+        self.revision = max(self.revision, revision)
+        self.changed_revision = max(self.changed_revision, revision)
+
+    def _end_rest(self):
+        wake_up, self._wake_up = self._wake_up, LoopFuture()
+        wake_up.set_result(None)
 
     def _run(self):
-        has_snapshot = False
         while not self._closed:
             try:
-                if has_snapshot:
-                    yield from self._watch_changes()
-                else:
+                if self._resting and not self._list_requested:
+                    yield self._wake_up
+                    continue
+                if self._list_requested or not self._has_objects:
                     yield from self._list_objects()
-                    has_snapshot = True
+                else:
+                    yield from self._watch_changes()
                 self._record_success()
             except errors.HistoryLost:
                 event_log.event("history_lost", kind=self._kind, revision=self.revision)
-                has_snapshot = False
+                self._has_objects = False
             except errors.CassiahillError as error:
                 self._record_failure(error)
                 yield self._loop.sleep_until(
@@ -93,15 +147,28 @@
                 )
 
     def _list_objects(self):
-        snapshot = yield self._store.list(self._kind)
-        self.revision = snapshot.revision
+        snapshot = yield self._store.list(self._kind, self._may_be_stale)
+        self._has_objects = True
+        self._list_requested = False
+        if snapshot.revision < self.changed_revision:
+            # A stale list, or a peer has supplied newer objects in the meantime.
+            return
+        self.revision = self.changed_revision = snapshot.revision
         self._on_snapshot(snapshot)
 
     def _watch_changes(self):
-        changes = yield self._store.watch(self._kind, self.revision)
-        self.revision = max(self.revision, changes.revision)
-        for change in changes.changes:
-            self._on_change(change)
+        began_at_revision = self.revision
+        # After a failure, an answer at once shows that the store is back.
+        may_wait = self.reachability.unreachable_since is None
+        batch = yield self._store.watch(self._kind, began_at_revision, may_wait)
+        if self.revision != began_at_revision:
+            return
+        self.revision = max(self.revision, batch.revision)
+        if batch.changes:
+            self.changed_revision = self.revision
+            self._on_changes(batch.changes)
+        if not may_wait:
+            return
         yield self._loop.sleep_until(self._loop.clock.now() + self.pause_seconds)
 
     def _retry_delay(self):
--- /dev/null
+++ b/tests/memory_fleet.py
@@ -0,0 +1,356 @@
+"""A fleet of session proxies in memory: members, heartbeats and copies of the store.
+
+It runs the real fleet, registry and catalog feed of each process on one manual clock.
+Messages between the processes can be lost, and processes can be cut off, suspended and
+restarted.
+"""
+
+import collections
+import random
+
+import msgspec
+
+from cassiahill import errors, heartbeats, session_fleet, shared_store
+from cassiahill.catalog import Catalog, Configuration
+from cassiahill.catalog_feed import CatalogFeed, CatalogSource
+from cassiahill.loop import LoopFuture, failed_future
+from tests.line_group import InMemoryGroup
+from tests.stepped_loop import SteppedLoop
+
+MESSAGE_SECONDS = 0.002
+STORE_SECONDS = 0.004
+STALE_SECONDS = 3.0  # Age of what a read gets that may be stale.
+WATCH_SECONDS = 17.0
+
+
+class FleetStore(shared_store.SharedStore):
+    """One process's access to the store of the fleet, with counted calls.
+
+    Parameters
+    ----------
+    fleet : MemoryFleet
+    name : str
+        The process.
+    """
+
+    def __init__(self, fleet, name):
+        self._fleet = fleet
+        self._name = name
+
+    def list(self, kind, may_be_stale=False):
+        call = "stale list" if may_be_stale else "list"
+        store = self._fleet.store
+        if not may_be_stale:
+            return self._call(call, lambda: store.list(kind))
+        past = self._fleet.past_snapshot(kind)
+        return self._call(call, lambda: shared_store.completed_future(past))
+
+    def get(self, kind, name, may_be_stale=False):
+        call = "stale get" if may_be_stale else "get"
+        if not may_be_stale:
+            return self._call(call, lambda: self._fleet.store.get(kind, name))
+        objects = self._fleet.past_snapshot(kind).objects
+        found = next((stored for stored in objects if stored.name == name), None)
+        return self._call(call, lambda: shared_store.completed_future(found))
+
+    def create(self, kind, name, value):
+        return self._call("write", lambda: self._fleet.store.create(kind, name, value))
+
+    def replace(self, kind, name, value, revision):
+        return self._call(
+            "write", lambda: self._fleet.store.replace(kind, name, value, revision)
+        )
+
+    def watch(self, kind, revision, may_wait=True):
+        self._fleet.calls_by_name[self._name]["watch"] += 1
+        seconds = WATCH_SECONDS if may_wait else 0.0
+        return self._fleet.loop.spawn(self._wait_for_changes(kind, revision, seconds))
+
+    def _wait_for_changes(self, kind, revision, seconds):
+        loop = self._fleet.loop
+        ends_at = loop.clock.now() + seconds
+        while True:
+            yield loop.sleep_until(loop.clock.now() + STORE_SECONDS)
+            if not self._fleet.reaches_store(self._name):
+                yield loop.sleep_until(loop.clock.now() + 1.0)
+                raise errors.PlatformUnavailable("the store does not answer")
+            batch = self._fleet.store.watch(kind, revision).result()
+            if batch.changes or loop.clock.now() >= ends_at:
+                return batch
+            yield self._fleet.next_write()
+
+    def _call(self, call, answer):
+        self._fleet.calls_by_name[self._name][call] += 1
+        if not self._fleet.reaches_store(self._name):
+            return failed_future(errors.PlatformUnavailable("no answer"))
+        loop = self._fleet.loop
+
+        def run():
+            yield loop.sleep_until(loop.clock.now() + STORE_SECONDS)
+            return (yield answer())
+
+        return loop.spawn(run())
+
+
+class MemoryClient:
+    """Delivers one process's messages to the others; see ``MemberClient``."""
+
+    def __init__(self, fleet, name):
+        self._fleet = fleet
+        self._name = name
+
+    def send_heartbeat(self, address, body, deadline):
+        return self._fleet.loop.spawn(self._exchange(address, body, deadline))
+
+    def _exchange(self, address, body, deadline):
+        receiver = yield from self._reach(address, deadline)
+        self._fleet.heartbeat_counts[address[0]] += 1
+        response = receiver.fleet.handle_heartbeat(body)
+        yield from self._reach(address, deadline)
+        return response
+
+    def fetch_view(self, address, known, deadline):
+        receiver = yield from self._reach(address, deadline)
+        view = receiver.fleet.view(known)
+        body = msgspec.json.encode(view)
+        yield from self._reach(address, deadline)
+        return heartbeats.decode_view(body)
+
+    def _reach(self, address, deadline):
+        """Wait for a message to arrive; return the receiving process."""
+        loop = self._fleet.loop
+        yield loop.sleep_until(loop.clock.now() + MESSAGE_SECONDS)
+        if not self._fleet.can_exchange(self._name, address[0]):
+            yield loop.sleep_until(deadline)
+            raise errors.ConnectionLost("no answer before the deadline")
+        return self._fleet.processes_by_name[address[0]]
+
+    def close(self):
+        pass
+
+
+class MemoryProcess(session_fleet.ProcessState):
+    """One process with its fleet and its catalog, without clients and servers."""
+
+    def __init__(self, memory_fleet, name, domain, connected):
+        self.memory_fleet = memory_fleet
+        self.name = name
+        self.connected = connected
+        self.catalog = Catalog()
+        self.history = []
+        loop = memory_fleet.loop
+        rng = random.Random(name)
+        store = FleetStore(memory_fleet, name)
+        member = heartbeats.Member(name, (name, 1), (name, 2), domain)
+        self.fleet = session_fleet.SessionFleet(
+            loop, store, member, rng, self, (), MemoryClient(memory_fleet, name)
+        )
+        self.feed = CatalogFeed(
+            loop,
+            store,
+            self.catalog,
+            memory_fleet.source,
+            rng,
+            self._record_configuration,
+            self._record_server_change,
+        )
+        self.feed.set_resting(True)
+
+    def _record_configuration(self):
+        self.history.append(self.catalog.configuration.version)
+        self.memory_fleet.loop.call_soon(self.fleet.announce_changes)
+
+    def _record_server_change(self, _change):
+        self.memory_fleet.loop.call_soon(self.fleet.announce_changes)
+
+    def versions(self):
+        return self.feed.versions
+
+    def connected_groups(self):
+        return ["orders"] if self.connected else []
+
+    def groups_without_primary(self):
+        return []
+
+    def is_partitioned(self):
+        return False
+
+    def view(self, known):
+        return self.feed.view(known)
+
+    def is_store_unreachable(self):
+        return self.feed.is_store_unreachable
+
+    def reference_member(self):
+        return None
+
+    def apply_view(self, view, peer):
+        self.feed.apply_view(view, peer)
+
+    def set_following(self, following):
+        self.feed.set_resting(following)
+
+    def request_lists(self):
+        self.feed.request_lists()
+
+    def read_configuration(self, version):
+        return self.feed.read_configuration(version)
+
+    def on_members_changed(self):
+        pass
+
+    def stop(self):
+        """End the process."""
+        self.fleet.close()
+        self.feed.close()
+
+
+class MemoryFleet:
+    """Processes in several failure domains on one store.
+
+    Parameters
+    ----------
+    count : int
+        Number of processes, all of which start within 0.3 s.
+    domain_count : int
+    connected_share : float
+        Fraction of the processes that are connected to servers.
+
+    Attributes
+    ----------
+    processes_by_name : dict of str to MemoryProcess
+    calls_by_name : dict of str to collections.Counter
+        Number of store calls by process and kind of call.
+    heartbeat_counts : collections.Counter
+        Number of heartbeats received, by process.
+    silent_names : set of str
+        Processes that exchange nothing with anybody.
+    storeless_names : set of str
+        Processes that the store does not answer.
+    """
+
+    def __init__(self, count, domain_count=5, connected_share=0.3, seed=1):
+        self.loop = SteppedLoop()
+        self.store = shared_store.MemorySharedStore()
+        self.servers = InMemoryGroup(self.loop, servers=("a", "b", "c", "d"))
+        self.source = CatalogSource(
+            "config",
+            "main",
+            "servers",
+            lambda document: Configuration(document["version"], {}, {}, 3.0, document),
+            lambda server_id, document: self.servers.registered(server_id, **document),
+        )
+        self.calls_by_name = collections.defaultdict(collections.Counter)
+        self.heartbeat_counts = collections.Counter()
+        self.silent_names = set()
+        self.storeless_names = set()
+        self.processes_by_name = {}
+        self._past_snapshots = collections.defaultdict(collections.deque)
+        self._next_write = LoopFuture()
+        rng = random.Random(seed)
+        self.write("config", "main", {"version": 3})
+        for server_id in ("a", "b", "c"):
+            self.write("servers", server_id, {})
+        for number in range(count):
+            name = f"proxy-{number}"
+            domain = f"domain-{number % domain_count}"
+            connected = rng.random() < connected_share
+            self.loop.call_at(
+                self.loop.clock.now() + 0.3 * rng.random(),
+                lambda name=name, domain=domain, connected=connected: self.start(
+                    name, domain, connected
+                ),
+            )
+        self._record_snapshots()
+
+    def start(self, name, domain, connected=False):
+        """Start a process, or restart it with nothing in memory."""
+        if name in self.processes_by_name:
+            self.processes_by_name[name].stop()
+        self.processes_by_name[name] = MemoryProcess(self, name, domain, connected)
+
+    def write(self, kind, name, value):
+        """Write an object as another client of the store would."""
+        self.store.write(kind, name, value)
+        self.notify_watches()
+
+    def delete(self, kind, name):
+        """Delete an object as another client of the store would."""
+        self.store.delete(kind, name)
+        self.notify_watches()
+
+    def notify_watches(self):
+        """Let waiting watches look at the store again."""
+        next_write, self._next_write = self._next_write, LoopFuture()
+        self.loop.call_soon(next_write.set_result, None)
+
+    def next_write(self):
+        """Return a future that is done after the next write, or after a while."""
+        wait_until = self.loop.clock.now() + 0.5
+        return self.loop.first_done(self._next_write, self.loop.sleep_until(wait_until))
+
+    def past_snapshot(self, kind):
+        """Return a snapshot that is some seconds old, as a stale read would."""
+        now = self.loop.clock.now()
+        snapshots = self._past_snapshots[kind]
+        past = [snapshot for at, snapshot in snapshots if at <= now - STALE_SECONDS]
+        return past[-1] if past else self.store.list(kind).result()
+
+    def _record_snapshots(self):
+        if self.store.available:
+            now = self.loop.clock.now()
+            for kind in ("config", "servers", "proxies"):
+                snapshot = self.store.list(kind).result()
+                self._past_snapshots[kind].append((now, snapshot))
+                if len(self._past_snapshots[kind]) > 40:
+                    self._past_snapshots[kind].popleft()
+        self.loop.call_at(self.loop.clock.now() + 0.25, self._record_snapshots)
+
+    def reaches_store(self, name):
+        """Return whether the store answers a process."""
+        return (
+            self.store.available
+            and name not in self.silent_names
+            and name not in self.storeless_names
+        )
+
+    def can_exchange(self, first_name, second_name):
+        """Return whether two processes reach each other."""
+        return not {first_name, second_name} & self.silent_names
+
+    def call_count(self):
+        """Return the number of store calls of all processes, by kind of call."""
+        return sum(self.calls_by_name.values(), collections.Counter())
+
+    def reader_names(self):
+        """Return the processes that read the store."""
+        return {
+            name
+            for name, process in self.processes_by_name.items()
+            if process.fleet._reads_store
+        }
+
+    def seconds_until(self, condition, limit, names=None):
+        """Advance the clock until a condition holds for all processes.
+
+        Parameters
+        ----------
+        condition : callable
+            Takes a ``MemoryProcess``.
+        limit : float
+        names : iterable of str or None
+            Processes that count; None for all.
+
+        Returns
+        -------
+        float
+            The time that it took; ``limit`` if it still does not hold.
+        """
+        waited = 0.0
+        names = set(self.processes_by_name if names is None else names)
+        while waited < limit and not all(
+            condition(self.processes_by_name[name]) for name in names
+        ):
+            self.loop.advance(0.05)
+            waited += 0.05
+        return waited
