Share a server's slots by demand instead of equally

Cause: each owner could have an equal number of statements at a server whatever its load. Besides, a proxy relayed all its sessions to the same owner of its domain, so that the two owners got unequal parts.

Change: each proxy reports its average demand in its heartbeats to the promoter and learns the sum; its limit is its share of the sum, rounded down, never less than an equal share and never more than the server's slots. A sum older than three heartbeats is not used. Sessions take turns between the owners of a domain. What the promoter sums up is a module of its own.

--- a/cassiahill/heartbeats.py
+++ b/cassiahill/heartbeats.py
@@ -30,6 +30,8 @@
         Revision of the sender's list of members.
     reads_store : bool
         Whether the sender reads the shared store, and the store answers it.
+    demand_by_group : dict of str to float
+        Average number of the sender's statements that wait or run, by watched group.
     """
 
     name: str
@@ -39,6 +41,7 @@
     watched: list[str] = []
     members_revision: int = 0
     reads_store: bool = False
+    demand_by_group: dict[str, float] = {}
 
 
 class HeartbeatAnswer(msgspec.Struct):
@@ -58,6 +61,9 @@
         Revision of its list of members.
     reads_store : bool
         Whether it reads the shared store, and the store answers it.
+    total_demand_by_group : dict of str to float
+        If it is the promoter, the demand of all proxies for the groups that the sender
+        watches.
     """
 
     version: int
@@ -66,6 +72,7 @@
     cut_off: bool = False
     members_revision: int = 0
     reads_store: bool = False
+    total_demand_by_group: dict[str, float] = {}
 
 
 class StoredPromoter(msgspec.Struct):
--- a/cassiahill/placement.py
+++ b/cassiahill/placement.py
@@ -4,8 +4,6 @@
 is unreachable, or one kind of request arrives at several times its usual rate.
 """
 
-import math
-
 import attrs
 
 from cassiahill.positions import LogPosition
@@ -16,24 +14,6 @@
 PRIMARY_COST_FACTOR = 2.0
 UNREACHABLE_PENALTY_SECONDS = 0.5
 
-# Statements that all proxies together send to a server, for each of its slots. Urgent
-# requests can overtake what is queued in the proxies, but not what is queued in the
-# server. With fewer than two, slots would be idle while answers travel.
-STATEMENTS_PER_SLOT = 2
-
-
-def statement_limit_per_proxy(slots, proxy_count):
-    """Return how many statements one proxy may have running at one server.
-
-    Parameters
-    ----------
-    slots : int
-        Statements that the server runs concurrently.
-    proxy_count : int
-        Number of proxies that hold connections to the server.
-    """
-    return max(1, math.ceil(STATEMENTS_PER_SLOT * slots / proxy_count))
-
 
 @attrs.frozen
 class OnPrimary:
--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -18,6 +18,7 @@
     request_queue,
     server_pool,
     server_probes,
+    slot_shares,
     takeover,
 )
 from cassiahill.loop import LoopFuture
@@ -81,6 +82,7 @@
     primary_unreachable_since : float or None
         Instant since which the known primary has not answered probes.
     outstanding_writes : outstanding_writes.OutstandingWrites
+    slot_share : slot_shares.SlotShare
     """
 
     def __init__(
@@ -122,6 +124,7 @@
         self.primary_unreachable_since = None
         self._usual_read_seconds_by_database = {}
         self.outstanding_writes = outstanding_writes.OutstandingWrites(loop.clock)
+        self.slot_share = slot_shares.SlotShare()
         self._last_tick_at = loop.clock.now()
         self._run_periodic_work()
 
@@ -206,6 +209,8 @@
             "proof": None if latest is None else str(latest.position),
             "proof_age": None if latest is None else now - latest.asked_at,
             "waiting": len(self._queue),
+            "demand": self.slot_share.demand,
+            "total_demand": self.slot_share.total_demand,
             "servers": {
                 server_id: {
                     "connections": pool.connection_count,
@@ -485,7 +490,9 @@
 
     def _statement_limit(self, server):
         """Return how many statements this process may have running at a server."""
-        return placement.statement_limit_per_proxy(server.slots, self._proxy_count)
+        return self.slot_share.statement_limit(
+            server.slots, self._proxy_count, self._loop.clock.now()
+        )
 
     def _server_candidates(self, requirement, now, failed_server_ids):
         """Yield a ``ServerCandidate`` for each server that takes requests."""
@@ -592,6 +599,12 @@
             self.reset_failure_detection()
             for pool in self.pools_by_id.values():
                 pool.record_contact(now)
+        running_count = sum(
+            pool.running_statements for pool in self.pools_by_id.values()
+        )
+        self.slot_share.record_statements(
+            len(self._queue) + running_count, now - self._last_tick_at
+        )
         self._last_tick_at = now
         self._serve_queue()
         for pool in self.pools_by_id.values():
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -12,19 +12,18 @@
 from cassiahill import (
     errors,
     event_log,
+    heartbeat_reports,
     heartbeats,
     http1,
     member_registry,
     promoter_election,
     reachability,
     store_readers,
-    takeover,
 )
 from cassiahill.member_client import MemberClient
 
 HEARTBEAT_INTERVAL_SECONDS = 0.4
 HEARTBEAT_TIMEOUT_SECONDS = 0.4
-REPORT_MAX_AGE_SECONDS = 1.2
 PEERS_UNREACHABLE_SECONDS = 1.2  # Three heartbeat intervals.
 
 
@@ -43,6 +42,14 @@
         """Return the connected groups whose primary this process does not reach."""
         raise NotImplementedError
 
+    def demand_by_group(self):
+        """Return the average number of statements that wait or run, by group."""
+        raise NotImplementedError
+
+    def apply_total_demand(self, total_demand_by_group):
+        """Apply the demand of all proxies to this process's share of the slots."""
+        raise NotImplementedError
+
     def is_partitioned(self):
         """Return whether this process does not reach the other failure domains."""
         raise NotImplementedError
@@ -107,6 +114,7 @@
     Attributes
     ----------
     registry : member_registry.MemberRegistry
+    reports : heartbeat_reports.HeartbeatReports
     following : store_readers.ReaderFollowing
     election : PromoterElection
     reference_failures : int
@@ -132,8 +140,6 @@
             address for address in seed_addresses if address != own_member.address
         )
         self._client = member_client or MemberClient(loop)
-        self._heartbeats_by_member = {}
-        self._reported_since_by_group = {}
         self._fetching_view = False
         self._reads_store = False
         self._announced_versions = (0, 0, 0)
@@ -143,6 +149,7 @@
         self._last_tick_at = loop.clock.now()
         self._closed = False
         self.reference_failures = 0
+        self.reports = heartbeat_reports.HeartbeatReports()
         self.following = store_readers.ReaderFollowing(
             own_member.name, own_member.failure_domain, rng, loop.clock.now()
         )
@@ -193,16 +200,6 @@
             for domain, (answered_at, failing) in self._contacts_by_domain.items()
         ]
 
-    def primary_reported_unreachable_since(self, group):
-        """Return the instant since which many proxies do not reach a group's primary.
-
-        Returns
-        -------
-        float or None
-            None when no large share of the proxies reports it.
-        """
-        return self._reported_since_by_group.get(group)
-
     def dump(self):
         """Return the members and the state of the election, as plain values."""
         return {
@@ -234,7 +231,7 @@
         """
         heartbeat = heartbeats.decode_heartbeat(body)
         now = self._loop.clock.now()
-        self._heartbeats_by_member[heartbeat.name] = (now, heartbeat)
+        self.reports.record(heartbeat, now)
         version, servers_revision = self._process_state.versions()
         sender = self.members_by_name.get(heartbeat.name)
         if sender is not None:
@@ -247,9 +244,17 @@
                 self._process_state.is_partitioned(),
                 self.registry.revision,
                 self._store_answers(),
+                self._total_demand_for(heartbeat),
             )
         )
 
+    def _total_demand_for(self, heartbeat):
+        """Return the demand of all proxies for the groups that a member watches."""
+        if not self.election.is_promoter:
+            return {}
+        totals = self.reports.total_demand_by_group
+        return {group: totals[group] for group in heartbeat.watched if group in totals}
+
     # Reading the store, or following a reader
 
     def _on_members_changed(self):
@@ -371,7 +376,9 @@
         self._update_following(now)
         if self.election.is_promoter:
             self.election.restart_timeout(now)
-            self._update_primary_reports(now)
+            demand_by_group = self._process_state.demand_by_group()
+            self.reports.update(demand_by_group, now)
+            self._process_state.apply_total_demand(self.reports.total_demand_by_group)
         elif self._may_become_promoter():
             self._start_heartbeat(self._promoter_member())
             if self.members_known:
@@ -441,6 +448,7 @@
             self._process_state.connected_groups(),
             self.registry.revision,
             self._store_answers(),
+            self._process_state.demand_by_group(),
         )
         deadline = self._loop.clock.now() + HEARTBEAT_TIMEOUT_SECONDS
         try:
@@ -468,6 +476,9 @@
         if promoter is not None and promoter.name == member.name:
             if heartbeat_answer.promoter:
                 self.election.restart_timeout(self._loop.clock.now())
+                self._process_state.apply_total_demand(
+                    heartbeat_answer.total_demand_by_group
+                )
             else:
                 self.election.record_resignation(self._loop.clock.now())
         if member.name == self.following.reader_to_ask():
@@ -500,28 +511,3 @@
             return
         self._process_state.apply_view(view, name)
         self.registry.apply_view(view, bool(self._reads_store))
-
-    def _update_primary_reports(self, now):
-        """Update since when many proxies report each primary as unreachable."""
-        recent_heartbeats = [
-            heartbeat
-            for received_at, heartbeat in self._heartbeats_by_member.values()
-            if now - received_at < REPORT_MAX_AGE_SECONDS
-        ]
-        groups = {
-            group for heartbeat in recent_heartbeats for group in heartbeat.lacking
-        }
-        for group in groups | set(self._reported_since_by_group):
-            unreachable_count = sum(
-                group in heartbeat.lacking for heartbeat in recent_heartbeats
-            )
-            connected_count = 1 + sum(
-                group in heartbeat.watched for heartbeat in recent_heartbeats
-            )
-            if (
-                unreachable_count / connected_count
-                >= takeover.UNREACHABLE_REPORTS_SHARE
-            ):
-                self._reported_since_by_group.setdefault(group, now)
-            else:
-                self._reported_since_by_group.pop(group, None)
--- a/cassiahill/session_owners.py
+++ b/cassiahill/session_owners.py
@@ -42,6 +42,8 @@
         self._is_primary_unreachable = is_primary_unreachable
         self._process_state = process_state
         self._owners_by_group = {}
+        self._first_rotation = xxhash.xxh3_64_intdigest(own_member.name.encode())
+        self._next_rotation_by_group = {}
         self._avoid_until_by_owner = {}
         self._relayed_at_by_group = {}
         self._local_until_by_group = {}
@@ -128,7 +130,9 @@
         owners = self._owners_by_group.get(group)
         if owners is None:
             return []
-        rotation = xxhash.xxh3_64_intdigest(self._own_member.name.encode())
+        # Sessions take turns, so that all owners of a domain get the same number.
+        rotation = self._next_rotation_by_group.get(group, self._first_rotation)
+        self._next_rotation_by_group[group] = rotation + 1
         members = [
             self._fleet.members_by_name[name]
             for name in owners.relay_candidates(
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -238,6 +238,21 @@
         """Return the groups whose servers this process is connected to."""
         return [name for name, group in self._groups_by_name.items() if group.active]
 
+    def demand_by_group(self):
+        """Return the average number of statements that wait or run, by group."""
+        return {
+            name: round(group.slot_share.demand, 3)
+            for name, group in self._groups_by_name.items()
+            if group.active
+        }
+
+    def apply_total_demand(self, total_demand_by_group):
+        """Apply the demand of all proxies to this process's share of the slots."""
+        now = self._loop.clock.now()
+        for name, total_demand in total_demand_by_group.items():
+            if name in self._groups_by_name:
+                self._groups_by_name[name].slot_share.record_total(total_demand, now)
+
     def groups_without_primary(self):
         """Return the connected groups whose primary this process does not reach."""
         now = self._loop.clock.now()
@@ -320,7 +335,7 @@
         self._check_reachability(now)
         if self.fleet.election.is_promoter and not self._partitioned:
             for name, group in self._groups_by_name.items():
-                reported_since = self.fleet.primary_reported_unreachable_since(name)
+                reported_since = self.fleet.reports.primary_unreachable_since(name)
                 symptoms = group.primary_symptoms(now, reported_since)
                 self._takeovers_by_group[name].start_if_needed(symptoms)
         self._loop.call_at(now + SUPERVISION_INTERVAL_SECONDS, self._supervise)
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -172,6 +172,12 @@
     def groups_without_primary(self):
         return []
 
+    def demand_by_group(self):
+        return {}
+
+    def apply_total_demand(self, total_demand_by_group):
+        pass
+
     def is_partitioned(self):
         return False
 
