Let repeated work and watches go on after an unexpected error

Change: EventLoop.repeat sets the next run whatever happens; a task's unexpected error is logged; a watch lists the objects again after one.

Result: test_watch_goes_on_after_an_unexpected_error fails on the code before and passes now, as does tests.test_loop.

--- a/cassiahill/catalog_feed.py
+++ b/cassiahill/catalog_feed.py
@@ -64,7 +64,6 @@
         self._measured_version = 0
         self._configuration_bytes = 0
         self._resting = False
-        self._closed = False
         self._configuration_watcher = store_watcher.StoreWatcher(
             loop,
             store,
@@ -81,7 +80,7 @@
             self._apply_server_snapshot,
             self._apply_server_changes,
         )
-        self._remove_lapsed_servers()
+        self._lapse_timer = loop.repeat(loop.clock.now(), self._remove_lapsed_servers)
 
     @property
     def versions(self):
@@ -203,7 +202,7 @@
 
     def close(self):
         """Stop watching the store."""
-        self._closed = True
+        self._lapse_timer.cancel()
         self._configuration_watcher.close()
         self._server_watcher.close()
 
@@ -274,15 +273,11 @@
 
     def _remove_lapsed_servers(self):
         """Remove servers that have been unregistered for long enough."""
-        if self._closed:
-            return
         now = self._loop.clock.now()
         for removed in self._catalog.remove_lapsed_servers(now):
             event_log.event("server_removed", server=removed.server.server_id)
             self._on_server(removed)
-        self._loop.call_at(
-            now + LAPSE_CHECK_INTERVAL_SECONDS, self._remove_lapsed_servers
-        )
+        return now + LAPSE_CHECK_INTERVAL_SECONDS
 
     def _log_server_change(self, change: ServerAdded):
         server = change.server
--- a/cassiahill/failover.py
+++ b/cassiahill/failover.py
@@ -90,10 +90,8 @@
             for name, group in group_settings_by_name.items()
         }
         self._last_tick_at = loop.clock.now()
-        self._timer = None
-        self._closed = False
         self.set_live_proxies({own_name: own_domain})
-        self._tick()
+        self._timer = loop.repeat(loop.clock.now(), self._tick)
 
     def set_live_proxies(self, domains_by_proxy):
         """Choose the observers of each group among the live proxies.
@@ -141,15 +139,11 @@
 
     def close(self):
         """Stop probes and promotions; another observer repeats a running promotion."""
-        self._closed = True
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.cancel()
         for failover in self._failovers_by_group.values():
             failover.close()
 
     def _tick(self):
-        if self._closed:
-            return
         now = self.loop.clock.now()
         was_paused = now - self._last_tick_at > MAX_TICK_GAP_SECONDS
         self._last_tick_at = now
@@ -158,7 +152,7 @@
                 if was_paused:
                     failover.suspicion.discard_observations(now)
                 failover.tick(now)
-        self._timer = self.loop.call_at(now + VERDICT_INTERVAL_SECONDS, self._tick)
+        return now + VERDICT_INTERVAL_SECONDS
 
 
 class _GroupFailover:
--- a/cassiahill/gateway.py
+++ b/cassiahill/gateway.py
@@ -93,9 +93,8 @@
         self._owner_service = owner_service.OwnerService(
             loop, own_candidate.name, topology, self._owned_server, self.counts
         )
-        self._closed = False
         self.update_servers()
-        loop.call_soon(self._check_ownership)
+        self._ownership_timer = loop.repeat(loop.clock.now(), self._check_ownership)
 
     # Configuration, membership and ownership
 
@@ -165,8 +164,6 @@
 
     def _check_ownership(self):
         """Claim and release servers as their owners change, and ping proxies."""
-        if self._closed:
-            return
         now = self._loop.clock.now()
         for server, owned_server in self._owned_servers_by_name.items():
             owned_here = self._owners_by_server[server] == self._own_candidate.name
@@ -179,9 +176,7 @@
         ):
             if now >= next_ping_at:
                 self._loop.spawn(self._ping_unreachable(proxy))
-        self._loop.call_at(
-            now + OWNERSHIP_CHECK_INTERVAL_SECONDS, self._check_ownership
-        )
+        return now + OWNERSHIP_CHECK_INTERVAL_SECONDS
 
     def _claim_server(self, server, owned_server, now):
         """Claim a server once its epoch is known and the claim limiter allows it."""
@@ -444,7 +439,7 @@
 
     def close(self):
         """Release all backend servers and close the links to other proxies."""
-        self._closed = True
+        self._ownership_timer.cancel()
         for owned_server in self._owned_servers_by_name.values():
             owned_server.close()
         for client in self._clients_by_proxy.values():
--- a/cassiahill/loop.py
+++ b/cassiahill/loop.py
@@ -21,6 +21,7 @@
 
 READ = selectors.EVENT_READ
 WRITE = selectors.EVENT_WRITE
+RETRY_AFTER_FAILURE_SECONDS = 0.1  # Pause of repeated work after an unexpected error.
 
 
 class LoopFuture(Future):
@@ -120,6 +121,32 @@
         self.callback = None
 
 
+class RepeatingTimer:
+    """Runs a callback again and again; see ``EventLoop.repeat``."""
+
+    __slots__ = ("_callback", "_loop", "_timer")
+
+    def __init__(self, loop, first_at, callback):
+        self._loop = loop
+        self._callback = callback
+        self._timer = loop.call_at(first_at, self._run)
+
+    def cancel(self):
+        """Prevent further runs."""
+        self._callback = None
+        self._timer.cancel()
+
+    def _run(self):
+        next_at = self._loop.clock.now() + RETRY_AFTER_FAILURE_SECONDS
+        try:
+            next_at = self._callback()
+        except Exception:  # noqa: BLE001 the work must go on after an unexpected error
+            self._loop.record_failure("repeated_work_failed")
+        finally:
+            if self._callback is not None:
+                self._timer = self._loop.call_at(next_at, self._run)
+
+
 class EventLoop:
     """Single-threaded event loop.
 
@@ -160,6 +187,32 @@
         heapq.heappush(self._timers, (at, next(self._timer_numbers), timer))
         return timer
 
+    def repeat(self, first_at, callback):
+        """Run a callback again and again, also after it has failed.
+
+        Parameters
+        ----------
+        first_at : float
+            Instant of the first run in seconds.
+        callback : callable
+            Returns the instant of its next run.
+
+        Returns
+        -------
+        RepeatingTimer
+        """
+        return RepeatingTimer(self, first_at, callback)
+
+    def record_failure(self, event):
+        """Log the exception that is being handled.
+
+        Parameters
+        ----------
+        event : str
+            What failed.
+        """
+        logging.exception("event=%s", event)
+
     def watch(self, sock, events, callback):
         """Call ``callback(ready_events)`` whenever the socket is ready.
 
@@ -314,7 +367,7 @@
         try:
             callback(*args)
         except Exception:  # noqa: BLE001 a failing callback must not end the loop
-            logging.exception("event=callback_failed")
+            self.record_failure("callback_failed")
 
     def _drain_wake_pipe(self, _events):
         try:
@@ -351,7 +404,12 @@
             except StopIteration as stop:
                 self._result.set_result(stop.value)
                 return
+            except errors.CassiahillError as error:
+                self._result.set_exception(error)
+                return
             except Exception as error:  # noqa: BLE001 delivered through the future
+                # Nobody may wait for the result of a task that runs all the time.
+                logging.exception("event=task_failed")
                 self._result.set_exception(error)
                 return
             if not next_future.done():
--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -107,7 +107,6 @@
         self._busy_pause_by_id = {}
         self._rng = random.Random(f"{own_name} {group}")
         self._serve_scheduled = False
-        self._timer = None
         self._probes = server_probes.ServerProbes(loop, self)
         self.name = group
         # Only group owners connect. If all proxies did so when they start together,
@@ -126,7 +125,7 @@
         self.outstanding_writes = outstanding_writes.OutstandingWrites(loop.clock)
         self.slot_share = slot_shares.SlotShare()
         self._last_tick_at = loop.clock.now()
-        self._run_periodic_work()
+        self._timer = loop.repeat(loop.clock.now(), self._run_periodic_work)
 
     # Servers of the group
 
@@ -195,8 +194,7 @@
 
     def close(self):
         """Close all connections."""
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.cancel()
         for pool in self.pools_by_id.values():
             pool.close()
 
@@ -591,7 +589,7 @@
     # Periodic work
 
     def _run_periodic_work(self):
-        """Serve the queue, close idle connections, send probes; then reschedule."""
+        """Serve the queue, close idle connections, send probes."""
         now = self._loop.clock.now()
         if now - self._last_tick_at > MAX_TICK_GAP_SECONDS:
             # This process was suspended and could not receive answers, so missing
@@ -611,9 +609,7 @@
             pool.close_idle_connections(now, MIN_IDLE_CONNECTIONS if self.active else 0)
         if self.active:
             self._probes.send_due_probes(now)
-        self._timer = self._loop.call_at(
-            now + TICK_INTERVAL_SECONDS, self._run_periodic_work
-        )
+        return now + TICK_INTERVAL_SECONDS
 
     def _log_primary_change(self, source):
         """Log the new known primary and forget the failure symptoms of the last one."""
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -147,7 +147,6 @@
         self._reference_partitioned = False
         self._contacts_by_domain = {}
         self._last_tick_at = loop.clock.now()
-        self._closed = False
         self.reference_failures = 0
         self.reports = heartbeat_reports.HeartbeatReports()
         self.following = store_readers.ReaderFollowing(
@@ -163,10 +162,9 @@
         self.registry = member_registry.MemberRegistry(
             loop, store, own_member, self.election, rng, self._on_members_changed
         )
-        self._timer = None
         # The random delay lets the store answer before the first heartbeat and spreads
         # the heartbeats of proxies that start together.
-        loop.call_at(
+        self._timer = loop.repeat(
             loop.clock.now() + HEARTBEAT_INTERVAL_SECONDS * rng.random(), self._tick
         )
 
@@ -212,10 +210,8 @@
 
     def close(self):
         """Stop sending heartbeats and close the connections to members."""
-        self._closed = True
         self.registry.close()
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.cancel()
         self._client.close()
 
     def handle_heartbeat(self, body):
@@ -360,8 +356,6 @@
 
     def _tick(self):
         """Send heartbeats, and claim the role of the promoter when that is due."""
-        if self._closed:
-            return
         now = self._loop.clock.now()
         if now - self._last_tick_at > 2 * HEARTBEAT_INTERVAL_SECONDS:
             # This process was suspended, so missing answers do not show a failure.
@@ -401,9 +395,7 @@
             if other_members:
                 self._start_heartbeat(self._rng.choice(other_members))
         jitter = 0.9 + 0.2 * self._rng.random()
-        self._timer = self._loop.call_at(
-            now + HEARTBEAT_INTERVAL_SECONDS * jitter, self._tick
-        )
+        return now + HEARTBEAT_INTERVAL_SECONDS * jitter
 
     def _may_become_promoter(self):
         """Return whether this process sends heartbeats to the promoter.
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -135,7 +135,7 @@
         self._peer_server = http1.Server(
             loop, settings.peer_address, self._handle_peer_request
         )
-        self._supervise()
+        loop.repeat(loop.clock.now(), self._supervise)
 
     @property
     def ready(self):
@@ -338,7 +338,7 @@
                 reported_since = self.fleet.reports.primary_unreachable_since(name)
                 symptoms = group.primary_symptoms(now, reported_since)
                 self._takeovers_by_group[name].start_if_needed(symptoms)
-        self._loop.call_at(now + SUPERVISION_INTERVAL_SECONDS, self._supervise)
+        return now + SUPERVISION_INTERVAL_SECONDS
 
     def _check_reachability(self, now):
         """Update whether this process is partitioned, and close idle sessions then."""
--- a/cassiahill/store_watcher.py
+++ b/cassiahill/store_watcher.py
@@ -140,7 +140,10 @@
             except errors.HistoryLost:
                 event_log.event("history_lost", kind=self._kind, revision=self.revision)
                 self._has_objects = False
-            except errors.CassiahillError as error:
+            except Exception as error:  # noqa: BLE001 one bad object must not end it
+                if not isinstance(error, errors.CassiahillError):
+                    self._loop.record_failure("watch_failed")
+                    self._has_objects = False
                 self._record_failure(error)
                 yield self._loop.sleep_until(
                     self._loop.clock.now() + self._retry_delay()
@@ -194,4 +197,4 @@
         self._consecutive_failures += 1
         if self.reachability.unreachable_since is None:
             self.reachability.unreachable_since = self._loop.clock.now()
-            event_log.event("store_lost", kind=self._kind, cause=error.detail)
+            event_log.event("store_lost", kind=self._kind, cause=repr(error))
--- a/tests/test_catalog_feed.py
+++ b/tests/test_catalog_feed.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 
+import attrs
+
 from cassiahill.catalog import (
     REMOVAL_DELAY_SECONDS,
     Catalog,
@@ -108,6 +110,25 @@
         self.loop.advance(1.0)
         self.assertNotIn("a", self.catalog.servers_by_id)
 
+    def test_watch_goes_on_after_an_unexpected_error(self):
+        """Guards against a process that one object leaves without news for good."""
+        errors_left = [ZeroDivisionError()]
+
+        def decode_or_fail(server_id, document):
+            if errors_left:
+                raise errors_left.pop()
+            return self.decode_server(server_id, document)
+
+        self.feed._source = attrs.evolve(
+            self.feed._source, decode_server=decode_or_fail
+        )
+        with self.assertLogs("absl", "ERROR"):
+            self.store.write("servers", "b", {})
+            self.loop.advance(1.0)
+        self.store.write("servers", "c", {})
+        self.loop.advance(2.0)
+        self.assertEqual(set(self.catalog.servers_by_id), {"a", "b", "c"})
+
     def test_malformed_entry_does_not_affect_others(self):
         """Guards against one invalid entry that makes other servers unavailable."""
         self.store.write("servers", "x", None)
