Keep the queue in an overloaded server short, and let urgent requests pass

Change: while more statements wait and run than one server has slots, all proxies together send it 1.5 for each slot instead of two, by their demand. The most urgent requests may have one statement beyond the limit, so that they do not wait for another one's end.

Ruled out in virtual time (six owners with 27, 13, 20, 13, 20 and 7 parts of the load on one primary of six slots, at 1.05 of its capacity): 1.25 for each slot, which makes lookups slower at less load.

--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -41,6 +41,10 @@
 BUSY_PAUSE_SECONDS = 0.02
 MAX_BUSY_PAUSE_DOUBLINGS = 3
 BUSY_STREAK_RESET_SECONDS = 0.5
+# Statements beyond the limit that the most urgent requests may have running at a server.
+# They do not wait for a statement of a less urgent request to end.
+URGENT_STATEMENTS = 1
+MOST_URGENT_PRIORITY = 0
 # Time for which a draining primary gets new requests. Its process stays up for much
 # longer.
 DRAINING_PRIMARY_SERVICE_SECONDS = 5.0
@@ -492,8 +496,11 @@
             server.slots, self._proxy_count, self._loop.clock.now()
         )
 
-    def _server_candidates(self, requirement, now, failed_server_ids):
-        """Yield a ``ServerCandidate`` for each server that takes requests."""
+    def _server_candidates(self, requirement, request, now):
+        """Yield a ``ServerCandidate`` for each server that takes the request."""
+        reserved_statements = (
+            URGENT_STATEMENTS if request.priority == MOST_URGENT_PRIORITY else 0
+        )
         for server_id, pool in self.pools_by_id.items():
             is_primary = server_id == self.primary.server_id
             if not self._accepts_requests(pool, is_primary, now):
@@ -507,14 +514,15 @@
                 server_id=server_id,
                 is_primary=is_primary,
                 has_connection=pool.idle_count > 0,
-                has_slot=pool.running_statements < self._statement_limit(pool.server)
+                has_slot=pool.running_statements
+                < self._statement_limit(pool.server) + reserved_statements
                 and now >= self._busy_pause_by_id.get(server_id, (0.0, 0))[0],
                 may_have_position=position is None
                 or self.progress_by_id[server_id].may_have_position(position, now),
                 latency_seconds=pool.latency_seconds,
                 running_statements=pool.running_statements,
                 same_domain=pool.server.failure_domain == self._own_domain,
-                may_be_unreachable=server_id in failed_server_ids
+                may_be_unreachable=server_id in request.failed_server_ids
                 or pool.may_be_unreachable(now),
             )
 
@@ -542,9 +550,7 @@
         wanted_connections_by_id = dict.fromkeys(self.pools_by_id, 0)
         for request in self._queue:
             requirement = request.requirement()
-            candidates = self._server_candidates(
-                requirement, now, request.failed_server_ids
-            )
+            candidates = self._server_candidates(requirement, request, now)
             choice = placement.choose_server(requirement, candidates)
             if choice.server_id is not None:
                 self._queue.remove(request)
--- a/cassiahill/slot_shares.py
+++ b/cassiahill/slot_shares.py
@@ -14,6 +14,9 @@
 # requests can overtake what is queued in the proxies, but not what is queued in the
 # server. With fewer than two, slots would be idle while answers travel.
 STATEMENTS_PER_SLOT = 2
+# The same while more statements wait and run than one server has slots. A longer queue
+# in the server would only delay the urgent ones behind it.
+STATEMENTS_PER_SLOT_IN_OVERLOAD = 1.5
 DEMAND_TIME_SECONDS = 0.4  # Time constant of the average demand.
 TOTAL_MAX_AGE_SECONDS = 1.2  # Three heartbeat intervals.
 
@@ -62,9 +65,8 @@
     def statement_limit(self, slots, proxy_count, now):
         """Return how many statements this proxy may have running at one server.
 
-        A share of the demand is rounded down, so that the shares do not add up to more
-        than the server gets in all. It is never less than an equal share: those who do
-        not need theirs leave it unused.
+        While the servers have room, it is never less than an equal share: those who do
+        not need theirs leave it unused. In overload it is a share of the demand.
 
         Parameters
         ----------
@@ -76,5 +78,8 @@
         if now > self.total_valid_until or self.demand <= 0.0:
             return limit
         share = self.demand / max(self.demand, self.total_demand)
+        if self.total_demand > slots:
+            by_demand = round(STATEMENTS_PER_SLOT_IN_OVERLOAD * slots * share)
+            return max(1, min(slots, by_demand))
         by_demand = math.floor(STATEMENTS_PER_SLOT * slots * share)
         return max(limit, min(slots, by_demand))
