--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -41,7 +41,7 @@
 BUSY_PAUSE_SECONDS = 0.02
 MAX_BUSY_PAUSE_DOUBLINGS = 3
 BUSY_STREAK_RESET_SECONDS = 0.5
-# Statements beyond the limit that the most urgent requests may have running at a server.
+# Statements beyond the limit that the most urgent requests may have at a server.
 # They do not wait for a statement of a less urgent request to end.
 URGENT_STATEMENTS = 1
 MOST_URGENT_PRIORITY = 0
