--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -18,6 +18,7 @@
     request_queue,
     server_pool,
     server_probes,
+    slot_shares,
     takeover,
 )
 from cassiahill.loop import LoopFuture
@@ -40,6 +41,10 @@
 BUSY_PAUSE_SECONDS = 0.02
 MAX_BUSY_PAUSE_DOUBLINGS = 3
 BUSY_STREAK_RESET_SECONDS = 0.5
+# Statements beyond the limit that the most urgent requests may have at a server.
+# They do not wait for a statement of a less urgent request to end.
+URGENT_STATEMENTS = 1
+MOST_URGENT_PRIORITY = 0
 # Time for which a draining primary gets new requests. Its process stays up for much
 # longer.
 DRAINING_PRIMARY_SERVICE_SECONDS = 5.0
@@ -81,6 +86,7 @@
     primary_unreachable_since : float or None
         Instant since which the known primary has not answered probes.
     outstanding_writes : outstanding_writes.OutstandingWrites
+    slot_share : slot_shares.SlotShare
     """
 
     def __init__(
@@ -105,7 +111,6 @@
         self._busy_pause_by_id = {}
         self._rng = random.Random(f"{own_name} {group}")
         self._serve_scheduled = False
-        self._timer = None
         self._probes = server_probes.ServerProbes(loop, self)
         self.name = group
         # Only group owners connect. If all proxies did so when they start together,
@@ -122,8 +127,9 @@
         self.primary_unreachable_since = None
         self._usual_read_seconds_by_database = {}
         self.outstanding_writes = outstanding_writes.OutstandingWrites(loop.clock)
+        self.slot_share = slot_shares.SlotShare()
         self._last_tick_at = loop.clock.now()
-        self._run_periodic_work()
+        self._timer = loop.repeat(loop.clock.now(), self._run_periodic_work)
 
     # Servers of the group
 
@@ -192,8 +198,7 @@
 
     def close(self):
         """Close all connections."""
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.cancel()
         for pool in self.pools_by_id.values():
             pool.close()
 
@@ -206,6 +211,8 @@
             "proof": None if latest is None else str(latest.position),
             "proof_age": None if latest is None else now - latest.asked_at,
             "waiting": len(self._queue),
+            "demand": self.slot_share.demand,
+            "total_demand": self.slot_share.total_demand,
             "servers": {
                 server_id: {
                     "connections": pool.connection_count,
@@ -485,10 +492,15 @@
 
     def _statement_limit(self, server):
         """Return how many statements this process may have running at a server."""
-        return placement.statement_limit_per_proxy(server.slots, self._proxy_count)
+        return self.slot_share.statement_limit(
+            server.slots, self._proxy_count, self._loop.clock.now()
+        )
 
-    def _server_candidates(self, requirement, now, failed_server_ids):
-        """Yield a ``ServerCandidate`` for each server that takes requests."""
+    def _server_candidates(self, requirement, request, now):
+        """Yield a ``ServerCandidate`` for each server that takes the request."""
+        reserved_statements = (
+            URGENT_STATEMENTS if request.priority == MOST_URGENT_PRIORITY else 0
+        )
         for server_id, pool in self.pools_by_id.items():
             is_primary = server_id == self.primary.server_id
             if not self._accepts_requests(pool, is_primary, now):
@@ -502,14 +514,15 @@
                 server_id=server_id,
                 is_primary=is_primary,
                 has_connection=pool.idle_count > 0,
-                has_slot=pool.running_statements < self._statement_limit(pool.server)
+                has_slot=pool.running_statements
+                < self._statement_limit(pool.server) + reserved_statements
                 and now >= self._busy_pause_by_id.get(server_id, (0.0, 0))[0],
                 may_have_position=position is None
                 or self.progress_by_id[server_id].may_have_position(position, now),
                 latency_seconds=pool.latency_seconds,
                 running_statements=pool.running_statements,
                 same_domain=pool.server.failure_domain == self._own_domain,
-                may_be_unreachable=server_id in failed_server_ids
+                may_be_unreachable=server_id in request.failed_server_ids
                 or pool.may_be_unreachable(now),
             )
 
@@ -537,9 +550,7 @@
         wanted_connections_by_id = dict.fromkeys(self.pools_by_id, 0)
         for request in self._queue:
             requirement = request.requirement()
-            candidates = self._server_candidates(
-                requirement, now, request.failed_server_ids
-            )
+            candidates = self._server_candidates(requirement, request, now)
             choice = placement.choose_server(requirement, candidates)
             if choice.server_id is not None:
                 self._queue.remove(request)
@@ -584,7 +595,7 @@
     # Periodic work
 
     def _run_periodic_work(self):
-        """Serve the queue, close idle connections, send probes; then reschedule."""
+        """Serve the queue, close idle connections, send probes."""
         now = self._loop.clock.now()
         if now - self._last_tick_at > MAX_TICK_GAP_SECONDS:
             # This process was suspended and could not receive answers, so missing
@@ -592,15 +603,19 @@
             self.reset_failure_detection()
             for pool in self.pools_by_id.values():
                 pool.record_contact(now)
+        running_count = sum(
+            pool.running_statements for pool in self.pools_by_id.values()
+        )
+        self.slot_share.record_statements(
+            len(self._queue) + running_count, now - self._last_tick_at
+        )
         self._last_tick_at = now
         self._serve_queue()
         for pool in self.pools_by_id.values():
             pool.close_idle_connections(now, MIN_IDLE_CONNECTIONS if self.active else 0)
         if self.active:
             self._probes.send_due_probes(now)
-        self._timer = self._loop.call_at(
-            now + TICK_INTERVAL_SECONDS, self._run_periodic_work
-        )
+        return now + TICK_INTERVAL_SECONDS
 
     def _log_primary_change(self, source):
         """Log the new known primary and forget the failure symptoms of the last one."""
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -117,6 +117,8 @@
             self._update_limits,
             self._apply_server_change,
         )
+        # Until the fleet is known, it is not known who reads the store.
+        self.catalog_feed.set_resting(True)
         self.sessions = session_server.SessionServer(
             loop,
             settings.client_address,
@@ -133,7 +135,7 @@
         self._peer_server = http1.Server(
             loop, settings.peer_address, self._handle_peer_request
         )
-        self._supervise()
+        loop.repeat(loop.clock.now(), self._supervise)
 
     @property
     def ready(self):
@@ -212,9 +214,21 @@
 
     # Interface for the fleet
 
-    def view(self):
+    def view(self, known):
         """Return the ``View`` of configuration and servers for a peer."""
-        return self.catalog_feed.view()
+        return self.catalog_feed.view(known)
+
+    def set_following(self, following):
+        """Set whether a peer announces changes, so that the store is not watched."""
+        self.catalog_feed.set_resting(following)
+
+    def request_lists(self):
+        """Read configuration and servers in the store now."""
+        self.catalog_feed.request_lists()
+
+    def read_configuration(self, version):
+        """Read an announced version in the store; a task that returns its success."""
+        return self.catalog_feed.read_configuration(version)
 
     def versions(self):
         """Return the version of the configuration and the revision of the servers."""
@@ -224,6 +238,21 @@
         """Return the groups whose servers this process is connected to."""
         return [name for name, group in self._groups_by_name.items() if group.active]
 
+    def demand_by_group(self):
+        """Return the average number of statements that wait or run, by group."""
+        return {
+            name: round(group.slot_share.demand, 3)
+            for name, group in self._groups_by_name.items()
+            if group.active
+        }
+
+    def apply_total_demand(self, total_demand_by_group):
+        """Apply the demand of all proxies to this process's share of the slots."""
+        now = self._loop.clock.now()
+        for name, total_demand in total_demand_by_group.items():
+            if name in self._groups_by_name:
+                self._groups_by_name[name].slot_share.record_total(total_demand, now)
+
     def groups_without_primary(self):
         """Return the connected groups whose primary this process does not reach."""
         now = self._loop.clock.now()
@@ -281,6 +310,7 @@
     # Changes of catalog and fleet
 
     def _apply_server_change(self, change):
+        self._loop.call_soon(self.fleet.announce_changes)
         match change:
             case catalog.ServerAdded(server=server, previous=previous):
                 self.get_group(server.group).put_server(server, previous)
@@ -292,6 +322,7 @@
         configuration = self.catalog.configuration
         if configuration is None:
             return
+        self._loop.call_soon(self.fleet.announce_changes)
         for name, limits in configuration.groups_by_name.items():
             owner_count = self.owners.update_owners(name, limits.connections)
             if name in self._groups_by_name:
@@ -304,10 +335,10 @@
         self._check_reachability(now)
         if self.fleet.election.is_promoter and not self._partitioned:
             for name, group in self._groups_by_name.items():
-                reported_since = self.fleet.primary_reported_unreachable_since(name)
+                reported_since = self.fleet.reports.primary_unreachable_since(name)
                 symptoms = group.primary_symptoms(now, reported_since)
                 self._takeovers_by_group[name].start_if_needed(symptoms)
-        self._loop.call_at(now + SUPERVISION_INTERVAL_SECONDS, self._supervise)
+        return now + SUPERVISION_INTERVAL_SECONDS
 
     def _check_reachability(self, now):
         """Update whether this process is partitioned, and close idle sessions then."""
@@ -353,7 +384,8 @@
             case ("POST", heartbeats.HEARTBEAT_PATH):
                 return self.fleet.handle_heartbeat(request.body)
             case ("GET", heartbeats.VIEW_PATH):
-                return http1.json_response(self.fleet.view())
+                known = heartbeats.decode_known_versions(request.query)
+                return http1.json_response(self.fleet.view(known))
             case ("GET", path) if path == METRICS_PATH:
                 body = self.metrics.render(self._gauge_values())
                 return http1.Response(200, body, session_metrics.CONTENT_TYPE)
