--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,23 +1,16 @@
 """Tests of ``cassiahill.gossip``."""
 
 import random
-import socket
 import unittest
 
 import msgspec
 
 from cassiahill import clock, errors, gossip, loop, peer_calls, rumors, swim
+from tests.loopback import free_address
 
 SECRET = b"fleet secret"
 
 
-def free_address():
-    """Return a loopback address that is free for TCP."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()
-
-
 class GossipTest(unittest.TestCase):
     def setUp(self):
         self.loop = loop.EventLoop(clock.SystemClock())
