List anew without stale answers after a loss of history

Cause: after the store had dropped its history, the members were listed from a copy that may be seconds old; the watch from that revision failed again at once, without a pause.

Change: the list after a loss is never stale, and a second loss in a row waits.

--- a/cassiahill/store_watcher.py
+++ b/cassiahill/store_watcher.py
@@ -47,7 +47,7 @@
     pause_seconds : float
         Time between the end of a watch and the next one.
     may_be_stale : bool
-        Whether lists may be some seconds old.
+        Whether lists may be some seconds old, except after a loss of history.
 
     Attributes
     ----------
@@ -82,6 +82,7 @@
         self._closed = False
         self._has_objects = False
         self._list_requested = False
+        self._history_lost = False
         self._resting = False
         self._wake_up = LoopFuture()
         self.reachability = StoreReachability()
@@ -140,6 +141,12 @@
             except errors.HistoryLost:
                 event_log.event("history_lost", kind=self._kind, revision=self.revision)
                 self._has_objects = False
+                self._history_lost = True
+                self._consecutive_failures += 1
+                if self._consecutive_failures > 1:
+                    yield self._loop.sleep_until(
+                        self._loop.clock.now() + self._retry_delay()
+                    )
             except Exception as error:  # noqa: BLE001 one bad object must not end it
                 if not isinstance(error, errors.CassiahillError):
                     self._loop.record_failure("watch_failed")
@@ -150,8 +157,11 @@
                 )
 
     def _list_objects(self):
-        snapshot = yield self._store.list(self._kind, self._may_be_stale)
+        # The history since a stale list may be lost too.
+        may_be_stale = self._may_be_stale and not self._history_lost
+        snapshot = yield self._store.list(self._kind, may_be_stale)
         self._has_objects = True
+        self._history_lost = False
         self._list_requested = False
         if snapshot.revision < self.changed_revision:
             # A stale list, or a peer has supplied newer objects in the meantime.
--- a/tests/test_store_readers.py
+++ b/tests/test_store_readers.py
@@ -139,6 +139,20 @@
         self.assertLess(max(fleet.heartbeat_counts.values()) / 10.0, 195 * 2.5 / 2)
 
 
+class LostHistoryTest(unittest.TestCase):
+    def test_calls_after_a_loss_of_history(self):
+        """Guards against stale lists whose history is lost again, without a pause."""
+        fleet = MemoryFleet(8)
+        fleet.loop.advance(10.0)
+        fleet.write("proxies", "proxy.other", {})
+        for process in fleet.processes_by_name.values():
+            process.fleet.registry.watcher.revision = 1
+        fleet.store.drop_history()
+        fleet.calls_by_name.clear()
+        fleet.loop.advance(2.0 + WATCH_SECONDS)
+        self.assertLess(fleet.call_count().total(), 8 * 12)
+
+
 class LossOfReadersTest(unittest.TestCase):
     def setUp(self):
         self.fleet = MemoryFleet(60)
