Refuse at its arrival what would wait in vain in a lasting overload

Change: a request that finds no slot at its arrival is refused at once if the oldest of its priority has waited for 0.8 of its time up to the target, or if others of its priority waited in vain and none has been served since (one may wait, to notice the end). Not without a primary: then all wait for the next.

--- a/cassiahill/request_queue.py
+++ b/cassiahill/request_queue.py
@@ -6,7 +6,8 @@
 those that cannot: under overload, a plain first-in-first-out queue would answer all of
 them late. Otherwise, the order is that of arrival. A request is refused as soon as it
 is known that it cannot be served in time, and at the latest after ``MAX_WAIT_SHARE`` of
-its time.
+its time. In a lasting overload that is known at its arrival, from the wait of those
+before it.
 """
 
 import itertools
@@ -18,6 +19,9 @@
 # Fraction of the time up to a request's deadline after which a queued request is
 # refused. The rest is left for another attempt of the client.
 MAX_WAIT_SHARE = 0.45
+# When the oldest request of a priority has waited for this fraction of its time up to
+# the latency target, requests that arrive behind it are likely to miss theirs.
+FULL_WAIT_SHARE = 0.8
 
 
 @attrs.define(eq=False)
@@ -72,6 +76,7 @@
     """Queued requests, in the order in which they are served."""
 
     def __init__(self):
+        self._starved_priorities = set()
         self._requests = SortedKeyList(
             key=lambda request: (
                 request.priority,
@@ -94,6 +99,32 @@
         """Remove a request if it is still queued."""
         self._requests.discard(request)
 
+    def record_served(self, request):
+        """Record that a request of a priority has got a connection."""
+        self._starved_priorities.discard(request.priority)
+
+    def record_starved(self, request):
+        """Record that a request waited in vain although there are servers for it."""
+        self._starved_priorities.add(request.priority)
+
+    def has_room_for(self, request, now):
+        """Return whether a request that has just arrived may get a connection in time.
+
+        Parameters
+        ----------
+        request : QueuedRequest
+            A request that is queued and could not be served at once.
+        now : float
+        """
+        for other in self._requests:
+            if other.priority != request.priority or other is request:
+                continue
+            if request.priority in self._starved_priorities:
+                return False
+            full_wait_seconds = FULL_WAIT_SHARE * (other.target_at - other.arrived_at)
+            return other.late or now - other.arrived_at < full_wait_seconds
+        return True
+
     def mark_late(self, now):
         """Move requests that miss their target behind others of their priority."""
         newly_late = [
--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -246,8 +246,32 @@
         request.resolve_lease = future.set_result
         self._queue.add(request)
         self._serve_queue()
+        if not future.done() and self._is_overloaded_for(request):
+            self._queue.remove(request)
+            future.set_result(None)
         return future
 
+    def _is_overloaded_for(self, request):
+        """Return whether a request that has just been queued would wait in vain.
+
+        Without a primary the queue does not tell: its requests are served together as
+        soon as there is one.
+        """
+        now = self._loop.clock.now()
+        return (
+            self._reaches_primary
+            and now - request.arrived_at < TICK_INTERVAL_SECONDS
+            and not self._queue.has_room_for(request, now)
+        )
+
+    @property
+    def _reaches_primary(self):
+        """Whether the primary is known and answers."""
+        return (
+            self.primary.server_id is not None
+            and self.primary_unreachable_since is None
+        )
+
     def usual_read_seconds(self, database):
         """Return the moving average of a database's read durations, in seconds."""
         return self._usual_read_seconds_by_database.get(database, INITIAL_READ_SECONDS)
@@ -554,6 +578,7 @@
             choice = placement.choose_server(requirement, candidates)
             if choice.server_id is not None:
                 self._queue.remove(request)
+                self._queue.record_served(request)
                 self._hand_over_connection(
                     request, requirement, self.pools_by_id[choice.server_id], now
                 )
@@ -566,6 +591,8 @@
             now, next_primary_expected_at, _needs_primary
         ):
             self._queue.remove(request)
+            if self._reaches_primary:
+                self._queue.record_starved(request)
             request.resolve_lease(None)
         for server_id, wanted_count in wanted_connections_by_id.items():
             pool = self.pools_by_id.get(server_id)
--- a/tests/session_load.py
+++ b/tests/session_load.py
@@ -119,6 +119,8 @@
         self.kinds = kinds
         self.proxy_weights = proxy_weights
         self.outcomes_by_kind = collections.defaultdict(Outcome)
+        # Seconds until each refusal, by the name of the kind.
+        self.refusal_seconds_by_kind = collections.defaultdict(list)
         self._slot_seconds_by_request = {}
         for server in self.servers.by_id.values():
             server.seconds = 0.001
@@ -219,6 +221,7 @@
         if reply.code is None:
             field = "on_target" if seconds <= kind.target_seconds else "late"
         elif reply.code is Code.BUSY:
+            self.refusal_seconds_by_kind[kind.name].append(seconds)
             # A request that a server has refused counts as refused early, because it
             # did not only wait in the proxy.
             reached_server = request.request_id in self.servers.offered
--- a/tests/test_request_queue.py
+++ b/tests/test_request_queue.py
@@ -53,6 +53,31 @@
             [queued.request_id for queued in queue], ["fresh", "missed", "lookup"]
         )
 
+    def test_no_room_behind_requests_that_wait_for_long(self):
+        """Guards against requests that are let in only to miss their target."""
+        queue = RequestQueue()
+        oldest = request("oldest")
+        oldest.target_at = 0.2
+        queue.add(oldest)
+        self.assertTrue(queue.has_room_for(request("a", arrived_at=0.1), 0.1))
+        self.assertFalse(queue.has_room_for(request("a", arrived_at=0.19), 0.19))
+        self.assertTrue(queue.has_room_for(request("b", 0, arrived_at=0.19), 0.19))
+        queue.remove(oldest)
+        self.assertTrue(queue.has_room_for(request("a", arrived_at=0.19), 0.19))
+
+    def test_one_request_waits_after_others_waited_in_vain(self):
+        """Guards against a priority that lets in requests which it never serves.
+
+        One of them waits, so that the end of the overload is noticed.
+        """
+        queue = RequestQueue()
+        queue.record_starved(request("starved"))
+        self.assertTrue(queue.has_room_for(request("first"), 1.0))
+        queue.add(request("first", arrived_at=1.0))
+        self.assertFalse(queue.has_room_for(request("next"), 1.0))
+        queue.record_served(request("first"))
+        self.assertTrue(queue.has_room_for(request("next"), 1.0))
+
     def test_refused_while_the_client_has_time_for_another_attempt(self):
         """Guards against a refusal too late for another attempt of the client."""
         queue = RequestQueue()
--- a/tests/test_session_load.py
+++ b/tests/test_session_load.py
@@ -1,8 +1,16 @@
 """Simulates heavy load on several proxies and checks the results of callers."""
 
 import unittest
+from statistics import fmean
+from unittest import mock
 
-from tests.session_load import LoadSimulation, without_target_order
+from cassiahill.request_queue import RequestQueue
+from tests.session_load import (
+    REQUEST_KINDS,
+    LoadSimulation,
+    with_steady_rates,
+    without_target_order,
+)
 
 
 class HeavyLoadTest(unittest.TestCase):
@@ -31,6 +39,24 @@
         self.assertGreater(with_targets.share_on_target, by_arrival.share_on_target)
         self.assertLess(with_targets.late, by_arrival.late)
 
+    def test_refusals_in_a_lasting_overload(self):
+        """Guards against requests that wait in vain, so that no time is left.
+
+        The load is 1.2 times what the only fresh server can run, all the time.
+        """
+        kinds = with_steady_rates(REQUEST_KINDS, 1.2)
+        simulation = LoadSimulation(1, lagging=("b", "c"), kinds=kinds)
+        outcomes = simulation.run()
+        with mock.patch.object(RequestQueue, "has_room_for", lambda *_: True):
+            waiting_simulation = LoadSimulation(1, lagging=("b", "c"), kinds=kinds)
+            waiting_simulation.run()
+        for name in ("amendment", "lookup"):
+            seconds = simulation.refusal_seconds_by_kind[name]
+            seconds_before = waiting_simulation.refusal_seconds_by_kind[name]
+            self.assertLess(fmean(seconds), 0.6 * fmean(seconds_before), name)
+        self.assertGreaterEqual(outcomes["filing"].share_on_target, 0.99)
+        self.assertEqual(simulation.refusal_seconds_by_kind["filing"], [])
+
 
 if __name__ == "__main__":
     unittest.main()
