Notice a cut failure domain in about a second in fleets of many domains

A proxy asked one random peer elsewhere each 0.4 s, so with four other domains it took several seconds until each had left a heartbeat unanswered; a proxy without connections waited for a reference member besides.

Change: when a peer elsewhere does not answer, two peers of every other domain are asked at once, and proxies without connections decide by that too. The record of these contacts is a class without I/O.

--- a/cassiahill/reachability.py
+++ b/cassiahill/reachability.py
@@ -10,6 +10,10 @@
 
 # An idle server is probed every 0.4 s, so a probe can be answered within this time.
 DOMAIN_UNREACHABLE_SECONDS = 0.7
+PEERS_UNREACHABLE_SECONDS = 1.2  # Three heartbeat intervals.
+CONFIRMATION_INTERVAL_SECONDS = 0.3
+# Peers of each other domain that are asked then. One of them may be restarting.
+CONFIRMATION_PEERS = 2
 
 
 @attrs.frozen
@@ -103,3 +107,59 @@
         if contact.failure_domain != own_domain
     )
     return None if answered_since else since
+
+
+class PeerContacts:
+    """Paths of this process to the other failure domains, by heartbeats to peers.
+
+    One peer that does not answer says little. When that happens, one or more peers of
+    every other domain are asked at once, because a random one of them is asked rarely
+    in a fleet with many domains.
+
+    Parameters
+    ----------
+    own_domain : str
+    now : float
+    """
+
+    def __init__(self, own_domain, now):
+        self._own_domain = own_domain
+        self._contacts_by_domain = {}
+        self._confirmed_at = float("-inf")
+        self._any_answered_at = now
+
+    def record(self, domain, answered, now):
+        """Record whether a peer of a failure domain answered a heartbeat.
+
+        Returns
+        -------
+        bool
+            Whether peers of all other domains should be asked now.
+        """
+        previous = self._contacts_by_domain.get(domain, Contact(domain, now, False))
+        answered_at = now if answered else previous.answered_at
+        self._contacts_by_domain[domain] = Contact(domain, answered_at, not answered)
+        if answered:
+            self._any_answered_at = now
+        if answered or domain == self._own_domain:
+            return False
+        if now - self._confirmed_at < CONFIRMATION_INTERVAL_SECONDS:
+            return False
+        self._confirmed_at = now
+        return True
+
+    def restart(self, now):
+        """Forget the contacts after a time in which no answer could arrive."""
+        self._contacts_by_domain.clear()
+        self._any_answered_at = now
+
+    def contacts(self):
+        """Return one ``Contact`` for each failure domain contacted."""
+        return list(self._contacts_by_domain.values())
+
+    def is_partitioned(self, now):
+        """Return whether no peer answers, or none in another failure domain."""
+        return (
+            now - self._any_answered_at > PEERS_UNREACHABLE_SECONDS
+            or is_partitioned(self._own_domain, self.contacts(), now)
+        )
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -24,7 +24,6 @@
 
 HEARTBEAT_INTERVAL_SECONDS = 0.4
 HEARTBEAT_TIMEOUT_SECONDS = 0.4
-PEERS_UNREACHABLE_SECONDS = 1.2  # Three heartbeat intervals.
 
 
 class ProcessState:
@@ -117,6 +116,7 @@
     reports : heartbeat_reports.HeartbeatReports
     following : store_readers.ReaderFollowing
     election : PromoterElection
+    peer_contacts : reachability.PeerContacts
     reference_failures : int
         Heartbeats that reference members did not answer; selects the next member.
     """
@@ -143,9 +143,10 @@
         self._fetching_view = False
         self._reads_store = False
         self._announced_versions = (0, 0, 0)
-        self._peer_answered_at = loop.clock.now()
         self._reference_partitioned = False
-        self._contacts_by_domain = {}
+        self.peer_contacts = reachability.PeerContacts(
+            own_member.failure_domain, loop.clock.now()
+        )
         self._last_tick_at = loop.clock.now()
         self.reference_failures = 0
         self.reports = heartbeat_reports.HeartbeatReports()
@@ -169,11 +170,8 @@
         )
 
     def peers_indicate_partition(self, now):
-        """Return whether no member answers or the reference member is partitioned."""
-        return (
-            self._reference_partitioned
-            or now - self._peer_answered_at > PEERS_UNREACHABLE_SECONDS
-        )
+        """Return whether other domains are silent or the reference member says so."""
+        return self._reference_partitioned or self.peer_contacts.is_partitioned(now)
 
     @property
     def members_by_name(self):
@@ -191,13 +189,6 @@
         self.registry.add_to_view(view, known)
         return view
 
-    def contacts(self):
-        """Return one ``reachability.Contact`` for each failure domain contacted."""
-        return [
-            reachability.Contact(domain, answered_at, failing)
-            for domain, (answered_at, failing) in self._contacts_by_domain.items()
-        ]
-
     def dump(self):
         """Return the members and the state of the election, as plain values."""
         return {
@@ -361,8 +352,7 @@
             # This process was suspended, so missing answers do not show a failure.
             self.election.restart_timeout(now)
             self.following.restart_timeout(now)
-            self._peer_answered_at = now
-            self._contacts_by_domain.clear()
+            self.peer_contacts.restart(now)
         if self._process_state.is_partitioned():
             # In a partition, missing answers do not show that the promoter failed.
             self.election.restart_timeout(now)
@@ -459,7 +449,6 @@
             if reference is not None and reference.name == member.name:
                 self.reference_failures += 1
             return
-        self._peer_answered_at = self._loop.clock.now()
         self._record_contact(member, answered=True)
         reference = self._process_state.reference_member()
         if reference is not None and reference.name == member.name:
@@ -480,14 +469,20 @@
         self._catch_up_with(member, heartbeat_answer)
 
     def _record_contact(self, member, answered):
-        """Record whether a member of a failure domain answered a heartbeat."""
-        now = self._loop.clock.now()
-        answered_at, _ = self._contacts_by_domain.get(
-            member.failure_domain, (now, False)
+        """Record whether a member answered; ask other domains if one did not."""
+        asks_others = self.peer_contacts.record(
+            member.failure_domain, answered, self._loop.clock.now()
         )
-        if answered:
-            answered_at = now
-        self._contacts_by_domain[member.failure_domain] = (answered_at, not answered)
+        if not asks_others:
+            return
+        members_by_domain = {}
+        for other in self.members_by_name.values():
+            members_by_domain.setdefault(other.failure_domain, []).append(other)
+        members_by_domain.pop(self._own_member.failure_domain, None)
+        for members in members_by_domain.values():
+            count = min(len(members), reachability.CONFIRMATION_PEERS)
+            for other in self._rng.sample(members, count):
+                self._start_heartbeat(other)
 
     def _fetch_view(self, name, address, accepts_large=True):
         """Fetch a member's ``View`` and apply it; a task."""
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -351,7 +351,7 @@
         if contacts:
             own_domain = self._settings.failure_domain
             relevant_contacts = reachability.relevant_contacts(
-                own_domain, contacts, self.fleet.contacts()
+                own_domain, contacts, self.fleet.peer_contacts.contacts()
             )
             self._partitioned_since = reachability.partitioned_since(
                 self._partitioned_since, own_domain, relevant_contacts, now
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -231,6 +231,8 @@
         Number of heartbeats received, by process.
     silent_names : set of str
         Processes that exchange nothing with anybody.
+    cut_domain : str or None
+        Failure domain whose processes reach none of the others.
     storeless_names : set of str
         Processes that the store does not answer.
     """
@@ -249,6 +251,7 @@
         self.calls_by_name = collections.defaultdict(collections.Counter)
         self.heartbeat_counts = collections.Counter()
         self.silent_names = set()
+        self.cut_domain = None
         self.storeless_names = set()
         self.processes_by_name = {}
         self._past_snapshots = collections.defaultdict(collections.deque)
@@ -322,7 +325,13 @@
 
     def can_exchange(self, first_name, second_name):
         """Return whether two processes reach each other."""
-        return not {first_name, second_name} & self.silent_names
+        if {first_name, second_name} & self.silent_names:
+            return False
+        domains = {
+            self.processes_by_name[name].fleet._own_member.failure_domain
+            for name in (first_name, second_name)
+        }
+        return len(domains) == 1 or self.cut_domain not in domains
 
     def call_count(self):
         """Return the number of store calls of all processes, by kind of call."""
