--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -24,6 +24,8 @@
 
 HEARTBEAT_INTERVAL_SECONDS = 0.4
 HEARTBEAT_TIMEOUT_SECONDS = 0.4
+# Pause of a process without a reader after the store has not answered it.
+STORE_RETRY_SECONDS = 1.0
 
 
 class ProcessState:
@@ -142,6 +144,7 @@
         self._client = member_client or MemberClient(loop)
         self._fetching_view = False
         self._reads_store = False
+        self._asking_store = False
         self._announced_versions = (0, 0, 0)
         self._reference_partitioned = False
         self.peer_contacts = reachability.PeerContacts(
@@ -269,7 +272,36 @@
 
     def _update_following(self, now):
         """Let the watchers rest while this process follows a reader."""
-        reads_store = self.election.is_promoter or self.following.reads_store(now)
+        is_reader = self.election.is_promoter or self.following.is_reader()
+        if is_reader or not self.following.reads_store(now):
+            self._set_reads_store(is_reader)
+        elif not self._reads_store and not self._asking_store:
+            self._asking_store = True
+            self._loop.spawn(self._read_store_if_it_answers())
+
+    def _read_store_if_it_answers(self):
+        """Read the store without a reader, after one cheap call has succeeded; a task.
+
+        While the store is away, the calls of all followers would add to its load.
+        """
+        try:
+            yield self._store.get(
+                member_registry.PROXIES_KIND,
+                promoter_election.PROMOTER_NAME,
+                may_be_stale=True,
+            )
+            if self.following.reads_store(self._loop.clock.now()):
+                self._set_reads_store(True)
+        except errors.CassiahillError as error:
+            event_log.event("store_unreachable", cause=error.detail)
+            yield self._loop.sleep_until(
+                self._loop.clock.now()
+                + STORE_RETRY_SECONDS * (0.5 + self._rng.random())
+            )
+        finally:
+            self._asking_store = False
+
+    def _set_reads_store(self, reads_store):
         if reads_store == self._reads_store:
             return
         self._reads_store = reads_store
--- a/tests/test_store_readers.py
+++ b/tests/test_store_readers.py
@@ -275,6 +275,19 @@
         seconds = self.change_and_wait(self.fleet.processes_by_name, 60)
         self.assertLess(seconds, CONFIGURATION_BOUND_SECONDS)
 
+    def test_calls_in_an_outage_of_the_store(self):
+        """Guards against calls of the whole fleet while the store is away.
+
+        A proxy without a reader asks with one cheap call a second at most.
+        """
+        self.fleet.calls_by_name.clear()
+        self.fleet.store.available = False
+        self.fleet.loop.advance(8.0)
+        for name in self.others:
+            calls = self.fleet.calls_by_name[name]
+            self.assertEqual(calls.total(), calls["stale get"], name)
+            self.assertLessEqual(calls.total(), 8)
+
     def test_removed_server_is_not_used_after_a_restart(self):
         """Guards against a server that left and comes back from an old copy."""
         self.fleet.delete("servers", "c")
