--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -24,7 +24,8 @@
 
 HEARTBEAT_INTERVAL_SECONDS = 0.4
 HEARTBEAT_TIMEOUT_SECONDS = 0.4
-PEERS_UNREACHABLE_SECONDS = 1.2  # Three heartbeat intervals.
+# Pause of a process without a reader after the store has not answered it.
+STORE_RETRY_SECONDS = 1.0
 
 
 class ProcessState:
@@ -117,6 +118,7 @@
     reports : heartbeat_reports.HeartbeatReports
     following : store_readers.ReaderFollowing
     election : PromoterElection
+    peer_contacts : reachability.PeerContacts
     reference_failures : int
         Heartbeats that reference members did not answer; selects the next member.
     """
@@ -142,10 +144,12 @@
         self._client = member_client or MemberClient(loop)
         self._fetching_view = False
         self._reads_store = False
+        self._asking_store = False
         self._announced_versions = (0, 0, 0)
-        self._peer_answered_at = loop.clock.now()
         self._reference_partitioned = False
-        self._contacts_by_domain = {}
+        self.peer_contacts = reachability.PeerContacts(
+            own_member.failure_domain, loop.clock.now()
+        )
         self._last_tick_at = loop.clock.now()
         self.reference_failures = 0
         self.reports = heartbeat_reports.HeartbeatReports()
@@ -169,11 +173,8 @@
         )
 
     def peers_indicate_partition(self, now):
-        """Return whether no member answers or the reference member is partitioned."""
-        return (
-            self._reference_partitioned
-            or now - self._peer_answered_at > PEERS_UNREACHABLE_SECONDS
-        )
+        """Return whether other domains are silent or the reference member says so."""
+        return self._reference_partitioned or self.peer_contacts.is_partitioned(now)
 
     @property
     def members_by_name(self):
@@ -191,13 +192,6 @@
         self.registry.add_to_view(view, known)
         return view
 
-    def contacts(self):
-        """Return one ``reachability.Contact`` for each failure domain contacted."""
-        return [
-            reachability.Contact(domain, answered_at, failing)
-            for domain, (answered_at, failing) in self._contacts_by_domain.items()
-        ]
-
     def dump(self):
         """Return the members and the state of the election, as plain values."""
         return {
@@ -278,7 +272,36 @@
 
     def _update_following(self, now):
         """Let the watchers rest while this process follows a reader."""
-        reads_store = self.election.is_promoter or self.following.reads_store(now)
+        is_reader = self.election.is_promoter or self.following.is_reader()
+        if is_reader or not self.following.reads_store(now):
+            self._set_reads_store(is_reader)
+        elif not self._reads_store and not self._asking_store:
+            self._asking_store = True
+            self._loop.spawn(self._read_store_if_it_answers())
+
+    def _read_store_if_it_answers(self):
+        """Read the store without a reader, after one cheap call has succeeded; a task.
+
+        While the store is away, the calls of all followers would add to its load.
+        """
+        try:
+            yield self._store.get(
+                member_registry.PROXIES_KIND,
+                promoter_election.PROMOTER_NAME,
+                may_be_stale=True,
+            )
+            if self.following.reads_store(self._loop.clock.now()):
+                self._set_reads_store(True)
+        except errors.CassiahillError as error:
+            event_log.event("store_unreachable", cause=error.detail)
+            yield self._loop.sleep_until(
+                self._loop.clock.now()
+                + STORE_RETRY_SECONDS * (0.5 + self._rng.random())
+            )
+        finally:
+            self._asking_store = False
+
+    def _set_reads_store(self, reads_store):
         if reads_store == self._reads_store:
             return
         self._reads_store = reads_store
@@ -361,8 +384,7 @@
             # This process was suspended, so missing answers do not show a failure.
             self.election.restart_timeout(now)
             self.following.restart_timeout(now)
-            self._peer_answered_at = now
-            self._contacts_by_domain.clear()
+            self.peer_contacts.restart(now)
         if self._process_state.is_partitioned():
             # In a partition, missing answers do not show that the promoter failed.
             self.election.restart_timeout(now)
@@ -459,7 +481,6 @@
             if reference is not None and reference.name == member.name:
                 self.reference_failures += 1
             return
-        self._peer_answered_at = self._loop.clock.now()
         self._record_contact(member, answered=True)
         reference = self._process_state.reference_member()
         if reference is not None and reference.name == member.name:
@@ -480,14 +501,20 @@
         self._catch_up_with(member, heartbeat_answer)
 
     def _record_contact(self, member, answered):
-        """Record whether a member of a failure domain answered a heartbeat."""
-        now = self._loop.clock.now()
-        answered_at, _ = self._contacts_by_domain.get(
-            member.failure_domain, (now, False)
+        """Record whether a member answered; ask other domains if one did not."""
+        asks_others = self.peer_contacts.record(
+            member.failure_domain, answered, self._loop.clock.now()
         )
-        if answered:
-            answered_at = now
-        self._contacts_by_domain[member.failure_domain] = (answered_at, not answered)
+        if not asks_others:
+            return
+        members_by_domain = {}
+        for other in self.members_by_name.values():
+            members_by_domain.setdefault(other.failure_domain, []).append(other)
+        members_by_domain.pop(self._own_member.failure_domain, None)
+        for members in members_by_domain.values():
+            count = min(len(members), reachability.CONFIRMATION_PEERS)
+            for other in self._rng.sample(members, count):
+                self._start_heartbeat(other)
 
     def _fetch_view(self, name, address, accepts_large=True):
         """Fetch a member's ``View`` and apply it; a task."""
--- a/tests/test_store_readers.py
+++ b/tests/test_store_readers.py
@@ -139,6 +139,20 @@
         self.assertLess(max(fleet.heartbeat_counts.values()) / 10.0, 195 * 2.5 / 2)
 
 
+class LostHistoryTest(unittest.TestCase):
+    def test_calls_after_a_loss_of_history(self):
+        """Guards against stale lists whose history is lost again, without a pause."""
+        fleet = MemoryFleet(8)
+        fleet.loop.advance(10.0)
+        fleet.write("proxies", "proxy.other", {})
+        for process in fleet.processes_by_name.values():
+            process.fleet.registry.watcher.revision = 1
+        fleet.store.drop_history()
+        fleet.calls_by_name.clear()
+        fleet.loop.advance(2.0 + WATCH_SECONDS)
+        self.assertLess(fleet.call_count().total(), 8 * 12)
+
+
 class LossOfReadersTest(unittest.TestCase):
     def setUp(self):
         self.fleet = MemoryFleet(60)
@@ -261,6 +275,19 @@
         seconds = self.change_and_wait(self.fleet.processes_by_name, 60)
         self.assertLess(seconds, CONFIGURATION_BOUND_SECONDS)
 
+    def test_calls_in_an_outage_of_the_store(self):
+        """Guards against calls of the whole fleet while the store is away.
+
+        A proxy without a reader asks with one cheap call a second at most.
+        """
+        self.fleet.calls_by_name.clear()
+        self.fleet.store.available = False
+        self.fleet.loop.advance(8.0)
+        for name in self.others:
+            calls = self.fleet.calls_by_name[name]
+            self.assertEqual(calls.total(), calls["stale get"], name)
+            self.assertLessEqual(calls.total(), 8)
+
     def test_removed_server_is_not_used_after_a_restart(self):
         """Guards against a server that left and comes back from an old copy."""
         self.fleet.delete("servers", "c")
