Part the session fleet and the server group by job

Reading the store and following a reader is a module of its own, as are the pauses for busy servers, the usual duration of reads and the status question.

--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -7,7 +7,7 @@
 import random
 
 from cassiahill import (
-    errors,
+    busy_servers,
     event_log,
     known_primary,
     line_connections,
@@ -15,6 +15,7 @@
     placement,
     position_samples,
     reachability,
+    read_durations,
     request_queue,
     server_pool,
     server_probes,
@@ -25,8 +26,6 @@
 from cassiahill.statements import Code
 
 TICK_INTERVAL_SECONDS = 0.02
-INITIAL_READ_SECONDS = 0.03  # Assumed duration of a read before the first one.
-READ_SECONDS_WEIGHT = 0.1  # Weight of the newest read in the moving average.
 MAX_TICK_GAP_SECONDS = 0.3  # A longer gap between ticks means a suspended process.
 # The quotas of all proxies add up to half of a server's connection limit. The other
 # half is left for bursts and for reconnects: after a power failure the server holds the
@@ -36,11 +35,6 @@
 # more would take connections from other proxies.
 MIN_IDLE_CONNECTIONS = 1
 REPLICA_READS_WITHOUT_PRIMARY_SECONDS = 1.5
-# A busy server has answered some statements after this pause. It doubles with each
-# consecutive refusal, so that many proxies do not keep the server busy with refusals.
-BUSY_PAUSE_SECONDS = 0.02
-MAX_BUSY_PAUSE_DOUBLINGS = 3
-BUSY_STREAK_RESET_SECONDS = 0.5
 # Statements beyond the limit that the most urgent requests may have at a server.
 # They do not wait for a statement of a less urgent request to end.
 URGENT_STATEMENTS = 1
@@ -86,6 +80,7 @@
     primary_unreachable_since : float or None
         Instant since which the known primary has not answered probes.
     outstanding_writes : outstanding_writes.OutstandingWrites
+    read_durations : read_durations.ReadDurations
     slot_share : slot_shares.SlotShare
     """
 
@@ -108,8 +103,8 @@
         self._queue = request_queue.RequestQueue()
         self._connection_limit = 1
         self._proxy_count = 1
-        self._busy_pause_by_id = {}
-        self._rng = random.Random(f"{own_name} {group}")
+        rng = random.Random(f"{own_name} {group}")
+        self._busy_servers = busy_servers.BusyServers(rng)
         self._serve_scheduled = False
         self._probes = server_probes.ServerProbes(loop, self)
         self.name = group
@@ -125,7 +120,7 @@
         self.progress_by_id = {}
         self._removed_at_by_id = {}
         self.primary_unreachable_since = None
-        self._usual_read_seconds_by_database = {}
+        self.read_durations = read_durations.ReadDurations()
         self.outstanding_writes = outstanding_writes.OutstandingWrites(loop.clock)
         self.slot_share = slot_shares.SlotShare()
         self._last_tick_at = loop.clock.now()
@@ -272,16 +267,6 @@
             and self.primary_unreachable_since is None
         )
 
-    def usual_read_seconds(self, database):
-        """Return the moving average of a database's read durations, in seconds."""
-        return self._usual_read_seconds_by_database.get(database, INITIAL_READ_SECONDS)
-
-    def record_read_seconds(self, database, seconds):
-        """Add the duration of one read to the database's moving average."""
-        average = self.usual_read_seconds(database)
-        average += READ_SECONDS_WEIGHT * (seconds - average)
-        self._usual_read_seconds_by_database[database] = average
-
     def read_requirement(self, fresh_since, own_commit):
         """Return what a read requires of a server.
 
@@ -383,31 +368,10 @@
                     self.primary_positions = position_samples.PrimaryPositions()
                     self._log_primary_change("behind")
             case Code.BUSY:
-                self._pause_busy_server(server_id, now)
+                self._busy_servers.record_refusal(server_id, now)
             case Code.UNKNOWN_STATEMENT:
                 connection.names_by_shape.clear()
 
-    def _pause_busy_server(self, server_id, now):
-        """Send a busy server no requests for a randomized pause."""
-        paused_until, consecutive_refusals = self._busy_pause_by_id.get(
-            server_id, (0.0, 0)
-        )
-        if now < paused_until:
-            return
-        consecutive_refusals = (
-            consecutive_refusals + 1
-            if now - paused_until < BUSY_STREAK_RESET_SECONDS
-            else 0
-        )
-        pause_seconds = BUSY_PAUSE_SECONDS * 2 ** min(
-            consecutive_refusals, MAX_BUSY_PAUSE_DOUBLINGS
-        )
-        jitter_factor = 0.5 + self._rng.random()
-        self._busy_pause_by_id[server_id] = (
-            now + pause_seconds * jitter_factor,
-            consecutive_refusals,
-        )
-
     def is_primary_unreachable(self, now):
         """Return whether the primary has been unreachable or unknown for too long.
 
@@ -441,31 +405,14 @@
             ``Code.BUSY`` when the server or all its connections are busy; None when
             it does not answer.
         """
-        loop = self._loop
         pool = self.pools_by_id.get(server_id)
         if pool is None:
             return None
-        connection = pool.acquire({}, loop.clock.now())
-        if connection is None:
-            pool.open_if_needed(1, loop.clock.now())
-            return Code.BUSY
-        timeout_error = errors.ConnectionLost("no answer to a status request")
-        try:
-            reply = yield loop.with_deadline(
-                connection.send_statement(statement), deadline, timeout_error
+        return (
+            yield from server_probes.ask_status_report(
+                self._loop, self._dialect, pool, statement, deadline
             )
-        except errors.CassiahillError as error:
-            event_log.event("status_lost", server=server_id, cause=error.detail)
-            connection.close()
-            pool.record_lost_answer(loop.clock.now())
-            pool.record_statement_end(loop.clock.now())
-            return None
-        pool.record_contact(loop.clock.now())
-        pool.record_statement_end(loop.clock.now())
-        pool.release(connection)
-        if reply.code is not None:
-            return Code.BUSY if reply.code is Code.BUSY else None
-        return self._dialect.decode_report(reply)
+        )
 
     def reset_failure_detection(self):
         """Reset the instants since which probes and writes have not been answered."""
@@ -540,7 +487,7 @@
                 has_connection=pool.idle_count > 0,
                 has_slot=pool.running_statements
                 < self._statement_limit(pool.server) + reserved_statements
-                and now >= self._busy_pause_by_id.get(server_id, (0.0, 0))[0],
+                and not self._busy_servers.is_paused(server_id, now),
                 may_have_position=position is None
                 or self.progress_by_id[server_id].may_have_position(position, now),
                 latency_seconds=pool.latency_seconds,
--- a/cassiahill/server_probes.py
+++ b/cassiahill/server_probes.py
@@ -106,3 +106,31 @@
             event_log.event(
                 "probe_lost", server=connection.server.server_id, cause=error.detail
             )
+
+
+def ask_status_report(loop, dialect, pool, statement, deadline):
+    """Send a status or replication statement on an idle connection; a task.
+
+    See ``ServerGroup.ask_status_report``.
+    """
+    connection = pool.acquire({}, loop.clock.now())
+    if connection is None:
+        pool.open_if_needed(1, loop.clock.now())
+        return statements.Code.BUSY
+    timeout_error = errors.ConnectionLost("no answer to a status request")
+    try:
+        reply = yield loop.with_deadline(
+            connection.send_statement(statement), deadline, timeout_error
+        )
+    except errors.CassiahillError as error:
+        event_log.event("status_lost", server=pool.server.server_id, cause=error.detail)
+        connection.close()
+        pool.record_lost_answer(loop.clock.now())
+        pool.record_statement_end(loop.clock.now())
+        return None
+    pool.record_contact(loop.clock.now())
+    pool.record_statement_end(loop.clock.now())
+    pool.release(connection)
+    if reply.code is not None:
+        return reply.code if reply.code is statements.Code.BUSY else None
+    return dialect.decode_report(reply)
--- a/cassiahill/session_executor.py
+++ b/cassiahill/session_executor.py
@@ -133,7 +133,7 @@
         loop = self._loop
         asked_at = loop.clock.now()
         first_read = loop.spawn(self._run_read(lease, request))
-        usual_seconds = self._group.usual_read_seconds(self._route.database)
+        usual_seconds = self._group.read_durations.usual_seconds(self._route.database)
         hedge_at = asked_at + max(
             MIN_HEDGE_DELAY_SECONDS, HEDGE_LATENCY_FACTOR * usual_seconds
         )
@@ -143,7 +143,7 @@
                 queued_request.failed_server_ids.add(lease.connection.server.server_id)
                 return (yield from self._run_hedge(first_read, request, queued_request))
         outcome = yield first_read
-        self._group.record_read_seconds(
+        self._group.read_durations.record(
             self._route.database, loop.clock.now() - asked_at
         )
         return outcome
@@ -397,7 +397,7 @@
             self._session_state.values_by_name,
             target_at=request.arrived_at
             + self._route.target
-            - self._group.usual_read_seconds(self._route.database),
+            - self._group.read_durations.usual_seconds(self._route.database),
         )
 
     def _refuse_request(self, request, queued_request):
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -11,21 +11,18 @@
 
 from cassiahill import (
     errors,
-    event_log,
     heartbeat_reports,
     heartbeats,
     http1,
     member_registry,
     promoter_election,
     reachability,
-    store_readers,
+    store_follower,
 )
 from cassiahill.member_client import MemberClient
 
 HEARTBEAT_INTERVAL_SECONDS = 0.4
 HEARTBEAT_TIMEOUT_SECONDS = 0.4
-# Pause of a process without a reader after the store has not answered it.
-STORE_RETRY_SECONDS = 1.0
 
 
 class ProcessState:
@@ -116,7 +113,7 @@
     ----------
     registry : member_registry.MemberRegistry
     reports : heartbeat_reports.HeartbeatReports
-    following : store_readers.ReaderFollowing
+    follower : store_follower.StoreFollower
     election : PromoterElection
     peer_contacts : reachability.PeerContacts
     reference_failures : int
@@ -134,7 +131,6 @@
         member_client=None,
     ):
         self._loop = loop
-        self._store = store
         self._own_member = own_member
         self._rng = rng
         self._process_state = process_state
@@ -142,10 +138,6 @@
             address for address in seed_addresses if address != own_member.address
         )
         self._client = member_client or MemberClient(loop)
-        self._fetching_view = False
-        self._reads_store = False
-        self._asking_store = False
-        self._announced_versions = (0, 0, 0)
         self._reference_partitioned = False
         self.peer_contacts = reachability.PeerContacts(
             own_member.failure_domain, loop.clock.now()
@@ -153,9 +145,6 @@
         self._last_tick_at = loop.clock.now()
         self.reference_failures = 0
         self.reports = heartbeat_reports.HeartbeatReports()
-        self.following = store_readers.ReaderFollowing(
-            own_member.name, own_member.failure_domain, rng, loop.clock.now()
-        )
         self.election = promoter_election.PromoterElection(
             loop,
             store,
@@ -166,6 +155,9 @@
         self.registry = member_registry.MemberRegistry(
             loop, store, own_member, self.election, rng, self._on_members_changed
         )
+        self.follower = store_follower.StoreFollower(
+            loop, store, own_member, self.registry, self._client, process_state, rng
+        )
         # The random delay lets the store answer before the first heartbeat and spreads
         # the heartbeats of proxies that start together.
         self._timer = loop.repeat(
@@ -197,8 +189,8 @@
         return {
             "members": sorted(self.members_by_name),
             "members_revision": self.registry.revision,
-            "reads_store": self._reads_store,
-            "follows": self.following.reader_to_ask(),
+            "reads_store": self.follower.reads_store,
+            "follows": self.follower.following.reader_to_ask(),
             **self.election.dump(),
         }
 
@@ -225,7 +217,7 @@
         version, servers_revision = self._process_state.versions()
         sender = self.members_by_name.get(heartbeat.name)
         if sender is not None:
-            self._catch_up_with(sender, heartbeat)
+            self.follower.catch_up_with(sender, heartbeat)
         return http1.json_response(
             heartbeats.HeartbeatAnswer(
                 version,
@@ -233,7 +225,7 @@
                 self.election.is_promoter,
                 self._process_state.is_partitioned(),
                 self.registry.revision,
-                self._store_answers(),
+                self.follower.store_answers(),
                 self._total_demand_for(heartbeat),
             )
         )
@@ -245,136 +237,22 @@
         totals = self.reports.total_demand_by_group
         return {group: totals[group] for group in heartbeat.watched if group in totals}
 
-    # Reading the store, or following a reader
-
     def _on_members_changed(self):
-        if self.registry.fleet_known and not self.following.fleet_known:
-            self.following.fleet_known = True
-            if not self.registry.started_with_fleet:
-                # Clients may be waiting for this process, so it waits for no reader.
-                self._process_state.request_lists()
-        self.following.update_members(
-            {
-                member.name: member.failure_domain
-                for member in self.members_by_name.values()
-            }
-        )
+        self.follower.update_members()
         self._process_state.on_members_changed()
         self._loop.call_soon(self.announce_changes)
 
-    def _store_answers(self):
-        """Return whether this process reads the store, and the store answers it."""
-        return bool(
-            self._reads_store
-            and not self._process_state.is_store_unreachable()
-            and not self.registry.watcher.is_store_unreachable
-        )
-
-    def _update_following(self, now):
-        """Let the watchers rest while this process follows a reader."""
-        is_reader = self.election.is_promoter or self.following.is_reader()
-        if is_reader or not self.following.reads_store(now):
-            self._set_reads_store(is_reader)
-        elif not self._reads_store and not self._asking_store:
-            self._asking_store = True
-            self._loop.spawn(self._read_store_if_it_answers())
-
-    def _read_store_if_it_answers(self):
-        """Read the store without a reader, after one cheap call has succeeded; a task.
-
-        While the store is away, the calls of all followers would add to its load.
-        """
-        try:
-            yield self._store.get(
-                member_registry.PROXIES_KIND,
-                promoter_election.PROMOTER_NAME,
-                may_be_stale=True,
-            )
-            if self.following.reads_store(self._loop.clock.now()):
-                self._set_reads_store(True)
-        except errors.CassiahillError as error:
-            event_log.event("store_unreachable", cause=error.detail)
-            yield self._loop.sleep_until(
-                self._loop.clock.now()
-                + STORE_RETRY_SECONDS * (0.5 + self._rng.random())
-            )
-        finally:
-            self._asking_store = False
-
-    def _set_reads_store(self, reads_store):
-        if reads_store == self._reads_store:
-            return
-        self._reads_store = reads_store
-        event_log.event(
-            "store_read" if reads_store else "store_followed",
-            reader=self.following.is_reader(),
-            members=len(self.members_by_name),
-        )
-        self.registry.watcher.set_resting(not reads_store)
-        self._process_state.set_following(not reads_store)
-
     def announce_changes(self):
         """Send a heartbeat to the followers of this domain if there is news for them.
 
         Without it they would learn of a change at their next heartbeat.
         """
-        versions = (*self._process_state.versions(), self.registry.revision)
-        domain = self._own_member.failure_domain
-        announces = self._reads_store and self.following.readers.announces(
-            self._own_member.name, domain
-        )
-        if not announces or versions == self._announced_versions:
+        if not self.follower.has_news_to_announce():
             return
-        self._announced_versions = versions
         for member in self.members_by_name.values():
-            if member.failure_domain == domain:
+            if member.failure_domain == self._own_member.failure_domain:
                 self._start_heartbeat(member)
 
-    def _catch_up_with(self, member, announced):
-        """Fetch what a member's message announces and this process lacks.
-
-        Servers and members are taken from the reader that this process follows, or from
-        any member while the store does not answer.
-
-        Parameters
-        ----------
-        member : Member
-        announced : heartbeats.Heartbeat or heartbeats.HeartbeatAnswer
-        """
-        version, servers_revision = self._process_state.versions()
-        follows = not self._reads_store and announced.reads_store
-        newer_servers = announced.servers_revision > servers_revision and (
-            follows or self._process_state.is_store_unreachable()
-        )
-        newer_members = follows and announced.members_revision > self.registry.revision
-        newer_configuration = announced.version > version
-        if self._fetching_view:
-            return
-        if newer_configuration or newer_servers or newer_members:
-            self._fetching_view = True
-            self._loop.spawn(self._catch_up(member, announced.version))
-
-    def _catch_up(self, member, version):
-        """Fetch what is newer from a member, or from the store if it is large; a task.
-
-        Parameters
-        ----------
-        member : Member
-        version : int
-            Announced version of the configuration.
-        """
-        follows = not self._reads_store
-        try:
-            yield from self._fetch_view(
-                member.name, member.address, accepts_large=not follows
-            )
-            if follows and version > self._process_state.versions()[0]:
-                was_read = yield from self._process_state.read_configuration(version)
-                if not was_read:
-                    yield from self._fetch_view(member.name, member.address)
-        finally:
-            self._fetching_view = False
-
     # Heartbeats to the promoter and to other failure domains
 
     def _tick(self):
@@ -383,13 +261,13 @@
         if now - self._last_tick_at > 2 * HEARTBEAT_INTERVAL_SECONDS:
             # This process was suspended, so missing answers do not show a failure.
             self.election.restart_timeout(now)
-            self.following.restart_timeout(now)
+            self.follower.following.restart_timeout(now)
             self.peer_contacts.restart(now)
         if self._process_state.is_partitioned():
             # In a partition, missing answers do not show that the promoter failed.
             self.election.restart_timeout(now)
         self._last_tick_at = now
-        self._update_following(now)
+        self.follower.update(self.election.is_promoter, now)
         if self.election.is_promoter:
             self.election.restart_timeout(now)
             demand_by_group = self._process_state.demand_by_group()
@@ -401,13 +279,13 @@
                 self.election.claim_if_due(now)
         else:
             self.election.restart_timeout(now)
-        if not self.following.is_reader():
+        if not self.follower.following.is_reader():
             self._start_heartbeat(self._followed_member())
         self._start_heartbeat(self._process_state.reference_member())
         self._start_heartbeat(self._random_member_of_other_domain())
         if not self.members_known and self._seed_addresses:
             seed = self._rng.choice(self._seed_addresses)
-            self._loop.spawn(self._fetch_view(f"{seed[0]}:{seed[1]}", seed))
+            self._loop.spawn(self.follower.fetch_view(f"{seed[0]}:{seed[1]}", seed))
         if self._process_state.is_store_unreachable():
             other_members = [
                 member
@@ -426,13 +304,13 @@
         heartbeats would only add load.
         """
         return (
-            self._reads_store
-            or not self.following.fleet_known
+            self.follower.reads_store
+            or not self.follower.following.fleet_known
             or bool(self._process_state.connected_groups())
         )
 
     def _followed_member(self):
-        return self.members_by_name.get(self.following.reader_to_ask())
+        return self.members_by_name.get(self.follower.following.reader_to_ask())
 
     def _promoter_member(self):
         promoter = self.election.promoter
@@ -461,7 +339,7 @@
             self._process_state.groups_without_primary(),
             self._process_state.connected_groups(),
             self.registry.revision,
-            self._store_answers(),
+            self.follower.store_answers(),
             self._process_state.demand_by_group(),
         )
         deadline = self._loop.clock.now() + HEARTBEAT_TIMEOUT_SECONDS
@@ -476,7 +354,7 @@
         except errors.CassiahillError:
             # ``PromoterElection`` acts on the time since the last answer.
             self._record_contact(member, answered=False)
-            self.following.record_failure(member.name, self._loop.clock.now())
+            self.follower.following.record_failure(member.name, self._loop.clock.now())
             reference = self._process_state.reference_member()
             if reference is not None and reference.name == member.name:
                 self.reference_failures += 1
@@ -494,11 +372,11 @@
                 )
             else:
                 self.election.record_resignation(self._loop.clock.now())
-        if member.name == self.following.reader_to_ask():
-            self.following.record_answer(
+        if member.name == self.follower.following.reader_to_ask():
+            self.follower.following.record_answer(
                 member.name, heartbeat_answer.reads_store, self._loop.clock.now()
             )
-        self._catch_up_with(member, heartbeat_answer)
+        self.follower.catch_up_with(member, heartbeat_answer)
 
     def _record_contact(self, member, answered):
         """Record whether a member answered; ask other domains if one did not."""
@@ -515,18 +393,3 @@
             count = min(len(members), reachability.CONFIRMATION_PEERS)
             for other in self._rng.sample(members, count):
                 self._start_heartbeat(other)
-
-    def _fetch_view(self, name, address, accepts_large=True):
-        """Fetch a member's ``View`` and apply it; a task."""
-        version, servers_revision = self._process_state.versions()
-        known = heartbeats.KnownVersions(
-            version, servers_revision, self.registry.revision, int(accepts_large)
-        )
-        deadline = self._loop.clock.now() + 2 * HEARTBEAT_TIMEOUT_SECONDS
-        try:
-            view = yield from self._client.fetch_view(address, known, deadline)
-        except errors.CassiahillError as error:
-            event_log.event("view_failed", peer=name, cause=repr(error))
-            return
-        self._process_state.apply_view(view, name)
-        self.registry.apply_view(view, bool(self._reads_store))
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -342,7 +342,7 @@
         return {
             name
             for name, process in self.processes_by_name.items()
-            if process.fleet._reads_store
+            if process.fleet.follower.reads_store
         }
 
     def seconds_until(self, condition, limit, names=None):
