Keep one successor of the promoter ready in another failure domain

Change: only readers have ranks, those in other domains than the promoter's first; others come after them. The first in rank keeps connections to all groups, so that it knows which primaries are unreachable.

--- a/cassiahill/promoter_election.py
+++ b/cassiahill/promoter_election.py
@@ -67,8 +67,8 @@
     kind : str
         Kind of the object that names the promoter.
     own_name : str
-    member_names : callable
-        Returns the names of all registered proxies.
+    candidate_domains : callable
+        Returns the failure domain of each candidate for the role, by its name.
 
     Attributes
     ----------
@@ -77,14 +77,14 @@
         Whether this process shuts down; it is not a promoter then.
     """
 
-    def __init__(self, loop, store, kind, own_name, member_names):
+    def __init__(self, loop, store, kind, own_name, candidate_domains):
         self._loop = loop
         self._store = store
         self._kind = kind
         self._own_name = own_name
         # Differs for each start, so that a restarted promoter claims a new term.
         self._incarnation = secrets.token_hex(8)
-        self._member_names = member_names
+        self._candidate_domains = candidate_domains
         self._tokens = None
         self._claiming = False
         self._timeout_started_at = loop.clock.now()
@@ -165,16 +165,40 @@
             self._tokens = None
             event_log.event("promoter_lost", to=promoter.name)
 
+    @property
+    def is_successor(self):
+        """Whether this process is the first to claim the role of another promoter."""
+        promoter = self.promoter
+        return (
+            promoter is not None
+            and promoter.name != self._own_name
+            and self._claim_rank() == 0
+        )
+
     def _claim_rank(self):
-        """Return this proxy's rank among the possible successors."""
-        previous_holder = None if self.promoter is None else self.promoter.name
-        names = {name for name in self._member_names() if name != previous_holder}
-        names.add(self._own_name)
-        seed = 0 if self.promoter is None else self.promoter.revision
+        """Return this proxy's rank among the possible successors.
+
+        Candidates in other failure domains than the promoter's come first: its whole
+        domain may be lost. A proxy that is no candidate comes after all of them.
+        """
+        promoter = self.promoter
+        domains_by_name = dict(self._candidate_domains())
+        lost_domain = None
+        seed = 0
+        if promoter is not None:
+            lost_domain = domains_by_name.pop(promoter.name, None)
+            seed = promoter.revision
         ordered_names = sorted(
-            names, key=lambda name: xxhash.xxh3_64_intdigest(name.encode(), seed)
+            domains_by_name,
+            key=lambda name: (
+                domains_by_name[name] == lost_domain,
+                xxhash.xxh3_64_intdigest(name.encode(), seed),
+            ),
         )
-        return ordered_names.index(self._own_name)
+        if self._own_name in domains_by_name:
+            return ordered_names.index(self._own_name)
+        own_digest = xxhash.xxh3_64_intdigest(self._own_name.encode(), seed)
+        return len(ordered_names) + own_digest % max(1, len(ordered_names))
 
     def claim_if_due(self, now):
         """Claim the role once the promoter's timeout and the rank's delay are over."""
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -150,7 +150,7 @@
             store,
             member_registry.PROXIES_KIND,
             own_member.name,
-            lambda: self.members_by_name,
+            lambda: self.follower.following.readers.domains_by_name,
         )
         self.registry = member_registry.MemberRegistry(
             loop, store, own_member, self.election, rng, self._on_members_changed
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -297,12 +297,14 @@
 
     def _update_active_groups(self, now):
         """Mark the groups that this process owns, supervises or used recently."""
+        # The promoter's successor knows the state of all groups when it takes over.
+        watches_all = (
+            self.fleet.election.is_promoter or self.fleet.election.is_successor
+        )
         for name, group in self._groups_by_name.items():
             used_recently = now - group.last_request_at < GROUP_RECENT_USE_SECONDS
             group.active = (
-                self.owners.holds_connections(name)
-                or self.fleet.election.is_promoter
-                or used_recently
+                self.owners.holds_connections(name) or watches_all or used_recently
             )
         any_active = any(group.active for group in self._groups_by_name.values())
         self.catalog_feed.set_server_watch_pause(short=any_active)
--- a/cassiahill/store_readers.py
+++ b/cassiahill/store_readers.py
@@ -38,10 +38,13 @@
     every_proxy_reads : bool
     names_by_domain : dict of str to list of str
         Names of the readers of each failure domain, preferred ones first.
+    domains_by_name : dict of str to str
+        Failure domain of each reader.
     """
 
     every_proxy_reads: bool
     names_by_domain: dict
+    domains_by_name: dict
 
     def includes_proxy(self, name, domain):
         """Return whether a proxy is a reader."""
@@ -68,13 +71,16 @@
     domains_by_name : dict of str to str
         Failure domain of each proxy, by the proxy's name.
     """
-    names_by_domain = rendezvous.rank_by_domain("store", domains_by_name)
+    every_proxy_reads = len(domains_by_name) <= MAX_INDEPENDENT_PROXIES
+    readers_per_domain = None if every_proxy_reads else READERS_PER_DOMAIN
+    names_by_domain = {
+        domain: names[:readers_per_domain]
+        for domain, names in rendezvous.rank_by_domain("store", domains_by_name).items()
+    }
     return StoreReaders(
-        len(domains_by_name) <= MAX_INDEPENDENT_PROXIES,
-        {
-            domain: names[:READERS_PER_DOMAIN]
-            for domain, names in names_by_domain.items()
-        },
+        every_proxy_reads,
+        names_by_domain,
+        {name: domain for domain, names in names_by_domain.items() for name in names},
     )
 
 
--- a/tests/test_fleet_partition.py
+++ b/tests/test_fleet_partition.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 
+from cassiahill.promoter_election import PROMOTER_TIMEOUT_SECONDS
+from cassiahill.session_fleet import HEARTBEAT_INTERVAL_SECONDS
 from tests.memory_fleet import MemoryFleet
 
 # A balancer that asks once a second takes a proxy out after two refusals. A proxy that
@@ -64,5 +66,59 @@
         self.assertFalse(contacts.is_partitioned(now + 30.1))
 
 
+class PromoterInCutDomainTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = MemoryFleet(60)
+        self.fleet.loop.advance(10.0)
+        self.old = self.only_promoter()
+
+    def only_promoter(self):
+        (promoter,) = [
+            process
+            for process in self.fleet.processes_by_name.values()
+            if process.fleet.election.is_promoter
+        ]
+        return promoter
+
+    def successors(self):
+        return [
+            process
+            for process in self.fleet.processes_by_name.values()
+            if process.fleet.election.is_successor
+        ]
+
+    def test_one_successor_in_another_domain(self):
+        """Guards against a successor that is lost together with the promoter."""
+        (successor,) = self.successors()
+        domains = {
+            process.fleet._own_member.failure_domain
+            for process in (successor, self.old)
+        }
+        self.assertEqual(len(domains), 2)
+
+    def test_successor_takes_over_from_a_cut_domain(self):
+        """Guards against a group without a primary while many wait for their turn.
+
+        Proxies that cannot claim the role had the first turns.
+        """
+        (successor,) = self.successors()
+        old_token = self.old.fleet.election.next_token()
+        domain = self.old.fleet._own_member.failure_domain
+        self.fleet.cut_domain = domain
+        self.fleet.storeless_names = {
+            name
+            for name, process in self.fleet.processes_by_name.items()
+            if process.fleet._own_member.failure_domain == domain
+        }
+        limit = PROMOTER_TIMEOUT_SECONDS + 2 * HEARTBEAT_INTERVAL_SECONDS
+        self.fleet.loop.advance(limit)
+        self.assertTrue(successor.fleet.election.is_promoter)
+        self.assertGreater(successor.fleet.election.next_token(), old_token)
+        self.fleet.cut_domain = None
+        self.fleet.storeless_names = set()
+        self.fleet.loop.advance(3.0)
+        self.assertIs(self.only_promoter(), successor)
+
+
 if __name__ == "__main__":
     unittest.main()
