Announce the end of a relayed session before it is closed

Change: the owner writes a line first and runs nothing that arrives later; the other proxy tells the client that the statement has not run, and closes.

Result: test_statement_on_its_way_to_a_stopping_owner_has_not_run; on the code before, the client gets INDOUBT.

--- a/cassiahill/dialect.py
+++ b/cassiahill/dialect.py
@@ -40,6 +40,13 @@
         """
         raise NotImplementedError
 
+    def encode_closing(self):
+        """Return the bytes that tell another proxy that its relayed session ends.
+
+        No statement that arrives after they were written has run or will run.
+        """
+        raise NotImplementedError
+
     def encode_open(self, group, caller, server_id):
         """Return the bytes that open a connection to a backend server."""
         raise NotImplementedError
@@ -68,7 +75,15 @@
 
 
 class ReplyReader:
-    """Decodes the stream of replies of one backend connection."""
+    """Decodes the stream of replies of one backend connection.
+
+    Attributes
+    ----------
+    session_closing : bool
+        Whether the proxy that serves a relayed session has announced its end.
+    """
+
+    session_closing = False
 
     def feed(self, data):
         """Take received bytes and return the replies that are now complete.
--- a/cassiahill/relays.py
+++ b/cassiahill/relays.py
@@ -2,7 +2,8 @@
 
 The relay forwards whole replies and tracks the outstanding requests. When it loses the
 connection to the owner, it tells the client whether the statement may have taken effect
-and closes the session, because only the owner had its values and last commit.
+and closes the session, because only the owner had its values and last commit. An owner
+that ends an idle session announces it, so that a statement on its way has not run.
 """
 
 import collections
@@ -111,6 +112,20 @@
             return
         for reply in replies:
             self._handle_reply(reply)
+        if self._reader.session_closing and self._on_ended is not None:
+            self._end_before_next_statement()
+
+    def _end_before_next_statement(self):
+        """End the relay after the owner has announced that it serves it no longer.
+
+        What was sent in the meantime has not run.
+        """
+        reply = None
+        if self._outstanding_requests:
+            reply = Reply(code=Code.BUSY, detail="the owner stops serving the session")
+        on_ended = self._on_ended
+        self.close()
+        on_ended(reply)
 
     def _handle_reply(self, reply):
         if not self.owner_accepted.done():
--- a/cassiahill/session_server.py
+++ b/cassiahill/session_server.py
@@ -117,7 +117,7 @@
                 session.is_idle
                 and now - session.last_active_at >= sessions.MIN_IDLE_SECONDS
             ):
-                session.close()
+                session.close_while_idle()
 
     def abort_transactions(self):
         """Abort the transactions that wait for their client's next statement."""
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -17,6 +17,7 @@
 LINE_END = b"\r\n"
 MAX_LINE_BYTES = 1024 * 1024
 MAX_PENDING_LINES = 64  # Reading pauses when a client pipelines more.
+CLOSE_TIMEOUT_SECONDS = 0.5  # Time for another proxy to close an ended relay.
 # Sessions are closed only after this idle time, which is longer than a client takes to
 # send a statement that it has ready.
 MIN_IDLE_SECONDS = 0.1
@@ -41,6 +42,7 @@
     def __init__(self, server, sock, relayed=False):
         self._server = server
         self._relayed = relayed
+        self._announced_close = False
         self._relay = None
         self._loop = server.loop
         self._buffer = b""
@@ -76,6 +78,21 @@
         """Close the connection once everything written has been sent."""
         self._stream.close_when_sent()
 
+    def close_while_idle(self):
+        """End the session while no request is outstanding and none is running.
+
+        A statement that a relaying proxy has sent in the meantime does not run. That
+        proxy closes the connection, so that it reads the announcement in any case.
+        """
+        if not self._relayed:
+            self.close()
+            return
+        if not self._announced_close:
+            self._announced_close = True
+            self._stream.write(self._server.dialect.encode_closing())
+            close_at = self._loop.clock.now() + CLOSE_TIMEOUT_SECONDS
+            self._loop.call_at(close_at, self.close)
+
     def abort_transaction(self, cause):
         """Roll back a transaction that waits for its client's next statement.
 
@@ -92,6 +109,8 @@
     # Received lines
 
     def _on_data(self, data):
+        if self._announced_close:
+            return
         *lines, self._buffer = (self._buffer + data).split(b"\n")
         arrived_at = self.last_active_at = self._loop.clock.now()
         if len(self._buffer) > MAX_LINE_BYTES:
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -198,6 +198,25 @@
         self.assertTrue(client.read_answer()[0].startswith(b"ERROR INDOUBT"))
         self.assertEqual(client.read_line(), b"")
 
+    def test_statement_on_its_way_to_a_stopping_owner_has_not_run(self):
+        """Guards against an unknown outcome of a write that a planned stop cut off.
+
+        The owner ends the idle session in the moment in which the other proxy sends it
+        a statement.
+        """
+        client = self.client()
+        owner_session = only_element(self.servers.owner_server._sessions)
+        relaying_session = only_element(self.servers.relaying_server._sessions)
+        self.servers.run_on_loop(
+            lambda: (
+                owner_session.close_while_idle(),
+                relaying_session._on_data(b"QUERY 1 WRITE a x\r\n"),
+            )
+        )
+        self.assertTrue(client.read_answer()[0].startswith(b"ERROR BUSY"))
+        self.assertEqual(client.read_line(), b"")
+        self.assertEqual(self.executed_texts(), [])
+
     def test_lost_owner_aborts_an_open_transaction(self):
         """Guards against an unknown outcome for a write that cannot have committed."""
         client = self.client()
