Release the stand-in's write lock when a waiting write is refused

A fault of the stand-in, not of the proxies.

Change: a refusal after the wait releases the lock; a closed connection runs nothing more.

--- a/standins/database.py
+++ b/standins/database.py
@@ -139,6 +139,7 @@
         """Roll back the transaction of a closed connection and remove its state."""
         connection_state = self.states_by_connection.pop(connection, None)
         if connection_state is not None:
+            connection_state.connected = False
             self._end_transaction(connection_state)
 
     def _set_faults(self, changes):
@@ -273,7 +274,12 @@
                 self.counts["reads"] += 1
                 return self._execute_body(results)
             yield from self._acquire_write_lock(connection_state, deadline)
-            self._check_connection(connection_state, body.get("term"))
+            try:
+                self._check_connection(connection_state, body.get("term"))
+            except errors.CassiahillError:
+                # The connection, its epoch or its term ended while it waited.
+                self._end_transaction(connection_state)
+                raise
             return self._write(connection_state, statements)
         finally:
             self._release_slot()
