Keep commits that only a replica which has left had acknowledged

A primary was cut off from one replica while the other, which drained, acknowledged 11 commits and left with its log. Writes were no longer acknowledged, so the primary, which answered, stepped down and the replica without these commits was promoted.

Change: the position of the primary's first answer after a replica's removal has to be in the successor's log. What is known of removed replicas is a module of its own.

Result: test_commits_that_only_a_removed_replica_had_are_kept fails on the code before (b promoted) and passes now.

--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -16,6 +16,7 @@
     position_samples,
     reachability,
     read_durations,
+    removed_replicas,
     request_queue,
     server_pool,
     server_probes,
@@ -81,6 +82,7 @@
         Instant since which the known primary has not answered probes.
     outstanding_writes : outstanding_writes.OutstandingWrites
     read_durations : read_durations.ReadDurations
+    removed_replicas : removed_replicas.RemovedReplicas
     slot_share : slot_shares.SlotShare
     """
 
@@ -118,7 +120,7 @@
         self.primary_positions = position_samples.PrimaryPositions()
         self.pools_by_id = {}
         self.progress_by_id = {}
-        self._removed_at_by_id = {}
+        self.removed_replicas = removed_replicas.RemovedReplicas()
         self.primary_unreachable_since = None
         self.read_durations = read_durations.ReadDurations()
         self.outstanding_writes = outstanding_writes.OutstandingWrites(loop.clock)
@@ -138,7 +140,7 @@
             The server's entry before the change.
         """
         now = self._loop.clock.now()
-        self._removed_at_by_id.pop(server.server_id, None)
+        self.removed_replicas.record_registration(server.server_id)
         pool = self.pools_by_id.get(server.server_id)
         restarted = previous is not None and (
             previous.address != server.address
@@ -172,7 +174,7 @@
         if pool is not None:
             pool.close()
             if not pool.server.registered_as_primary:
-                self._removed_at_by_id[server_id] = now
+                self.removed_replicas.record_removal(server_id, now)
         if self.primary.record_removal(server_id, now):
             self._log_primary_change("removed")
 
@@ -300,14 +302,11 @@
         -------
         list of str
         """
-        now = self._loop.clock.now()
         latest = self.primary_positions.latest_sample
-        last_asked_at = float("-inf") if latest is None else latest.asked_at
-        return [
-            server_id
-            for server_id, removed_at in self._removed_at_by_id.items()
-            if removed_at >= last_asked_at and now - removed_at < max_age_seconds
-        ]
+        return self.removed_replicas.removed_since(
+            float("-inf") if latest is None else latest.asked_at,
+            self._loop.clock.now() - max_age_seconds,
+        )
 
     # Replies of servers
 
@@ -335,6 +334,7 @@
             self.primary_positions.add_sample(
                 position_samples.PositionSample(asked_at, server_id, reply.position)
             )
+            self.removed_replicas.record_primary_position(asked_at, reply.position)
 
     def record_unanswered_probe(self, server_id, asked_at):
         """Record that a server did not answer a probe sent at ``asked_at``."""
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -357,20 +357,20 @@
         paused_statuses = [status for status in statuses if status.received is not None]
         if self._group.synchronous and len(paused_statuses) < len(statuses):
             return None
-        required_position = max(
-            (status.received for status in paused_statuses), default=None
-        )
         catch_up_seconds = FAILOVER_CATCH_UP_SECONDS
         old_primary = ReplicaStatus(primary, False, None)
         if primary in self._group.pools_by_id:
             old_primary = yield from self._ask_status(primary, statements.ReadStatus())
             if old_primary.received is not None:
                 catch_up_seconds = SWITCHOVER_CATCH_UP_SECONDS
-                required_position = (
-                    old_primary.received
-                    if required_position is None
-                    else max(required_position, old_primary.received)
-                )
+        positions = [
+            *(status.received for status in paused_statuses),
+            old_primary.received,
+            self._group.removed_replicas.required_position,
+        ]
+        required_position = max(
+            (position for position in positions if position is not None), default=None
+        )
         if required_position is None:
             return successor
         deadline = self._loop.clock.now() + catch_up_seconds
@@ -384,6 +384,14 @@
         )
         if last_status.received is None:
             return None
+        best_successor = replica_with_longest_log([*paused_statuses, last_status])
+        best_position = max(
+            status.received for status in [*paused_statuses, last_status]
+        )
+        if self._lacks_commits_of_removed_replicas(
+            best_position, old_primary.received is not None
+        ):
+            return None
         # All known replicas are paused, but one that has just started may not be known
         # and may acknowledge commits. So a reachable primary must step down before the
         # commits that the successor does not have are given up.
@@ -400,7 +408,22 @@
             )
             if self._group.outstanding_writes.acknowledged_at > paused_at:
                 return primary
-        return replica_with_longest_log([*paused_statuses, last_status])
+        return best_successor
+
+    def _lacks_commits_of_removed_replicas(self, position, primary_answers):
+        """Return whether only the primary may have some acknowledged commits.
+
+        They were acknowledged by a replica that has left the group. While the primary
+        answers, it keeps its role until the others have received them.
+        """
+        removed_replicas = self._group.removed_replicas
+        required_position = removed_replicas.required_position
+        if not self._group.synchronous or required_position is None:
+            return False
+        waited_seconds = self._loop.clock.now() - removed_replicas.removed_at
+        if not primary_answers and waited_seconds > REMOVED_REPLICA_WAIT_SECONDS:
+            return False
+        return position < required_position
 
     def _order_promotion(self, successor, token):
         """Order the promotion until the successor is the primary; return whether it is.
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -191,6 +191,35 @@
         self.run_for(2.0)
         self.assertEqual(self.fixture.group.primary.server_id, "a")
 
+    def test_commits_that_only_a_removed_replica_had_are_kept(self):
+        """Guards against the loss of commits that a leaving replica acknowledged.
+
+        The primary was partitioned from the other replica while a draining one still
+        acknowledged, and left. The other replica was then promoted without these
+        commits, although the primary had them and answered (hunt on 027932f at the
+        small Folio, mix --seed 959504336296).
+        """
+        self.set_up_group()
+        servers = self.fixture.servers
+        draining = servers.registered("c", draining=True)
+        self.fixture.group.put_server(draining, servers.registered("c"))
+        self.run_for(0.5)
+        servers.by_id["b"].not_receiving = True
+        for _ in range(3):
+            self.assertIsNone(self.fixture.write(self.fixture.session()).code)
+        servers.by_id["c"].unreachable = True
+        self.fixture.group.remove_server("c")
+        self.run_for(0.5)
+        for _ in range(15):
+            write = self.fixture.make_request(Run(Access.WRITE, "late"), Access.WRITE)
+            self.fixture.loop.spawn(self.fixture.session().run(write))
+            self.run_for(0.3)
+        self.assertEqual(self.orders.promotions, [])
+        servers.catch_up("b")
+        self.run_for(1.0)
+        acknowledged = set(servers.acknowledged)
+        self.assertLessEqual(acknowledged, set(servers.by_id["b"].log))
+
     def test_wait_for_a_removed_replica_is_bounded(self):
         """Guards against a group that never gets a primary again."""
         self.set_up_group()
