Behind a cut, use the servers of the own domain and refuse the rest at once

Change: while a process is partitioned, servers of other domains are no candidates, and a request that no server of its domain may serve is refused at once.

--- a/cassiahill/placement.py
+++ b/cassiahill/placement.py
@@ -79,6 +79,26 @@
     return seconds
 
 
+def may_serve(requirement, candidates):
+    """Return whether a candidate may serve a statement now or after a wait.
+
+    Parameters
+    ----------
+    requirement : OnPrimary, AtPosition or NotProvable
+    candidates : iterable of ServerCandidate
+
+    Returns
+    -------
+    bool
+    """
+    if isinstance(requirement, AtPosition):
+        return any(
+            candidate.may_have_position or candidate.is_primary
+            for candidate in candidates
+        )
+    return any(candidate.is_primary for candidate in candidates)
+
+
 @attrs.frozen
 class ServerChoice:
     """Server chosen for a statement.
--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -468,13 +468,19 @@
         )
 
     def _server_candidates(self, requirement, request, now):
-        """Yield a ``ServerCandidate`` for each server that takes the request."""
+        """Yield a ``ServerCandidate`` for each server that takes the request.
+
+        In a partition these are the servers of the own failure domain only.
+        """
         reserved_statements = (
             URGENT_STATEMENTS if request.priority == MOST_URGENT_PRIORITY else 0
         )
         for server_id, pool in self.pools_by_id.items():
             is_primary = server_id == self.primary.server_id
-            if not self._accepts_requests(pool, is_primary, now):
+            same_domain = pool.server.failure_domain == self._own_domain
+            if not self._accepts_requests(pool, is_primary, now) or (
+                self.partitioned and not same_domain
+            ):
                 continue
             position = (
                 requirement.position
@@ -492,7 +498,7 @@
                 or self.progress_by_id[server_id].may_have_position(position, now),
                 latency_seconds=pool.latency_seconds,
                 running_statements=pool.running_statements,
-                same_domain=pool.server.failure_domain == self._own_domain,
+                same_domain=same_domain,
                 may_be_unreachable=server_id in request.failed_server_ids
                 or pool.may_be_unreachable(now),
             )
@@ -521,9 +527,12 @@
         wanted_connections_by_id = dict.fromkeys(self.pools_by_id, 0)
         for request in self._queue:
             requirement = request.requirement()
-            candidates = self._server_candidates(requirement, request, now)
+            candidates = list(self._server_candidates(requirement, request, now))
             choice = placement.choose_server(requirement, candidates)
-            if choice.server_id is not None:
+            if self.partitioned and not placement.may_serve(requirement, candidates):
+                self._queue.remove(request)
+                request.resolve_lease(None)
+            elif choice.server_id is not None:
                 self._queue.remove(request)
                 self._queue.record_served(request)
                 self._hand_over_connection(
--- a/tests/test_session_executor.py
+++ b/tests/test_session_executor.py
@@ -2,9 +2,10 @@
 
 import unittest
 
-from cassiahill.catalog import Consistency
+from cassiahill.catalog import Consistency, GroupLimits
+from cassiahill.positions import LogPosition
 from cassiahill.server_group import ServerGroup
-from cassiahill.statements import Access, Code, Shape, TransactionState
+from cassiahill.statements import Access, Code, Run, Shape, TransactionState
 from tests.line_group import InMemoryDialect, InMemoryGroup
 from tests.session_builders import TIMEOUT_SECONDS, GroupFixture
 from tests.stepped_loop import SteppedLoop
@@ -125,6 +126,38 @@
             self.assertEqual(reply.code, Code.BUSY)
             self.assertLess(self.fixture.loop.clock.now() - started_at, 0.05)
 
+    def test_reads_in_a_partition_use_the_own_domain(self):
+        """Guards against reads that wait for servers which cannot be reached.
+
+        The replica of the own domain has what the read requires for some time.
+        """
+        fixture = GroupFixture(own_domain="domain-b")
+        fixture.loop.advance(1.0)
+        for server_id in ("a", "c"):
+            fixture.servers.by_id[server_id].unreachable = True
+        fixture.group.partitioned = True
+        # One statement at a time may run at each server.
+        fixture.group.set_limits(GroupLimits("orders", 20, True), 10)
+        reads = [
+            fixture.loop.spawn(
+                fixture.session(Consistency.BOUNDED).run(
+                    fixture.make_request(Run(Access.READ, "read 1"))
+                )
+            )
+            for _ in range(8)
+        ]
+        fixture.loop.advance(0.25)
+        self.assertTrue(all(read.done() for read in reads))
+        self.assertEqual({read.result().code for read in reads}, {None})
+        fixture.servers.by_id["b"].lagging = True
+        session = fixture.session(Consistency.OWN_WRITES)
+        session._session_state.last_commit = LogPosition(1, 99)
+        self.assertIs(fixture.read(session).code, Code.BUSY)
+        started_at = fixture.loop.clock.now()
+        self.assertIs(fixture.read(session).code, Code.BUSY)
+        self.assertIs(fixture.write(session).code, Code.BUSY)
+        self.assertLess(fixture.loop.clock.now() - started_at, 0.05)
+
     def test_slow_read_is_hedged_once(self):
         """Guards against one slow read that occupies slots of all servers."""
         session = self.fixture.session(Consistency.BOUNDED)
