Order no promotion if a replica has registered since the others were paused

At 15.43 s a new replica registered during an attempt that had begun without it. It was not paused and acknowledged the commits of a cut that had healed, to clients of other proxies. The promoter saw no acknowledgement of its own, let the primary step down and promoted the replica that lacked them at 15.64 s.

Change: after the step-down the promoter looks at the registered servers once more; with an unknown one it orders nothing, and the next attempt asks that one too. Giving up commits is a function of its own.

Result: test_commits_that_a_new_replica_acknowledged_to_others_are_kept fails on the code before and passes now.

--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -392,23 +392,52 @@
             best_position, old_primary.received is not None
         ):
             return None
-        # All known replicas are paused, but one that has just started may not be known
-        # and may acknowledge commits. So a reachable primary must step down before the
-        # commits that the successor does not have are given up.
-        if old_primary.received is not None:
-            if self._group.outstanding_writes.acknowledged_at > paused_at:
-                return None
-            step_down_status = yield from self._ask_status(
-                primary, statements.StepDown(term)
-            )
-            if step_down_status.received is None:
-                return None
-            yield self._loop.sleep_until(
-                self._loop.clock.now() + ACKNOWLEDGEMENT_DELAY_SECONDS
+        if old_primary.received is None:
+            return best_successor
+        known_ids = {primary, successor, *other_replicas}
+        return (
+            yield from self._give_up_commits(
+                primary, best_successor, known_ids, term, paused_at
             )
-            if self._group.outstanding_writes.acknowledged_at > paused_at:
-                return primary
-        return best_successor
+        )
+
+    def _give_up_commits(self, primary, successor, known_ids, term, paused_at):
+        """Let a reachable primary step down whose last commits no replica has.
+
+        All known replicas are paused, but one that has just started may not be known
+        and may acknowledge commits.
+
+        Parameters
+        ----------
+        primary, successor : str
+        known_ids : set of str
+            Ids of the primary and of the paused replicas.
+        term : int
+        paused_at : float
+
+        Returns
+        -------
+        str or None
+            Id of the server to promote; None when no promotion is safe.
+        """
+        outstanding_writes = self._group.outstanding_writes
+        if outstanding_writes.acknowledged_at > paused_at:
+            return None
+        step_down_status = yield from self._ask_status(
+            primary, statements.StepDown(term)
+        )
+        if step_down_status.received is None:
+            return None
+        yield self._loop.sleep_until(
+            self._loop.clock.now() + ACKNOWLEDGEMENT_DELAY_SECONDS
+        )
+        if outstanding_writes.acknowledged_at > paused_at:
+            return primary
+        if not known_ids.issuperset(self._group.pools_by_id):
+            # Other proxies may have got acknowledgements from a replica that has
+            # registered since.
+            return None
+        return successor
 
     def _lacks_commits_of_removed_replicas(self, position, primary_answers):
         """Return whether only the primary may have some acknowledged commits.
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -308,6 +308,28 @@
                 for position in self.fixture.servers.acknowledged_before_promotion:
                     self.assertIn(position, log, start_seconds)
 
+    def test_commits_that_a_new_replica_acknowledged_to_others_are_kept(self):
+        """Guards against lost commits that this proxy did not see acknowledged.
+
+        A replica registered while the others were paused, and acknowledged commits of
+        other proxies (late-orders --vary --seed 51681400258 at the small Folio).
+        """
+        for start_seconds in (0.4, 0.8, 1.2, 1.6, 2.0):
+            self.set_up_group()
+            servers = self.fixture.servers
+            self.isolate_primary()
+            self.write_and_run(start_seconds)
+            primary = servers.by_id["a"]
+            servers.by_id["new"] = InMemoryServer("new", "domain-a", primary.log[:])
+            if servers.primary == "a" and servers.commit(primary):
+                servers.acknowledged.append(primary.received)
+            self.fixture.group.put_server(servers.registered("new"), None)
+            self.run_for(5.0)
+            for server_id, _ in self.orders.promotions[:1]:
+                log = servers.by_id[server_id].log
+                for position in servers.acknowledged_before_promotion:
+                    self.assertIn(position, log, start_seconds)
+
     def test_replicas_stay_paused_while_an_order_may_come_late(self):
         """Guards against commits that are rolled back by an order carried out late.
 
