--- a/tests/test_store_readers.py
+++ b/tests/test_store_readers.py
@@ -126,9 +126,9 @@
     def test_calls_with_the_start(self):
         """Guards against registrations that end the watches of all proxies.
 
-        Each proxy has to register once.
+        The target is a calm day of 195 hosts under 500 calls.
         """
-        self.assertLess(self.calls_of_calm_minute(195), 195 + 400)
+        self.assertLess(self.calls_of_calm_minute(195), 500)
 
     def test_heartbeats_at_one_proxy(self):
         """Guards against a promoter that hears from every proxy of the fleet."""
