Give clients the headers of the responses that they receive

The store tells the era of its history in a header, and the client dropped all headers. It collects them as the server does, within the same limits; the two copies of the collecting code are now one.

--- a/cassiahill/http1.py
+++ b/cassiahill/http1.py
@@ -46,6 +46,15 @@
     headers: tuple = ()
 
 
+@attrs.frozen
+class ReceivedResponse:
+    """An HTTP response that a client has received; header names are in lower case."""
+
+    status: int
+    body: bytes
+    headers: dict
+
+
 def json_response(value, status=200, headers=()):
     """Return a response with a JSON body."""
     return Response(status, msgspec.json.encode(value), _JSON_TYPE, headers)
@@ -306,7 +315,7 @@
         self._connections.add(_ServerConnection(self, sock))
 
 
-class ClientConnection:
+class ClientConnection(_MessageCollector):
     """A client's connection, which sends one request at a time.
 
     Parameters
@@ -319,7 +328,6 @@
     """
 
     __slots__ = (
-        "_body",
         "_host_header",
         "_loop",
         "_on_closed_callback",
@@ -330,8 +338,8 @@
     )
 
     def __init__(self, loop, address, ssl_context=None, on_closed=None):
+        super().__init__()
         self._loop = loop
-        self._body = b""
         self._timer = None
         self._host_header = b"%s:%d" % (address[0].encode(), address[1])
         self._pending_response = None
@@ -365,7 +373,7 @@
 
         Returns
         -------
-        Future of Response
+        Future of ReceivedResponse
             Fails with ``errors.ConnectionLost`` when the connection ends or the
             deadline passes first.
         """
@@ -393,19 +401,11 @@
         """Close the connection; a request without a response fails."""
         self._stream.close()
 
-    def on_message_begin(self):
-        """Start to collect a response; called by the parser."""
-        self._body = b""
-
-    def on_body(self, body):
-        """Append a part of the response's body; called by the parser."""
-        self._body = self._body + body if self._body else body
-        if len(self._body) > MAX_BODY_BYTES:
-            raise errors.RequestTooLarge("the answer is too large")
-
     def on_message_complete(self):
         """Complete the future of the pending response; called by the parser."""
-        response = Response(self._parser.get_status_code(), self._body)
+        response = ReceivedResponse(
+            self._parser.get_status_code(), self.body, self.headers
+        )
         response_future = self._take_pending_response()
         if not self._parser.should_keep_alive():
             self._stream.close()
--- a/cassiahill/member_client.py
+++ b/cassiahill/member_client.py
@@ -26,7 +26,7 @@
 
         Returns
         -------
-        Future of http1.Response, or None
+        Future of http1.ReceivedResponse, or None
             None when the last heartbeat is unanswered.
 
         Raises
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -110,6 +110,18 @@
         self.assertGreater(sent_bytes, transport.MAX_RECEIVE_BYTES)
         self.assertLessEqual(waiting_bytes, 2 * transport.MAX_RECEIVE_BYTES)
 
+    def test_client_receives_the_headers_of_its_response(self):
+        """Guards against headers of one response that are taken for the next one's."""
+        self.server.handler = lambda request, _connection: http1.json_response(
+            {}, headers=((b"Store-Era", request.path[1:].encode()),)
+        )
+        client = http1.ClientConnection(self.loop, self.server.address)
+        for path in ("/4", "/"):
+            future = client.request("GET", path)
+            while not future.done():
+                self.loop._run_once()
+            self.assertEqual(future.result().headers["store-era"], path[1:])
+
     def test_failing_handler_is_an_internal_error(self):
         """Guards against an internal error that is reported as malformed input."""
         received = self.send_and_receive(b"GET /fail HTTP/1.1\r\n\r\n", b"}")
