--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -84,6 +84,7 @@
         self._settings = settings
         self._dialect = dialect
         self._promotion_orders = orders
+        self._store = store
         self._shutdown_since = None
         self._partitioned = False
         self._partitioned_since = None
@@ -203,6 +204,7 @@
             "ready": self.ready,
             "configuration": version,
             "servers_revision": revision,
+            "store_era": self._store.era,
             "store_is_away": self.catalog_feed.is_store_unreachable,
             "sessions": len(self.sessions),
             "busy_sessions": self.sessions.busy_count,
@@ -402,6 +404,9 @@
             "configuration_version": self.catalog_feed.versions[0],
             "promoter": int(self.fleet.election.is_promoter),
             "store_away": int(self.catalog_feed.is_store_unreachable),
+            "store_era": self._store.era,
+            "store_calls": self._store.call_count,
+            "store_calls_failed": self._store.failed_call_count,
             "log_lines_dropped": event_log.dropped_lines(),
         }
 
--- a/cassiahill/shared_store.py
+++ b/cassiahill/shared_store.py
@@ -57,8 +57,22 @@
 
     The futures fail with ``errors.PlatformUnavailable`` when the store does not answer
     or refuses the call. A write may have succeeded in that case.
+
+    Attributes
+    ----------
+    era : int
+        Highest era seen. It rises when the store returns from an older copy of its
+        content: later writes are lost, and their revisions are given out again.
+    call_count : int
+        Number of calls made.
+    failed_call_count : int
+        Number of calls that got no valid answer.
     """
 
+    era = 0
+    call_count = 0
+    failed_call_count = 0
+
     def list(self, kind, may_be_stale=False):
         """Return the future of the ``Snapshot`` of a kind.
 
--- a/cassiahill/store_watcher.py
+++ b/cassiahill/store_watcher.py
@@ -165,6 +165,13 @@
         self._list_requested = False
         if snapshot.revision < self.changed_revision:
             # A stale list, or a peer has supplied newer objects in the meantime.
+            event_log.event(
+                "list_outdated",
+                kind=self._kind,
+                revision=snapshot.revision,
+                known=self.changed_revision,
+                era=self._store.era,
+            )
             return
         self.revision = self.changed_revision = snapshot.revision
         self._on_snapshot(snapshot)
