--- a/cassiahill/shared_store.py
+++ b/cassiahill/shared_store.py
@@ -135,6 +135,7 @@
     """
 
     def __init__(self):
+        self.era = 1
         self.revision = 1
         self.oldest_revision = 0
         self.available = True
@@ -156,9 +157,9 @@
         """Return the future of the changes of a kind after a revision."""
         if not self.available:
             return failed_future(errors.PlatformUnavailable("the store is down"))
-        if revision < self.oldest_revision:
+        if not self.oldest_revision <= revision <= self.revision:
             return failed_future(
-                errors.HistoryLost("the store has dropped the history")
+                errors.HistoryLost("the store does not have this history")
             )
         changes = tuple(
             change
@@ -204,6 +205,23 @@
         stored = self._objects_by_key.pop((kind, name))
         self._history.append((self.revision, kind, Change(stored, deleted=True)))
 
+    def copy(self):
+        """Return a copy of the content, to which ``restore`` can go back."""
+        copied = MemorySharedStore()
+        copied.revision = self.revision
+        copied.oldest_revision = self.oldest_revision
+        copied._objects_by_key = dict(self._objects_by_key)
+        copied._history = list(self._history)
+        return copied
+
+    def restore(self, copied):
+        """Lose everything that was written since ``copied`` was made."""
+        self.era += 1
+        self.revision = copied.revision
+        self.oldest_revision = copied.oldest_revision
+        self._objects_by_key = dict(copied._objects_by_key)
+        self._history = list(copied._history)
+
     def drop_history(self):
         """Drop the history, so that watches from earlier revisions fail."""
         self.oldest_revision = self.revision
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -288,6 +288,21 @@
         self.store.delete(kind, name)
         self.notify_watches()
 
+    def restore(self, copied, away_seconds=1.0):
+        """Let the store be away for a while and come back with an older content.
+
+        Parameters
+        ----------
+        copied : shared_store.MemorySharedStore
+            What ``store.copy`` returned.
+        away_seconds : float
+        """
+        self.store.available = False
+        self.loop.advance(away_seconds)
+        self.store.restore(copied)
+        self.store.available = True
+        self.notify_watches()
+
     def notify_watches(self):
         """Let waiting watches look at the store again."""
         next_write, self._next_write = self._next_write, LoopFuture()
--- /dev/null
+++ b/tests/test_restored_store.py
@@ -0,0 +1,174 @@
+"""Tests of processes whose shared store comes back from an older copy."""
+
+import unittest
+
+from cassiahill.member_registry import MEMBER_PREFIX, PROXIES_KIND
+from cassiahill.promoter_election import PROMOTER_NAME
+from tests.memory_fleet import MemoryFleet
+
+CONFIGURATION_BOUND_SECONDS = 3.0  # Of the users' small deployments.
+# Calls that a process may add after a restore: each kind is listed and watched again.
+EXTRA_CALLS = 12
+
+
+class RestoredHistoryTest(unittest.TestCase):
+    """One process, which knows three versions that the restored store has lost."""
+
+    def setUp(self):
+        self.fleet = MemoryFleet(1)
+        self.loop = self.fleet.loop
+        self.loop.advance(10.0)
+        self.catalog = self.fleet.processes_by_name["proxy-0"].catalog
+        self.copied = self.fleet.store.copy()
+        for version in (5, 7, 8):
+            self.fleet.write("config", "main", {"version": version})
+        self.loop.advance(1.0)
+
+    def test_version_with_a_lower_revision_than_known_is_installed(self):
+        """Guards against news that is ignored until revisions pass those from before.
+
+        The users' day restored-early: a version that was accepted after the restore was
+        not in force.
+        """
+        self.fleet.restore(self.copied)
+        self.fleet.write("config", "main", {"version": 8})
+        self.fleet.write("config", "main", {"version": 9})
+        self.loop.advance(CONFIGURATION_BOUND_SECONDS)
+        self.assertEqual(self.catalog.configuration.version, 9)
+
+    def test_changes_below_the_known_revision_are_not_skipped(self):
+        """Guards against a watch that goes on where it was, in another history."""
+        self.fleet.store.available = False
+        self.loop.advance(1.0)
+        self.fleet.store.restore(self.copied)
+        self.fleet.write("config", "main", {"version": 9})
+        self.fleet.write("servers", "d", {})
+        for _ in range(10):
+            self.fleet.write("other", "x", {})
+        self.fleet.store.available = True
+        self.loop.advance(CONFIGURATION_BOUND_SECONDS)
+        self.assertEqual(self.catalog.configuration.version, 9)
+        self.assertIn("d", self.catalog.servers_by_id)
+
+    def test_older_version_of_the_copy_is_not_installed(self):
+        """Guards against falling back to the configuration of the copy."""
+        self.fleet.restore(self.copied)
+        self.loop.advance(CONFIGURATION_BOUND_SECONDS)
+        self.assertEqual(self.catalog.configuration.version, 8)
+
+
+class RestoredFleet:
+    """Tests of fleets of one size."""
+
+    def setUp(self):
+        self.fleet = MemoryFleet(self.count)
+        self.fleet.loop.advance(10.0)
+
+    def write_versions(self, *versions):
+        """Write versions and objects of the other kinds, half a second apart."""
+        for version in versions:
+            self.fleet.write("config", "main", {"version": version})
+            self.fleet.write("servers", "a", {"slots": version})
+            self.fleet.write(PROXIES_KIND, "other", {"number": version})
+            self.fleet.loop.advance(0.5)
+
+    def seconds_until_version(self, version):
+        """Return the time until all processes have a version."""
+        return self.fleet.seconds_until(
+            lambda process: process.feed.versions[0] == version, 20.0
+        )
+
+    def stored_promoter(self):
+        """Return the name of the promoter in the store, or None."""
+        stored = self.fleet.store.get(PROXIES_KIND, PROMOTER_NAME).result()
+        return None if stored is None else stored.value["holder"]
+
+    def promoter_names(self):
+        """Return the processes that take themselves for the promoter."""
+        return [
+            name
+            for name, process in self.fleet.processes_by_name.items()
+            if process.fleet.election.is_promoter
+        ]
+
+    def test_version_after_a_restore_reaches_all(self):
+        """Guards against processes that ignore what follows in the new history."""
+        copied = self.fleet.store.copy()
+        self.write_versions(4, 5, 6)
+        self.fleet.restore(copied)
+        self.write_versions(6, 7)
+        self.assertLess(self.seconds_until_version(7), CONFIGURATION_BOUND_SECONDS)
+
+    def test_server_after_a_restore_reaches_all(self):
+        """Guards against peers that hold back the list of the new history."""
+        copied = self.fleet.store.copy()
+        self.write_versions(4, 5, 6, 7)
+        self.fleet.restore(copied)
+        self.fleet.write("servers", "d", {})
+        seconds = self.fleet.seconds_until(
+            lambda process: "d" in process.catalog.servers_by_id, 20.0
+        )
+        self.assertLess(seconds, CONFIGURATION_BOUND_SECONDS)
+
+    def test_calls_after_a_restore(self):
+        """Guards against lists and watches that repeat without a pause."""
+        copied = self.fleet.store.copy()
+        self.write_versions(4, 5, 6)
+        self.fleet.restore(copied)
+        readers = self.fleet.reader_names()
+        self.fleet.calls_by_name.clear()
+        self.fleet.loop.advance(10.0)
+        calls = self.fleet.call_count().total()
+        self.assertLess(calls, EXTRA_CALLS * len(readers) + self.count)
+
+    def test_lost_member_entries_are_written_again(self):
+        """Guards against members that nobody who starts later knows."""
+        copied = self.fleet.store.copy()
+        names = sorted(self.fleet.processes_by_name)[:3]
+        for name in names:
+            copied.delete(PROXIES_KIND, MEMBER_PREFIX + name)
+        self.write_versions(4, 5, 6, 7, 8)
+        self.fleet.restore(copied)
+        self.fleet.loop.advance(5.0)
+        for name in names:
+            stored = self.fleet.store.get(PROXIES_KIND, MEMBER_PREFIX + name).result()
+            self.assertIsNotNone(stored, name)
+
+    def test_store_names_the_promoter_again(self):
+        """Guards against a promoter of which the store knows nothing."""
+        copied = self.fleet.store.copy()
+        copied.delete(PROXIES_KIND, PROMOTER_NAME)
+        self.write_versions(4, 5, 6, 7, 8)
+        self.fleet.restore(copied)
+        self.fleet.loop.advance(3.0)
+        self.assertEqual([self.stored_promoter()], self.promoter_names())
+
+    def test_tokens_after_a_restore_are_higher(self):
+        """Guards against tokens that are refused or that two promoters use."""
+        election = self.fleet.processes_by_name[self.stored_promoter()].fleet.election
+        copied = self.fleet.store.copy()
+        copied.delete(PROXIES_KIND, PROMOTER_NAME)
+        self.write_versions(*range(4, 14))
+        self.fleet.silent_names.add(election.promoter.name)
+        self.fleet.loop.advance(8.0)
+        (successor,) = set(self.promoter_names()) - {election.promoter.name}
+        successor_election = self.fleet.processes_by_name[successor].fleet.election
+        token_before = successor_election.next_token()
+        self.fleet.silent_names.add(successor)
+        self.fleet.restore(copied)
+        self.fleet.loop.advance(8.0)
+        (promoter,) = set(self.promoter_names()) - self.fleet.silent_names
+        token = self.fleet.processes_by_name[promoter].fleet.election.next_token()
+        self.assertGreater(token, token_before)
+
+
+class SmallRestoredFleetTest(RestoredFleet, unittest.TestCase):
+    count = 8
+
+
+class LargeRestoredFleetTest(RestoredFleet, unittest.TestCase):
+    count = 60
+
+
+if __name__ == "__main__":
+    unittest.main()
