Keep reading members when one entry is malformed

One malformed entry of a proxy raised a TypeError in the log call that reports it (a field called like the parameter of the function), so every list and watch of the members failed, for all proxies: nobody learned of members or of the promoter any more. The field is called entry now.

Found while lists after a restored store were tested.

--- a/cassiahill/heartbeats.py
+++ b/cassiahill/heartbeats.py
@@ -173,7 +173,7 @@
             str(value["failure_domain"]),
         )
     except (KeyError, IndexError, TypeError, ValueError) as error:
-        event_log.event("member_unreadable", name=stored_name, cause=repr(error))
+        event_log.event("member_unreadable", entry=stored_name, cause=repr(error))
         return None
 
 
--- a/tests/test_session_fleet.py
+++ b/tests/test_session_fleet.py
@@ -266,6 +266,16 @@
         self.assertIsNotNone(self.store.get(PROXIES_KIND, "proxy.p1").result())
 
 
+class MalformedEntryTest(FleetTest):
+    def test_malformed_member_does_not_hide_others(self):
+        """Guards against one invalid entry after which no members are known."""
+        fleet = self.start("p1")
+        self.store.write(PROXIES_KIND, "proxy.p8", {"address": 7})
+        self.start("p2")
+        self.loop.advance(WATCH_PAUSE_SECONDS + 1.0)
+        self.assertEqual(set(fleet.members_by_name), {"p1", "p2"})
+
+
 class HeartbeatTest(unittest.TestCase):
     def test_primary_reported_unreachable_by_many_proxies(self):
         """Guards against keeping a primary that only the promoter reaches."""
