Order revisions of the store by era and number

Cause: revisions were compared as if they only ever rose. A list of the restored store is lower than the known revision, was taken for an outdated one and dropped, and the next watch began again at a revision that the store does not have: 410, list, 410, without a pause, because the list reset the count of failures. Where the counter had passed the known revision, the watch went on and skipped what was written below it. Peers kept each other from the new history, promotion claims that the store had lost stayed known as the newest so that no claim succeeded, and tokens were given out twice.

Change: a Revision is era and number; eras decide first. Answers that may be stale have an unknown era, older than each known one, and no watch continues from them. A watch in another era is lost history; repeated losses pause. Copies at peers carry the era in new fields of the messages, fencing tokens in their high digits.

Ruled out: taking every lower list at its word (an answer on its way would undo a peer's newer copy); dropping all knowledge at a loss of history.

--- a/cassiahill/catalog_feed.py
+++ b/cassiahill/catalog_feed.py
@@ -6,6 +6,7 @@
 from cassiahill import errors, event_log, store_watcher
 from cassiahill.catalog import ServerAdded
 from cassiahill.heartbeats import View
+from cassiahill.shared_store import Revision
 
 # A reader sends a configuration of this size to the followers of its failure domain in
 # a second or less. They read a larger one in the store.
@@ -84,7 +85,7 @@
 
     @property
     def versions(self):
-        """Version of the configuration and revision of the list of servers."""
+        """Version of the configuration and ``Revision`` of the list of servers."""
         configuration = self._catalog.configuration
         version = 0 if configuration is None else configuration.version
         return version, self._server_watcher.changed_revision
@@ -111,9 +112,14 @@
             known.accepts_large or not self._is_configuration_large()
         ):
             newer_configuration = self._catalog.configuration.document
-        if servers_revision > known.servers:
+        if servers_revision > known.servers_as_of:
             newer_servers = dict(self._documents_by_id)
-        return View(newer_configuration, servers_revision, newer_servers)
+        return View(
+            newer_configuration,
+            servers_revision.number,
+            newer_servers,
+            servers_era=servers_revision.era,
+        )
 
     def _is_configuration_large(self):
         """Return whether many copies of the configuration would fill a host's link."""
@@ -130,14 +136,17 @@
         """
         if view.configuration is not None:
             self._install_configuration(view.configuration, f"peer {peer}")
-            self._configuration_watcher.record_objects_of_peer(0)
+            self._configuration_watcher.record_objects_of_peer(Revision())
         reads_servers = not (self._resting or self.is_store_unreachable)
         if reads_servers or view.servers is None:
             return
-        if view.servers_revision > self._server_watcher.changed_revision:
-            self._server_watcher.record_objects_of_peer(view.servers_revision)
+        if view.servers_as_of > self._server_watcher.changed_revision:
+            self._server_watcher.record_objects_of_peer(view.servers_as_of)
             event_log.event(
-                "servers_from_peer", peer=peer, revision=view.servers_revision
+                "servers_from_peer",
+                peer=peer,
+                revision=view.servers_revision,
+                era=view.servers_era,
             )
             self._replace_servers(view.servers)
 
--- a/cassiahill/heartbeats.py
+++ b/cassiahill/heartbeats.py
@@ -6,13 +6,30 @@
 import msgspec
 
 from cassiahill import errors, event_log
+from cassiahill.shared_store import Revision
 
 MEMBER_PREFIX = "proxy."  # Prefix of the members' object names.
 HEARTBEAT_PATH = "/v1/pulse"
 VIEW_PATH = "/v1/view"
 
 
-class Heartbeat(msgspec.Struct):
+class _CopiesOfStore:
+    """Revisions of the lists of servers and members, of which a message speaks."""
+
+    __slots__ = ()
+
+    @property
+    def servers_as_of(self):
+        """``Revision`` of the list of servers."""
+        return Revision(self.servers_era, self.servers_revision)
+
+    @property
+    def members_as_of(self):
+        """``Revision`` of the list of members."""
+        return Revision(self.members_era, self.members_revision)
+
+
+class Heartbeat(msgspec.Struct, _CopiesOfStore):
     """Heartbeat of a proxy to the promoter or another member.
 
     Attributes
@@ -32,6 +49,8 @@
         Whether the sender reads the shared store, and the store answers it.
     demand_by_group : dict of str to float
         Average number of the sender's statements that wait or run, by watched group.
+    servers_era, members_era : int
+        Eras of the two revisions.
     """
 
     name: str
@@ -42,9 +61,11 @@
     members_revision: int = 0
     reads_store: bool = False
     demand_by_group: dict[str, float] = {}
+    servers_era: int = 0
+    members_era: int = 0
 
 
-class HeartbeatAnswer(msgspec.Struct):
+class HeartbeatAnswer(msgspec.Struct, _CopiesOfStore):
     """Answer to a heartbeat.
 
     Attributes
@@ -64,6 +85,8 @@
     total_demand_by_group : dict of str to float
         If it is the promoter, the demand of all proxies for the groups that the sender
         watches.
+    servers_era, members_era : int
+        Eras of the two revisions.
     """
 
     version: int
@@ -73,6 +96,8 @@
     members_revision: int = 0
     reads_store: bool = False
     total_demand_by_group: dict[str, float] = {}
+    servers_era: int = 0
+    members_era: int = 0
 
 
 class StoredPromoter(msgspec.Struct):
@@ -80,29 +105,34 @@
 
     revision: int
     value: object
+    era: int = 0
 
 
 @attrs.frozen
-class KnownVersions:
+class KnownVersions(_CopiesOfStore):
     """What a proxy knows already when it asks another one for a ``View``.
 
     Attributes
     ----------
     configuration : int
         Version of the configuration.
-    servers, members : int
+    servers_revision, members_revision : int
         Revisions of the list of servers and of the list of members.
     accepts_large : int
         1 if the proxy wants a large configuration too, 0 if it can read it elsewhere.
+    servers_era, members_era : int
+        Eras of the two revisions.
     """
 
     configuration: int = 0
-    servers: int = 0
-    members: int = 0
+    servers_revision: int = attrs.field(default=0, metadata={"query": "servers"})
+    members_revision: int = attrs.field(default=0, metadata={"query": "members"})
     accepts_large: int = 1
+    servers_era: int = 0
+    members_era: int = 0
 
 
-class View(msgspec.Struct):
+class View(msgspec.Struct, _CopiesOfStore):
     """Documents of the shared store that a proxy has read, for another proxy.
 
     Attributes
@@ -118,6 +148,8 @@
         that revision.
     members_revision : int
     promoter : StoredPromoter or None
+    servers_era, members_era : int
+        Eras of the two revisions.
     """
 
     configuration: object
@@ -126,6 +158,8 @@
     members: dict[str, object] | None = None
     members_revision: int = 0
     promoter: StoredPromoter | None = None
+    servers_era: int = 0
+    members_era: int = 0
 
 
 @attrs.frozen
@@ -204,7 +238,11 @@
     ----------
     known : KnownVersions
     """
-    return f"{VIEW_PATH}?{urllib.parse.urlencode(attrs.asdict(known))}"
+    fields = {
+        _query_name(field): getattr(known, field.name)
+        for field in attrs.fields(KnownVersions)
+    }
+    return f"{VIEW_PATH}?{urllib.parse.urlencode(fields)}"
 
 
 def decode_known_versions(query):
@@ -220,7 +258,7 @@
     try:
         return KnownVersions(
             *(
-                int(fields.get(field.name, field.default))
+                int(fields.get(_query_name(field), field.default))
                 for field in attrs.fields(KnownVersions)
             )
         )
@@ -228,6 +266,10 @@
         raise errors.MalformedRequest("a version is not a number") from error
 
 
+def _query_name(field):
+    return field.metadata.get("query", field.name)
+
+
 def decode_view(body):
     """Return the view in a response body; raises as ``decode_heartbeat`` does."""
     return _decode(_view_decoder, body)
--- a/cassiahill/member_registry.py
+++ b/cassiahill/member_registry.py
@@ -14,6 +14,7 @@
     store_watcher,
 )
 from cassiahill.heartbeats import MEMBER_PREFIX
+from cassiahill.shared_store import Revision
 
 PROXIES_KIND = "proxies"
 REGISTRATION_RETRY_SECONDS = 1.0
@@ -51,7 +52,7 @@
         self._loop = loop
         self._store = store
         self._own_member = own_member
-        self._own_entry_revision = 0
+        self._own_entry_revision = Revision()
         self._election = election
         self._on_changed = on_changed
         self._registering = False
@@ -80,7 +81,7 @@
 
     @property
     def revision(self):
-        """Revision up to which the members are known; 0 before the first list."""
+        """``Revision`` up to which the members are known."""
         return self.watcher.changed_revision
 
     def close(self):
@@ -96,14 +97,17 @@
         view : heartbeats.View
         known : heartbeats.KnownVersions
         """
-        view.members_revision = self.revision
-        if self.revision <= known.members:
+        view.members_revision = self.revision.number
+        view.members_era = self.revision.era
+        if self.revision <= known.members_as_of:
             return
         view.members = dict(self._documents_by_name)
         promoter = self._election.promoter
         if promoter is not None:
             value = {"holder": promoter.name, "incarnation": promoter.incarnation}
-            view.promoter = heartbeats.StoredPromoter(promoter.revision, value)
+            view.promoter = heartbeats.StoredPromoter(
+                promoter.revision.number, value, promoter.revision.era
+            )
 
     def apply_view(self, view, reads_store):
         """Take over newer members from a peer's ``View``.
@@ -114,11 +118,11 @@
         reads_store : bool
             Whether this process reads the members in the store itself.
         """
-        if view.members is None or (reads_store and self.revision):
+        if view.members is None or (reads_store and self.revision > Revision()):
             return
-        if view.members_revision <= self.revision:
+        if view.members_as_of <= self.revision:
             return
-        self.watcher.record_objects_of_peer(view.members_revision)
+        self.watcher.record_objects_of_peer(view.members_as_of)
         self._documents_by_name = {}
         for name, value in view.members.items():
             self._documents_by_name[name] = value
@@ -126,14 +130,14 @@
             self._election.apply_stored(
                 shared_store.StoredObject(
                     promoter_election.PROMOTER_NAME,
-                    view.promoter.revision,
+                    Revision(view.promoter.era, view.promoter.revision),
                     view.promoter.value,
                 )
             )
         self._replace_members()
         if (
             self._own_member.name not in self.members_by_name
-            and view.members_revision > self._own_entry_revision
+            and view.members_as_of > self._own_entry_revision
         ):
             self._loop.spawn(self._register_own_member(None))
 
@@ -208,7 +212,7 @@
 
         Parameters
         ----------
-        revision : int or None
+        revision : shared_store.Revision or None
             Revision of the entry to replace; None to create it.
         """
         if self._registering:
--- a/cassiahill/promoter_election.py
+++ b/cassiahill/promoter_election.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from cassiahill import errors, event_log
+from cassiahill.shared_store import Revision
 
 PROMOTER_NAME = "promoter"
 # Three heartbeat intervals. A restart of the promoter takes longer.
@@ -20,8 +21,10 @@
 INITIAL_CLAIM_STAGGER_SECONDS = 0.05
 CLAIM_DELAY_AFTER_RESIGNING_SECONDS = 3.0
 CONFIRM_TIMEOUT_SECONDS = 0.25  # A reachable store answers in milliseconds.
-# Each order takes one token. A promoter's tokens stay below those of its successor.
+# Each order takes one token. A promoter's tokens stay below those of its successor, in
+# this era of the store or in a later one.
 TOKENS_PER_REVISION = 1000
+TOKENS_PER_ERA = 10**14  # Tokens stay exact as a double for 90 eras.
 
 
 @attrs.frozen
@@ -33,20 +36,20 @@
     name : str
     incarnation : str
         Differs for each start of the process.
-    revision : int
+    revision : shared_store.Revision
         Revision of the object that names the promoter.
     """
 
     name: str
     incarnation: str
-    revision: int
+    revision: Revision
 
 
 @attrs.define
 class FencingTokens:
     """Issues the fencing tokens of one promoter's term, each one once."""
 
-    revision: int
+    revision: Revision
     issued_count: int = 0
 
     def next_token(self):
@@ -54,7 +57,11 @@
         if self.issued_count >= TOKENS_PER_REVISION - 1:
             return None
         self.issued_count += 1
-        return self.revision * TOKENS_PER_REVISION + self.issued_count
+        return (
+            self.revision.era * TOKENS_PER_ERA
+            + self.revision.number * TOKENS_PER_REVISION
+            + self.issued_count
+        )
 
 
 class PromoterElection:
@@ -138,7 +145,12 @@
         incarnation = str(value.get("incarnation"))
         self.promoter = Promoter(holder, incarnation, stored.revision)
         self._timeout_started_at = self._loop.clock.now()
-        event_log.event("promoter_changed", holder=holder, revision=stored.revision)
+        event_log.event(
+            "promoter_changed",
+            holder=holder,
+            revision=stored.revision.number,
+            era=stored.revision.era,
+        )
         self._drop_stale_tokens()
 
     def record_deletion(self):
@@ -187,7 +199,7 @@
         seed = 0
         if promoter is not None:
             lost_domain = domains_by_name.pop(promoter.name, None)
-            seed = promoter.revision
+            seed = promoter.revision.number
         ordered_names = sorted(
             domains_by_name,
             key=lambda name: (
@@ -271,4 +283,8 @@
         """Become the promoter with the tokens of the stored revision."""
         if self._tokens is None or stored.revision > self._tokens.revision:
             self._tokens = FencingTokens(stored.revision)
-            event_log.event("promoter_gained", revision=stored.revision)
+            event_log.event(
+                "promoter_gained",
+                revision=stored.revision.number,
+                era=stored.revision.era,
+            )
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -20,6 +20,7 @@
     store_follower,
 )
 from cassiahill.member_client import MemberClient
+from cassiahill.shared_store import Revision
 
 HEARTBEAT_INTERVAL_SECONDS = 0.4
 HEARTBEAT_TIMEOUT_SECONDS = 0.4
@@ -29,7 +30,7 @@
     """Interface between ``SessionFleet`` and the rest of the process."""
 
     def versions(self):
-        """Return the version of the configuration and the revision of the servers."""
+        """Return the configuration's version and the ``Revision`` of the servers."""
         raise NotImplementedError
 
     def connected_groups(self):
@@ -176,7 +177,7 @@
     @property
     def members_known(self):
         """Whether a list of members has been read from the store or a peer."""
-        return self.registry.revision > 0
+        return self.registry.revision > Revision()
 
     def view(self, known):
         """Return the ``View`` of this process for a peer, members included."""
@@ -188,7 +189,8 @@
         """Return the members and the state of the election, as plain values."""
         return {
             "members": sorted(self.members_by_name),
-            "members_revision": self.registry.revision,
+            "members_revision": self.registry.revision.number,
+            "members_era": self.registry.revision.era,
             "reads_store": self.follower.reads_store,
             "follows": self.follower.following.reader_to_ask(),
             **self.election.dump(),
@@ -221,12 +223,14 @@
         return http1.json_response(
             heartbeats.HeartbeatAnswer(
                 version,
-                servers_revision,
+                servers_revision.number,
                 self.election.is_promoter,
                 self._process_state.is_partitioned(),
-                self.registry.revision,
+                self.registry.revision.number,
                 self.follower.store_answers(),
                 self._total_demand_for(heartbeat),
+                servers_revision.era,
+                self.registry.revision.era,
             )
         )
 
@@ -335,12 +339,14 @@
         heartbeat = heartbeats.Heartbeat(
             self._own_member.name,
             version,
-            servers_revision,
+            servers_revision.number,
             self._process_state.groups_without_primary(),
             self._process_state.connected_groups(),
-            self.registry.revision,
+            self.registry.revision.number,
             self.follower.store_answers(),
             self._process_state.demand_by_group(),
+            servers_revision.era,
+            self.registry.revision.era,
         )
         deadline = self._loop.clock.now() + HEARTBEAT_TIMEOUT_SECONDS
         try:
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -203,7 +203,8 @@
             "name": self._settings.name,
             "ready": self.ready,
             "configuration": version,
-            "servers_revision": revision,
+            "servers_revision": revision.number,
+            "servers_era": revision.era,
             "store_era": self._store.era,
             "store_is_away": self.catalog_feed.is_store_unreachable,
             "sessions": len(self.sessions),
@@ -233,7 +234,7 @@
         return self.catalog_feed.read_configuration(version)
 
     def versions(self):
-        """Return the version of the configuration and the revision of the servers."""
+        """Return the configuration's version and the ``Revision`` of the servers."""
         return self.catalog_feed.versions
 
     def connected_groups(self):
--- a/cassiahill/shared_store.py
+++ b/cassiahill/shared_store.py
@@ -10,6 +10,23 @@
 from cassiahill.loop import completed_future, failed_future
 
 
+@attrs.frozen(order=True)
+class Revision:
+    """A revision of the store; those of a later era are newer, whatever their number.
+
+    Attributes
+    ----------
+    era : int
+        The store counts how often it has returned from an older copy of its content.
+        Revisions that the copy lacks are then given out again. 0 if unknown, as in
+        answers that may be stale.
+    number : int
+    """
+
+    era: int = 0
+    number: int = 0
+
+
 @attrs.frozen
 class StoredObject:
     """An object as stored at a revision.
@@ -17,14 +34,14 @@
     Attributes
     ----------
     name : str
-    revision : int
+    revision : Revision
         Revision of its last change.
     value : object
         Decoded JSON document.
     """
 
     name: str
-    revision: int
+    revision: Revision
     value: object
 
 
@@ -33,7 +50,17 @@
     """All objects of a kind at a revision of the store."""
 
     objects: tuple
-    revision: int
+    revision: Revision
+
+
+def with_unknown_era(read):
+    """Return a ``Snapshot`` or ``StoredObject`` that may be of an earlier era."""
+    revision = attrs.evolve(read.revision, era=0)
+    match read:
+        case Snapshot(objects=objects):
+            objects = tuple(with_unknown_era(stored) for stored in objects)
+            return Snapshot(objects, revision)
+    return attrs.evolve(read, revision=revision)
 
 
 @attrs.frozen
@@ -49,7 +76,15 @@
     """Changes in order of revision; the next watch continues from ``revision``."""
 
     changes: tuple
-    revision: int
+    revision: Revision
+
+
+def replaces(expected, revision):
+    """Return whether a conditional write that expects a revision replaces another.
+
+    Without a known era the number decides, as it does for the store.
+    """
+    return expected.number == revision.number and expected.era in {0, revision.era}
 
 
 class SharedStore:
@@ -61,8 +96,7 @@
     Attributes
     ----------
     era : int
-        Highest era seen. It rises when the store returns from an older copy of its
-        content: later writes are lost, and their revisions are given out again.
+        Highest era seen; see ``Revision``.
     call_count : int
         Number of calls made.
     failed_call_count : int
@@ -91,7 +125,7 @@
         Without, it is answered at once.
 
         It fails with ``errors.HistoryLost`` when the store no longer has the history
-        since the revision.
+        since the revision, or is in another era.
         """
         raise NotImplementedError
 
@@ -116,7 +150,8 @@
     def replace(self, kind, name, value, revision):
         """Return the future of the replaced ``StoredObject``.
 
-        It fails with ``errors.Conflict`` when the object has another revision.
+        It fails with ``errors.Conflict`` when the object has another revision, or the
+        revision is of an earlier era.
         """
         raise NotImplementedError
 
@@ -127,7 +162,7 @@
     Attributes
     ----------
     revision : int
-        Revision of the last change.
+        Number of the last change.
     oldest_revision : int
         Watches from earlier revisions fail.
     available : bool
@@ -151,28 +186,35 @@
             for (stored_kind, _), stored in sorted(self._objects_by_key.items())
             if stored_kind == kind
         )
-        return completed_future(Snapshot(objects, self.revision))
+        snapshot = Snapshot(objects, Revision(self.era, self.revision))
+        return completed_future(
+            with_unknown_era(snapshot) if may_be_stale else snapshot
+        )
 
     def watch(self, kind, revision, may_wait=True):
         """Return the future of the changes of a kind after a revision."""
         if not self.available:
             return failed_future(errors.PlatformUnavailable("the store is down"))
-        if not self.oldest_revision <= revision <= self.revision:
+        is_known = self.oldest_revision <= revision.number <= self.revision
+        if revision.era != self.era or not is_known:
             return failed_future(
                 errors.HistoryLost("the store does not have this history")
             )
         changes = tuple(
             change
             for changed_at, changed_kind, change in self._history
-            if changed_kind == kind and changed_at > revision
+            if changed_kind == kind and changed_at > revision.number
         )
-        return completed_future(ChangeBatch(changes, self.revision))
+        return completed_future(ChangeBatch(changes, Revision(self.era, self.revision)))
 
     def get(self, kind, name, may_be_stale=False):
         """Return the future of an object or None."""
         if not self.available:
             return failed_future(errors.PlatformUnavailable("the store is down"))
-        return completed_future(self._objects_by_key.get((kind, name)))
+        stored = self._objects_by_key.get((kind, name))
+        if stored is not None and may_be_stale:
+            stored = with_unknown_era(stored)
+        return completed_future(stored)
 
     def create(self, kind, name, value):
         """Create an object; the future fails if it exists."""
@@ -187,14 +229,14 @@
         if not self.available:
             return failed_future(errors.PlatformUnavailable("the store is down"))
         stored = self._objects_by_key.get((kind, name))
-        if stored is None or stored.revision != revision:
+        if stored is None or not replaces(revision, stored.revision):
             return failed_future(errors.Conflict("the object has another revision"))
         return completed_future(self.write(kind, name, value))
 
     def write(self, kind, name, value):
         """Write an object unconditionally, as another client would."""
         self.revision += 1
-        stored = StoredObject(name, self.revision, value)
+        stored = StoredObject(name, Revision(self.era, self.revision), value)
         self._objects_by_key[kind, name] = stored
         self._history.append((self.revision, kind, Change(stored, deleted=False)))
         return stored
@@ -219,7 +261,12 @@
         self.era += 1
         self.revision = copied.revision
         self.oldest_revision = copied.oldest_revision
-        self._objects_by_key = dict(copied._objects_by_key)
+        self._objects_by_key = {
+            key: attrs.evolve(
+                stored, revision=Revision(self.era, stored.revision.number)
+            )
+            for key, stored in copied._objects_by_key.items()
+        }
         self._history = list(copied._history)
 
     def drop_history(self):
--- a/cassiahill/store_follower.py
+++ b/cassiahill/store_follower.py
@@ -48,7 +48,7 @@
         self._rng = rng
         self._fetching_view = False
         self._asking_store = False
-        self._announced_versions = (0, 0, 0)
+        self._announced_versions = None
         self.following = store_readers.ReaderFollowing(
             own_member.name, own_member.failure_domain, rng, loop.clock.now()
         )
@@ -150,10 +150,10 @@
         """
         version, servers_revision = self._process_state.versions()
         follows = not self.reads_store and announced.reads_store
-        newer_servers = announced.servers_revision > servers_revision and (
+        newer_servers = announced.servers_as_of > servers_revision and (
             follows or self._process_state.is_store_unreachable()
         )
-        newer_members = follows and announced.members_revision > self._registry.revision
+        newer_members = follows and announced.members_as_of > self._registry.revision
         newer_configuration = announced.version > version
         if self._fetching_view:
             return
@@ -185,8 +185,14 @@
     def fetch_view(self, name, address, accepts_large=True):
         """Fetch a member's ``View`` and apply it; a task."""
         version, servers_revision = self._process_state.versions()
+        members_revision = self._registry.revision
         known = heartbeats.KnownVersions(
-            version, servers_revision, self._registry.revision, int(accepts_large)
+            version,
+            servers_revision.number,
+            members_revision.number,
+            int(accepts_large),
+            servers_revision.era,
+            members_revision.era,
         )
         deadline = self._loop.clock.now() + VIEW_TIMEOUT_SECONDS
         try:
--- a/cassiahill/store_watcher.py
+++ b/cassiahill/store_watcher.py
@@ -4,6 +4,7 @@
 
 from cassiahill import errors, event_log
 from cassiahill.loop import LoopFuture
+from cassiahill.shared_store import Revision
 
 BASE_BACKOFF_SECONDS = 0.15
 MAX_BACKOFF_SECONDS = 1.0  # Changes must apply within seconds of an outage's end.
@@ -31,8 +32,9 @@
     """Reports the objects of one kind and their changes.
 
     The watcher lists the objects, then watches for changes. It lists the objects again
-    when the store no longer has the history to continue the watch. While it rests, it
-    makes no calls but lists that are asked for, because a peer supplies the objects.
+    when the store no longer has the history to continue the watch, or has a new era.
+    While it rests, it makes no calls but lists that are asked for, because a peer
+    supplies the objects.
 
     Parameters
     ----------
@@ -52,9 +54,9 @@
     Attributes
     ----------
     reachability : StoreReachability
-    revision : int
+    revision : shared_store.Revision
         Revision from which the next watch continues.
-    changed_revision : int
+    changed_revision : shared_store.Revision
         Revision up to which the reported objects are complete. A watch without changes
         does not increase it, so that peers with the same objects agree on it.
     """
@@ -82,12 +84,13 @@
         self._closed = False
         self._has_objects = False
         self._list_requested = False
-        self._history_lost = False
+        self._needs_current_list = False
+        self._history_losses = 0
         self._resting = False
         self._wake_up = LoopFuture()
         self.reachability = StoreReachability()
-        self.revision = 0
-        self.changed_revision = 0
+        self.revision = Revision()
+        self.changed_revision = Revision()
         # The owner of the watcher is complete by the time of the first report.
         loop.call_soon(lambda: loop.spawn(self._run()))
 
@@ -133,45 +136,62 @@
                 if self._resting and not self._list_requested:
                     yield self._wake_up
                     continue
-                if self._list_requested or not self._has_objects:
+                if self._list_requested or not self._can_watch():
                     yield from self._list_objects()
                 else:
                     yield from self._watch_changes()
                 self._record_success()
             except errors.HistoryLost:
-                event_log.event("history_lost", kind=self._kind, revision=self.revision)
-                self._has_objects = False
-                self._history_lost = True
-                self._consecutive_failures += 1
-                if self._consecutive_failures > 1:
-                    yield self._loop.sleep_until(
-                        self._loop.clock.now() + self._retry_delay()
-                    )
+                yield from self._handle_lost_history()
             except Exception as error:  # noqa: BLE001 one bad object must not end it
                 if not isinstance(error, errors.CassiahillError):
                     self._loop.record_failure("watch_failed")
                     self._has_objects = False
+                    self._needs_current_list = True
                 self._record_failure(error)
-                yield self._loop.sleep_until(
-                    self._loop.clock.now() + self._retry_delay()
-                )
+                yield self._pause_after_failures(self._consecutive_failures)
+
+    def _can_watch(self):
+        """Return whether objects are known, of the store's present era."""
+        if self._has_objects and self.revision.era != self._store.era:
+            self._has_objects = False
+            self._needs_current_list = True
+        return self._has_objects
+
+    def _handle_lost_history(self):
+        """List the objects next, after a pause if the list before did not help."""
+        event_log.event(
+            "history_lost",
+            kind=self._kind,
+            revision=self.revision.number,
+            era=self.revision.era,
+        )
+        self._has_objects = False
+        self._needs_current_list = True
+        self._history_losses += 1
+        if self._history_losses > 1:
+            yield self._pause_after_failures(self._history_losses)
 
     def _list_objects(self):
         # The history since a stale list may be lost too.
-        may_be_stale = self._may_be_stale and not self._history_lost
+        may_be_stale = self._may_be_stale and not self._needs_current_list
         snapshot = yield self._store.list(self._kind, may_be_stale)
         self._has_objects = True
-        self._history_lost = False
+        self._needs_current_list = False
         self._list_requested = False
         if snapshot.revision < self.changed_revision:
             # A stale list, or a peer has supplied newer objects in the meantime.
             event_log.event(
                 "list_outdated",
                 kind=self._kind,
-                revision=snapshot.revision,
-                known=self.changed_revision,
-                era=self._store.era,
+                revision=snapshot.revision.number,
+                era=snapshot.revision.era,
+                known=self.changed_revision.number,
+                known_era=self.changed_revision.era,
             )
+            self._list_requested = self._needs_current_list = may_be_stale
+            if not may_be_stale:
+                yield self._pause()
             return
         self.revision = self.changed_revision = snapshot.revision
         self._on_snapshot(snapshot)
@@ -187,16 +207,21 @@
         if batch.changes:
             self.changed_revision = self.revision
             self._on_changes(batch.changes)
+        self._history_losses = 0
         if not may_wait:
             return
-        yield self._loop.sleep_until(self._loop.clock.now() + self.pause_seconds)
+        yield self._pause()
+
+    def _pause(self):
+        return self._loop.sleep_until(self._loop.clock.now() + self.pause_seconds)
 
-    def _retry_delay(self):
+    def _pause_after_failures(self, count):
+        """Return a future that is done after a delay that grows with the failures."""
         max_delay_seconds = min(
-            MAX_BACKOFF_SECONDS,
-            BASE_BACKOFF_SECONDS * 2 ** min(self._consecutive_failures, 8),
+            MAX_BACKOFF_SECONDS, BASE_BACKOFF_SECONDS * 2 ** min(count, 8)
         )
-        return max_delay_seconds * (0.5 + 0.5 * self._rng.random())
+        delay_seconds = max_delay_seconds * (0.5 + 0.5 * self._rng.random())
+        return self._loop.sleep_until(self._loop.clock.now() + delay_seconds)
 
     def _record_success(self):
         now = self._loop.clock.now()
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -36,20 +36,22 @@
     def __init__(self, fleet, name):
         self._fleet = fleet
         self._name = name
+        self.era = 0
 
     def list(self, kind, may_be_stale=False):
         call = "stale list" if may_be_stale else "list"
         store = self._fleet.store
         if not may_be_stale:
             return self._call(call, lambda: store.list(kind))
-        past = self._fleet.past_snapshot(kind)
+        past = shared_store.with_unknown_era(self._fleet.past_snapshot(kind))
         return self._call(call, lambda: shared_store.completed_future(past))
 
     def get(self, kind, name, may_be_stale=False):
         call = "stale get" if may_be_stale else "get"
         if not may_be_stale:
             return self._call(call, lambda: self._fleet.store.get(kind, name))
-        objects = self._fleet.past_snapshot(kind).objects
+        past = shared_store.with_unknown_era(self._fleet.past_snapshot(kind))
+        objects = past.objects
         found = next((stored for stored in objects if stored.name == name), None)
         return self._call(call, lambda: shared_store.completed_future(found))
 
@@ -74,6 +76,7 @@
             if not self._fleet.reaches_store(self._name):
                 yield loop.sleep_until(loop.clock.now() + 1.0)
                 raise errors.PlatformUnavailable("the store does not answer")
+            self.era = self._fleet.store.era
             batch = self._fleet.store.watch(kind, revision).result()
             if batch.changes or loop.clock.now() >= ends_at:
                 return batch
@@ -87,6 +90,7 @@
 
         def run():
             yield loop.sleep_until(loop.clock.now() + STORE_SECONDS)
+            self.era = self._fleet.store.era
             return (yield answer())
 
         return loop.spawn(run())
--- a/tests/test_catalog_feed.py
+++ b/tests/test_catalog_feed.py
@@ -57,7 +57,7 @@
         self.store.write("config", "main", {"version": 9})
         self.loop.advance(1.0)
         self.store.write("config", "main", {"version": 5})
-        self.feed.apply_view(View({"version": 7}, 1, {}), "p2")
+        self.feed.apply_view(View({"version": 7}, 1, {}, servers_era=1), "p2")
         self.loop.advance(1.0)
         self.assertEqual(self.catalog.configuration.version, 9)
 
@@ -65,14 +65,14 @@
         """Guards against an outdated catalog while the store does not answer."""
         self.store.available = False
         self.loop.advance(1.0)
-        view = View({"version": 8}, 10**6, {"b": {}})
+        view = View({"version": 8}, 10**6, {"b": {}}, servers_era=1)
         self.feed.apply_view(view, "p2")
         self.assertEqual(self.catalog.configuration.version, 8)
         self.assertIn("b", self.catalog.servers_by_id)
 
     def test_peer_servers_are_ignored_while_the_store_answers(self):
         """Guards against an outdated list of servers from a peer."""
-        self.feed.apply_view(View(None, 10**6, {}), "p2")
+        self.feed.apply_view(View(None, 10**6, {}, servers_era=1), "p2")
         self.loop.advance(10.0)
         self.assertIn("a", self.catalog.servers_by_id)
 
--- a/tests/test_session_fleet.py
+++ b/tests/test_session_fleet.py
@@ -12,7 +12,7 @@
 from cassiahill.member_registry import PROXIES_KIND, WATCH_PAUSE_SECONDS
 from cassiahill.promoter_election import PROMOTER_NAME, FencingTokens
 from cassiahill.session_fleet import SessionFleet
-from cassiahill.shared_store import MemorySharedStore
+from cassiahill.shared_store import MemorySharedStore, Revision
 from tests.stepped_loop import SteppedLoop
 
 
@@ -24,7 +24,7 @@
         self.partitioned = False
 
     def versions(self):
-        return 1, 1
+        return 1, Revision(1, 1)
 
     def connected_groups(self):
         return ["orders"]
@@ -166,7 +166,8 @@
         self.loop.advance(2.0)
         self.assertTrue(fleet.election.is_promoter)
         stored = self.store.get(PROXIES_KIND, PROMOTER_NAME).result()
-        self.assertEqual(fleet.election.next_token() // 1000, stored.revision)
+        first_token = FencingTokens(stored.revision).next_token()
+        self.assertEqual(fleet.election.next_token(), first_token)
 
     def test_restarted_promoter_gets_a_new_term(self):
         """Guards against a restarted process that reuses its tokens."""
@@ -205,11 +206,11 @@
 
     def test_tokens_stay_below_those_of_the_next_revision(self):
         """Guards against a token in the range of the next promoter."""
-        tokens = FencingTokens(7)
+        tokens = FencingTokens(Revision(1, 7))
         issued = [
             token for token in (tokens.next_token() for _ in range(2000)) if token
         ]
-        self.assertLess(max(issued), 8000)
+        self.assertLess(max(issued), FencingTokens(Revision(1, 8)).next_token())
         self.assertIsNone(tokens.next_token())
 
 
--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -114,7 +114,9 @@
             b'{"meta":{"name":"a","revision":3},"spec":{}}],"storeRevision":9}'
         )
         answer = platform_store._decode_json(unreadable_list)
-        names = [stored.name for stored in platform_store._stored_all(answer["items"])]
+        names = [
+            stored.name for stored in platform_store._stored_all(answer["items"], 1)
+        ]
         self.assertEqual(names, ["b", "a"])
 
 
--- a/tests/test_store_readers.py
+++ b/tests/test_store_readers.py
@@ -4,6 +4,7 @@
 import unittest
 
 from cassiahill import store_readers
+from cassiahill.shared_store import Revision
 from cassiahill.store_readers import ReaderFollowing, choose_readers
 from tests.memory_fleet import WATCH_SECONDS, MemoryFleet
 
@@ -146,7 +147,7 @@
         fleet.loop.advance(10.0)
         fleet.write("proxies", "proxy.other", {})
         for process in fleet.processes_by_name.values():
-            process.fleet.registry.watcher.revision = 1
+            process.fleet.registry.watcher.revision = Revision(1, 1)
         fleet.store.drop_history()
         fleet.calls_by_name.clear()
         fleet.loop.advance(2.0 + WATCH_SECONDS)
