Let a promoter whose claim the store has lost claim again, and order nothing before

After a restore whose copy lacks the claim, the promoter went on with tokens of a claim that the store does not know, while others could claim at once: two processes took themselves for the promoter until one read the store again, and the role moved although its holder was well.

Cause: the answer "no such object" was taken for no news. Change: a missing object is recorded with the revision as of which it is missing; the promoter drops its tokens, and the process that held the role last claims without a delay, the others after the promoter's timeout. In a large fleet it may claim although it reads the store only as the promoter.

--- a/cassiahill/member_registry.py
+++ b/cassiahill/member_registry.py
@@ -156,7 +156,7 @@
             else:
                 self._documents_by_name[stored.name] = stored.value
         if not promoter_named:
-            self._election.record_deletion()
+            self._election.record_deletion(snapshot.revision)
         if self._loop.clock.now() >= self._fleet_registered_at:
             self.fleet_known = True
         self._replace_members()
@@ -174,7 +174,7 @@
         name = change.stored.name
         if name == promoter_election.PROMOTER_NAME:
             if change.deleted:
-                self._election.record_deletion()
+                self._election.record_deletion(change.stored.revision)
             else:
                 self._election.apply_stored(change.stored)
         elif change.deleted:
--- a/cassiahill/promoter_election.py
+++ b/cassiahill/promoter_election.py
@@ -96,6 +96,7 @@
         self._claiming = False
         self._timeout_started_at = loop.clock.now()
         self._resigned_until = float("-inf")
+        self._former_name = None
         self.promoter = None
         self.shutting_down = False
 
@@ -145,6 +146,7 @@
         incarnation = str(value.get("incarnation"))
         self.promoter = Promoter(holder, incarnation, stored.revision)
         self._timeout_started_at = self._loop.clock.now()
+        self._former_name = None
         event_log.event(
             "promoter_changed",
             holder=holder,
@@ -153,9 +155,32 @@
         )
         self._drop_stale_tokens()
 
-    def record_deletion(self):
-        """Record that the object that names the promoter was deleted."""
+    def record_deletion(self, revision):
+        """Record that no object names the promoter.
+
+        It was deleted, or was written after the copy to which the store has returned.
+
+        Parameters
+        ----------
+        revision : shared_store.Revision
+            Revision as of which there is none.
+        """
+        if self.promoter is None or revision < self.promoter.revision:
+            return
+        # The former promoter claims the role again before others do.
+        self._former_name = self.promoter.name
+        self._timeout_started_at = self._loop.clock.now()
         self.promoter = None
+        event_log.event(
+            "promoter_missing",
+            former=self._former_name,
+            revision=revision.number,
+            era=revision.era,
+        )
+        if self._tokens is not None:
+            # Another process may hold the role by now, of which the store knows.
+            self._tokens = None
+            event_log.event("promoter_lost", to=None)
 
     def dump(self):
         """Return the known promoter and this process's role, as plain values."""
@@ -187,6 +212,14 @@
             and self._claim_rank() == 0
         )
 
+    @property
+    def is_last_holder(self):
+        """Whether the promoter known last is this process, or a former run of it."""
+        return self._last_holder() == self._own_name
+
+    def _last_holder(self):
+        return self._former_name if self.promoter is None else self.promoter.name
+
     def _claim_rank(self):
         """Return this proxy's rank among the possible successors.
 
@@ -216,18 +249,17 @@
         """Claim the role once the promoter's timeout and the rank's delay are over."""
         if self._claiming or self.shutting_down or now < self._resigned_until:
             return
-        promoter = self.promoter
-        if promoter is None:
-            wait_seconds = INITIAL_CLAIM_STAGGER_SECONDS * self._claim_rank()
-        elif promoter.name == self._own_name:
-            wait_seconds = 0.0
-        else:
-            wait_seconds = (
-                PROMOTER_TIMEOUT_SECONDS + CLAIM_STAGGER_SECONDS * self._claim_rank()
-            )
-        if now - self._timeout_started_at >= wait_seconds:
+        if now - self._timeout_started_at >= self._claim_delay_seconds():
             self._claiming = True
-            self._loop.spawn(self._claim_promoter_role(promoter))
+            self._loop.spawn(self._claim_promoter_role(self.promoter))
+
+    def _claim_delay_seconds(self):
+        """Return the delay of a claim after the promoter's last sign of life."""
+        if self.is_last_holder:
+            return 0.0
+        if self._last_holder() is None:
+            return INITIAL_CLAIM_STAGGER_SECONDS * self._claim_rank()
+        return PROMOTER_TIMEOUT_SECONDS + CLAIM_STAGGER_SECONDS * self._claim_rank()
 
     def _claim_promoter_role(self, promoter):
         value = self._own_document()
@@ -249,12 +281,14 @@
 
     def _read_promoter(self):
         """Read the promoter from the store; an unanswered claim may have succeeded."""
+        known_promoter = self.promoter
         try:
             stored = yield self._store.get(self._kind, PROMOTER_NAME)
         except errors.CassiahillError as error:
             event_log.event("promoter_unknown", cause=error.detail)
             return
         if stored is None:
+            self._record_missing(known_promoter)
             return
         self.apply_stored(stored)
         if stored.value == self._own_document():
@@ -266,6 +300,7 @@
 
     def _confirm_promoter(self):
         """Read the promoter from the store; return whether it is this process."""
+        known_promoter = self.promoter
         deadline = self._loop.clock.now() + CONFIRM_TIMEOUT_SECONDS
         timeout_error = errors.PlatformUnavailable("no answer in time")
         try:
@@ -275,10 +310,18 @@
         except errors.CassiahillError as error:
             event_log.event("promoter_unconfirmed", cause=error.detail)
             return self.is_promoter
-        if stored is not None:
+        if stored is None:
+            self._record_missing(known_promoter)
+        else:
             self.apply_stored(stored)
         return self.is_promoter
 
+    def _record_missing(self, known_promoter):
+        """Record that the store has no object for the promoter known at the call."""
+        if known_promoter is not None and self.promoter == known_promoter:
+            era = max(self._store.era, known_promoter.revision.era)
+            self.record_deletion(attrs.evolve(known_promoter.revision, era=era))
+
     def _accept_own_claim(self, stored):
         """Become the promoter with the tokens of the stored revision."""
         if self._tokens is None or stored.revision > self._tokens.revision:
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -310,6 +310,7 @@
         return (
             self.follower.reads_store
             or not self.follower.following.fleet_known
+            or self.election.is_last_holder
             or bool(self._process_state.connected_groups())
         )
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -143,6 +143,17 @@
         self.fleet.loop.advance(3.0)
         self.assertEqual([self.stored_promoter()], self.promoter_names())
 
+    def test_promoter_stays_although_its_claim_is_lost(self):
+        """Guards against a change of the promoter only because the store lost it."""
+        promoter = self.stored_promoter()
+        copied = self.fleet.store.copy()
+        copied.delete(PROXIES_KIND, PROMOTER_NAME)
+        self.write_versions(4, 5, 6, 7, 8)
+        self.fleet.restore(copied)
+        self.fleet.loop.advance(4.0)
+        self.assertEqual(self.stored_promoter(), promoter)
+        self.assertEqual(self.promoter_names(), [promoter])
+
     def test_tokens_after_a_restore_are_higher(self):
         """Guards against tokens that are refused or that two promoters use."""
         election = self.fleet.processes_by_name[self.stored_promoter()].fleet.election
--- a/tests/test_session_fleet.py
+++ b/tests/test_session_fleet.py
@@ -187,6 +187,18 @@
         )
         self.assertIsNone(first_fleet.election.next_token())
 
+    def test_promoter_whose_claim_is_lost_orders_nothing_until_it_claims_again(self):
+        """Guards against two promoters after the store has lost a claim."""
+        copied = self.store.copy()
+        fleet = self.start("p1")
+        tokens_before = fleet.election._tokens
+        self.store.restore(copied)
+        self.assertFalse(self.loop.result(_wait(fleet.election.confirm_promoter())))
+        self.assertIsNone(fleet.election.next_token())
+        self.loop.advance(1.0)
+        self.assertTrue(fleet.election.is_promoter)
+        self.assertGreater(fleet.election._tokens.revision, tokens_before.revision)
+
     def test_promoter_keeps_the_role_while_the_store_is_down(self):
         """Guards against keeping a failed primary while the store is down."""
         fleet = self.start("p1")
