Keep members that a restored store has lost until they have registered again

What callers would see: after a restore to a copy from before the processes registered, each process takes itself for the whole fleet. All of them read the store and connect to every server, and sessions change their owner, for seconds.

Cause: the list of a new era replaced the members as any list does, although an entry that is missing there says nothing about its member. Change: members known before stay for 6 s, a watch pause of a reader and the way to its followers plus a retry. Whether a process has to register again is decided by the documents of the store alone.

Evidence: test_members_stay_until_they_have_registered_again fails before with 8 and with 60 processes, passes now; a member that stays away is dropped.

--- a/cassiahill/member_registry.py
+++ b/cassiahill/member_registry.py
@@ -21,6 +21,9 @@
 # Proxies that start together register at the same time, and each registration ends the
 # watches of all.
 WATCH_PAUSE_SECONDS = 2.0
+# Members whose entries a restored store lacks register again in this time. They learn
+# of the loss from a list, after a watch pause, or from the reader that they follow.
+RESTORED_REGISTRATION_SECONDS = 6.0
 
 
 class MemberRegistry:
@@ -58,6 +61,9 @@
         self._registering = False
         self._closed = False
         self._documents_by_name = {}
+        self._lost_documents_by_name = {}
+        self._lost_until = float("-inf")
+        self._era = 0
         self._fleet_registered_at = (
             loop.clock.now() + store_readers.REGISTRATION_WAIT_SECONDS
         )
@@ -122,10 +128,8 @@
             return
         if view.members_as_of <= self.revision:
             return
+        self._replace_documents(dict(view.members), view.members_as_of.era)
         self.watcher.record_objects_of_peer(view.members_as_of)
-        self._documents_by_name = {}
-        for name, value in view.members.items():
-            self._documents_by_name[name] = value
         if view.promoter is not None:
             self._election.apply_stored(
                 shared_store.StoredObject(
@@ -136,7 +140,7 @@
             )
         self._replace_members()
         if (
-            self._own_member.name not in self.members_by_name
+            MEMBER_PREFIX + self._own_member.name not in self._documents_by_name
             and view.members_as_of > self._own_entry_revision
         ):
             self._loop.spawn(self._register_own_member(None))
@@ -147,14 +151,15 @@
             self.watcher.request_list()
 
     def _apply_snapshot(self, snapshot):
-        self._documents_by_name = {}
+        documents_by_name = {}
         promoter_named = False
         for stored in snapshot.objects:
             if stored.name == promoter_election.PROMOTER_NAME:
                 self._election.apply_stored(stored)
                 promoter_named = True
             else:
-                self._documents_by_name[stored.name] = stored.value
+                documents_by_name[stored.name] = stored.value
+        self._replace_documents(documents_by_name, snapshot.revision.era)
         if not promoter_named:
             self._election.record_deletion(snapshot.revision)
         if self._loop.clock.now() >= self._fleet_registered_at:
@@ -179,14 +184,43 @@
                 self._election.apply_stored(change.stored)
         elif change.deleted:
             self._documents_by_name.pop(name, None)
+            self._lost_documents_by_name.pop(name, None)
         else:
             self._documents_by_name[name] = change.stored.value
 
+    def _replace_documents(self, documents_by_name, era):
+        """Replace the stored documents; keep those that a restore has lost for a while.
+
+        Parameters
+        ----------
+        documents_by_name : dict of str to object
+        era : int
+            Era of the store in which they were read.
+        """
+        if 0 < self._era < era:
+            known_by_name = self._lost_documents_by_name | self._documents_by_name
+            self._lost_documents_by_name = known_by_name
+            self._lost_until = self._loop.clock.now() + RESTORED_REGISTRATION_SECONDS
+            self._loop.call_at(self._lost_until, self._drop_lost_members)
+        self._era = max(self._era, era)
+        self._documents_by_name = documents_by_name
+
+    def _drop_lost_members(self):
+        """Drop the members that have not registered again after a restore."""
+        if self._closed or self._loop.clock.now() < self._lost_until:
+            return
+        names = self._lost_documents_by_name.keys() - self._documents_by_name.keys()
+        self._lost_documents_by_name = {}
+        if names:
+            event_log.event("members_not_registered_again", names=sorted(names))
+            self._replace_members()
+
     def _replace_members(self):
         """Decode the members anew and report the change."""
+        documents_by_name = self._lost_documents_by_name | self._documents_by_name
         members = (
             heartbeats.decode_member(name, value)
-            for name, value in self._documents_by_name.items()
+            for name, value in documents_by_name.items()
         )
         self.members_by_name = {
             member.name: member for member in members if member is not None
@@ -197,11 +231,13 @@
         self._on_changed()
 
     def _register_if_changed(self, snapshot):
-        if self.members_by_name.get(self._own_member.name) == self._own_member:
-            return
+        name = MEMBER_PREFIX + self._own_member.name
+        if name in self._documents_by_name:
+            document = self._documents_by_name[name]
+            if heartbeats.decode_member(name, document) == self._own_member:
+                return
         if snapshot.revision < self._own_entry_revision:
             return
-        name = MEMBER_PREFIX + self._own_member.name
         revisions = [
             stored.revision for stored in snapshot.objects if stored.name == name
         ]
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -134,6 +134,43 @@
             stored = self.fleet.store.get(PROXIES_KIND, MEMBER_PREFIX + name).result()
             self.assertIsNotNone(stored, name)
 
+    def copy_without_members(self):
+        """Return a copy of the store from before the processes registered."""
+        copied = self.fleet.store.copy()
+        for name in self.fleet.processes_by_name:
+            copied.delete(PROXIES_KIND, MEMBER_PREFIX + name)
+        return copied
+
+    def test_members_stay_until_they_have_registered_again(self):
+        """Guards against processes that each take themselves for the whole fleet."""
+        copied = self.copy_without_members()
+        self.write_versions(*range(4, 4 + self.count))
+        readers = self.fleet.reader_names()
+        self.fleet.restore(copied)
+        for _ in range(100):
+            self.fleet.loop.advance(0.1)
+            self.assertEqual(
+                {len(p.fleet.members_by_name) for p in self.processes()}, {self.count}
+            )
+            self.assertEqual(self.fleet.reader_names(), readers)
+
+    def test_member_that_does_not_register_again_is_dropped(self):
+        """Guards against members that nobody can remove."""
+        copied = self.copy_without_members()
+        self.write_versions(*range(4, 4 + self.count))
+        gone = min(self.fleet.processes_by_name)
+        self.fleet.processes_by_name.pop(gone).stop()
+        self.fleet.silent_names.add(gone)
+        self.fleet.restore(copied)
+        self.fleet.loop.advance(10.0)
+        for process in self.processes():
+            self.assertNotIn(gone, process.fleet.members_by_name)
+            self.assertEqual(len(process.fleet.members_by_name), self.count - 1)
+
+    def processes(self):
+        """Return the processes that run."""
+        return list(self.fleet.processes_by_name.values())
+
     def test_store_names_the_promoter_again(self):
         """Guards against a promoter of which the store knows nothing."""
         copied = self.fleet.store.copy()
