Ignore entries of backend servers older than what their run wrote since

What callers would see: a server that drains, or has left, is given new work for a moment after a restore, until its entries are written again.

Change: entries carry how many their run has written. An entry that is older than the known one, or than that of a server that drained and left, is ignored. A new run under the same id is taken as before.

Evidence: two tests in tests/test_catalog_feed.py fail when the comparison always says "not older", as before, and pass now.

--- a/cassiahill/catalog.py
+++ b/cassiahill/catalog.py
@@ -7,6 +7,7 @@
 # An entry is removed only after this time, because servers whose entries expired while
 # the shared store was unavailable register again about 2 s after its return.
 REMOVAL_DELAY_SECONDS = 2.5
+MAX_REMEMBERED_REMOVALS = 1000
 
 
 class Consistency(enum.Enum):
@@ -105,6 +106,8 @@
         Whether the server takes itself for the primary.
     started_at_ms : int
         Start of the server's process in Unix milliseconds; 0 if unknown.
+    write_count : int
+        Number of entries that the process had written by then.
     """
 
     server_id: str
@@ -115,6 +118,12 @@
     draining: bool
     registered_as_primary: bool
     started_at_ms: int
+    write_count: int = attrs.field(default=0, eq=False)
+
+    def is_older_than(self, other):
+        """Return whether the same run of the server has written another entry since."""
+        is_same_run = 0 < self.started_at_ms == other.started_at_ms
+        return is_same_run and self.write_count < other.write_count
 
 
 @attrs.frozen
@@ -150,6 +159,7 @@
         self.servers_by_id = {}
         self.draining_since_by_id = {}
         self._unregistered_since_by_id = {}
+        self._left_by_id = {}
 
     def install(self, configuration):
         """Replace the configuration if the given one is newer; return whether it is."""
@@ -184,10 +194,14 @@
         Returns
         -------
         ServerAdded or None
-            None when the entry has not changed.
+            None when the entry has not changed, or is older than the known one: a
+            restored store may hold entries of servers that have left since.
         """
         previous = self.servers_by_id.get(server.server_id)
         self._unregistered_since_by_id.pop(server.server_id, None)
+        newest = previous or self._left_by_id.get(server.server_id)
+        if newest is not None and server.is_older_than(newest):
+            return None
         if previous == server:
             return None
         self.servers_by_id[server.server_id] = server
@@ -220,5 +234,13 @@
             del self._unregistered_since_by_id[server_id]
             del self.servers_by_id[server_id]
             self.draining_since_by_id.pop(server_id, None)
+            if server.draining:
+                self._record_left(server)
             removed.append(ServerRemoved(server))
         return removed
+
+    def _record_left(self, server):
+        """Remember the last entry of a server that has left, and forget the oldest."""
+        self._left_by_id[server.server_id] = server
+        if len(self._left_by_id) > MAX_REMEMBERED_REMOVALS:
+            self._left_by_id.pop(next(iter(self._left_by_id)))
--- a/tests/test_catalog_feed.py
+++ b/tests/test_catalog_feed.py
@@ -110,6 +110,36 @@
         self.loop.advance(1.0)
         self.assertNotIn("a", self.catalog.servers_by_id)
 
+    def test_draining_server_is_not_ready_again_in_an_older_copy(self):
+        """Guards against new work for a leaving server after the store was restored."""
+        self.store.write("servers", "a", {"write_count": 4})
+        copied = self.store.copy()
+        self.store.write("servers", "a", {"draining": True, "write_count": 5})
+        self.loop.advance(1.0)
+        self.store.restore(copied)
+        self.loop.advance(1.0)
+        self.assertTrue(self.catalog.servers_by_id["a"].draining)
+
+    def test_server_that_has_left_is_not_used_again_in_an_older_copy(self):
+        """Guards against a server that returns with the store's older copy."""
+        self.store.write("servers", "a", {"write_count": 4})
+        copied = self.store.copy()
+        self.store.write("servers", "a", {"draining": True, "write_count": 5})
+        self.store.delete("servers", "a")
+        self.loop.advance(1.0)
+        self.store.restore(copied)
+        self.loop.advance(1.0)
+        self.assertEqual(self.catalog.servers_by_id, {})
+
+    def test_server_that_has_left_may_start_again_under_its_id(self):
+        """Guards against a server that is ignored because a former run has left."""
+        self.store.write("servers", "a", {"draining": True, "write_count": 5})
+        self.store.delete("servers", "a")
+        self.loop.advance(1.0)
+        self.store.write("servers", "a", {"started_at_ms": 2, "write_count": 1})
+        self.loop.advance(1.0)
+        self.assertFalse(self.catalog.servers_by_id["a"].draining)
+
     def test_watch_goes_on_after_an_unexpected_error(self):
         """Guards against a process that one object leaves without news for good."""
         errors_left = [ZeroDivisionError()]
