--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -24,6 +24,10 @@
         """Write an object as another client of the store."""
         raise NotImplementedError
 
+    def prepare_restore(self):
+        """Copy the content; return a function with which the store returns to it."""
+        raise NotImplementedError
+
     def test_watch_continues_after_a_list(self):
         """Guards against missing a change between a list and a watch."""
         self.write("kind", "a", {"n": 1})
@@ -65,6 +69,37 @@
         self.assertEqual(self.result(self.store.get("kind", "a")).value, {"n": 3})
         self.assertIsNone(self.result(self.store.get("kind", "none")))
 
+    def test_watch_of_an_earlier_era_is_an_error(self):
+        """Guards against a watch that skips what was written again below it."""
+        revision = self.result(self.store.list("kind")).revision
+        self.write("kind", "lost", {})
+        restore = self.prepare_restore()
+        later_revision = self.result(self.store.list("kind")).revision
+        restore()
+        for _ in range(5):
+            self.write("kind", "a", {})
+        for known in (revision, later_revision):
+            with self.assertRaises(errors.HistoryLost):
+                self.result(self.store.watch("kind", known))
+
+    def test_list_of_a_later_era_is_newer(self):
+        """Guards against a list that is dropped because its number is lower."""
+        restore = self.prepare_restore()
+        for _ in range(5):
+            self.write("kind", "a", {})
+        revision = self.result(self.store.list("kind")).revision
+        restore()
+        self.assertGreater(self.result(self.store.list("kind")).revision, revision)
+
+    def test_conditional_write_of_an_earlier_era_is_a_conflict(self):
+        """Guards against replacing another object that has the same number."""
+        restore = self.prepare_restore()
+        stored = self.result(self.store.create("kind", "a", {"n": 1}))
+        restore()
+        self.result(self.store.create("kind", "a", {"n": 2}))
+        with self.assertRaises(errors.Conflict):
+            self.result(self.store.replace("kind", "a", {"n": 3}, stored.revision))
+
     def test_unavailable_store_is_an_error(self):
         """Guards against treating an outage as an empty store."""
         self.make_unavailable()
@@ -82,6 +117,10 @@
     def result(self, future):
         return future.result()
 
+    def prepare_restore(self):
+        copied = self.store.copy()
+        return lambda: self.store.restore(copied)
+
     def make_unavailable(self):
         self.store.available = False
 
@@ -101,9 +140,25 @@
             self.loop._run_once()
         return future.result()
 
+    def prepare_restore(self):
+        content = self.server.copy_content()
+        return lambda: self.server.restore(content)
+
     def make_unavailable(self):
         self.server.mode = "busy"
 
+    def test_waiting_watch_ends_when_another_call_shows_a_new_era(self):
+        """Guards against a silent connection that hides what follows a restore."""
+        revision = self.result(self.store.list("kind")).revision
+        watch = self.store.watch("kind", revision)
+        self.result(self.store.list("kind"))
+        self.assertFalse(watch.done())
+        self.server.restore(self.server.copy_content())
+        self.result(self.store.list("kind"))
+        self.loop.call_at(self.loop.clock.now(), lambda: None)
+        self.loop._run_once()
+        self.assertIsInstance(watch.exception(), errors.HistoryLost)
+
     def test_unreadable_object_does_not_hide_others(self):
         """Guards against one unreadable entry that makes all servers unavailable."""
         self.write("kind", "a", {"n": 1})
