--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -99,6 +99,16 @@
         self.write_versions(6, 7)
         self.assertLess(self.seconds_until_version(7), CONFIGURATION_BOUND_SECONDS)
 
+    def test_process_that_starts_after_a_restore_learns_the_newest_version(self):
+        """Guards against starting with the older configuration of the copy."""
+        copied = self.fleet.store.copy()
+        self.write_versions(4, 5, 6)
+        self.fleet.restore(copied)
+        for name, process in list(self.fleet.processes_by_name.items())[:3]:
+            domain = process.fleet._own_member.failure_domain
+            self.fleet.start(name, domain, process.connected)
+        self.assertLess(self.seconds_until_version(6), CONFIGURATION_BOUND_SECONDS)
+
     def test_server_after_a_restore_reaches_all(self):
         """Guards against peers that hold back the list of the new history."""
         copied = self.fleet.store.copy()
