Search restores in series beside silent and restarted processes

Twelve seeded courses of 40 s with a fleet of 8; at the end all have the newest version, all members and the one promoter that the store names, calls are few, and no token was ever given out by two.

--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -1,5 +1,6 @@
 """Tests of processes whose shared store comes back from an older copy."""
 
+import random
 import unittest
 
 from cassiahill.member_registry import MEMBER_PREFIX, PROXIES_KIND
@@ -241,5 +242,86 @@
     count = 60
 
 
+class RestoreSearchTest(unittest.TestCase):
+    """Restores in series, beside silent and restarted processes, by seed."""
+
+    SEEDS = range(12)
+    STEPS = 80
+    STEP_SECONDS = 0.5
+    SETTLING_SECONDS = 10.0
+
+    def test_fleet_recovers_from_restores_in_series(self):
+        """Guards against what only several restores, silence and restarts show."""
+        for seed in self.SEEDS:
+            with self.subTest(seed=seed):
+                self.play(random.Random(seed))
+
+    def play(self, rng):
+        """Play a course of events, then check that the fleet has recovered."""
+        self.fleet = MemoryFleet(8, seed=rng.random())
+        self.fleet.loop.advance(10.0)
+        self.holders_by_token = {}
+        self.version = 3
+        copies = []
+        for _ in range(self.STEPS):
+            copies = [*copies[-20:], self.fleet.store.copy()]
+            self.disturb(rng, copies)
+            self.fleet.loop.advance(self.STEP_SECONDS)
+            self.check_tokens()
+        self.fleet.silent_names.clear()
+        self.write_version(self.version + 1)
+        self.fleet.loop.advance(self.SETTLING_SECONDS)
+        self.check_recovery()
+
+    def disturb(self, rng, copies):
+        """Let one thing happen, or nothing."""
+        name = rng.choice(sorted(self.fleet.processes_by_name))
+        match rng.choice(("restore", "write", "silence", "speak", "restart", "rest")):
+            case "restore":
+                self.fleet.restore(rng.choice(copies), rng.uniform(0.1, 2.5))
+                self.write_version(self.version)
+            case "write":
+                self.write_version(self.version + rng.randint(1, 3))
+            case "silence" if len(self.fleet.silent_names) < 3:
+                self.fleet.silent_names.add(name)
+            case "speak":
+                self.fleet.silent_names.clear()
+            case "restart":
+                member = self.fleet.processes_by_name[name].fleet._own_member
+                self.fleet.start(name, member.failure_domain)
+
+    def write_version(self, version):
+        """Write a configuration as the operator does, who repeats a lost one."""
+        self.version = version
+        self.fleet.write("config", "main", {"version": version})
+
+    def check_tokens(self):
+        """Check that no two terms of the promoter share a token."""
+        for name, process in self.fleet.processes_by_name.items():
+            election = process.fleet.election
+            token = election.next_token()
+            if token is not None:
+                holder = (name, election._incarnation)
+                known_holder = self.holders_by_token.setdefault(token, holder)
+                self.assertEqual(holder, known_holder)
+
+    def check_recovery(self):
+        """Check versions, members, promoter and the calls of a fleet at rest."""
+        processes = self.fleet.processes_by_name
+        for process in processes.values():
+            self.assertEqual(process.feed.versions[0], self.version)
+            self.assertEqual(set(process.fleet.members_by_name), set(processes))
+        stored = self.fleet.store.get(PROXIES_KIND, PROMOTER_NAME).result()
+        promoters = [
+            name
+            for name, process in processes.items()
+            if process.fleet.election.is_promoter
+        ]
+        self.assertEqual(promoters, [stored.value["holder"]])
+        self.fleet.calls_by_name.clear()
+        self.fleet.loop.advance(10.0)
+        self.assertLess(self.fleet.call_count().total(), 6 * len(processes))
+
+
 if __name__ == "__main__":
     unittest.main()
