--- a/cassiahill/gateway.py
+++ b/cassiahill/gateway.py
@@ -412,10 +412,6 @@
         owned_server = self._owned_servers_by_name.get(server)
         return owned_server is not None and owned_server.state == "owned"
 
-    def server_owner(self, server):
-        """Return the proxy that owns a backend server, as known here, or None."""
-        return self._owners_by_server[server]
-
     def dump(self):
         """Return the owners, unreachable proxies and owned servers, as plain values."""
         return {
--- a/cassiahill/loop.py
+++ b/cassiahill/loop.py
@@ -439,11 +439,3 @@
     future = LoopFuture()
     future.set_exception(error)
     return future
-
-
-def error_code(future):
-    """Return the error code of a done future, or an empty string if it has a result."""
-    error = future.exception()
-    if error is None:
-        return ""
-    return error.code if isinstance(error, errors.CassiahillError) else "internal"
--- a/cassiahill/poller.py
+++ b/cassiahill/poller.py
@@ -28,8 +28,6 @@
     ----------
     view : freshness.GroupView
         Terms, log positions and ages of the group's servers.
-    status_callbacks : list of callable
-        Each is called with every ``freshness.ServerStatus`` that is recorded.
     """
 
     def __init__(self, loop, settings, backends_by_server):
@@ -46,7 +44,6 @@
         self._pending_answers = set()
         self._last_seen_term = 0
         self._closed = False
-        self.status_callbacks = []
         for server in settings.servers_by_name:
             loop.spawn(self._poll_server(backends_by_server[server]))
 
@@ -148,8 +145,6 @@
         self.view.record_status(status)
         self._fail_answers_of_replaced_terms()
         self._apply_decisions(self._ack_tracker.record_status(status))
-        for callback in self.status_callbacks:
-            callback(status)
         change_futures, self._change_futures = self._change_futures, []
         for future in change_futures:
             if not future.done():
--- a/cassiahill/report.py
+++ b/cassiahill/report.py
@@ -196,7 +196,7 @@
     """Yield the lines of the body, with ``layout.NEW_PAGE`` for page breaks."""
     rows = [row for row in report.rows if page_layout.zero_rows or not _is_idle(row)]
     rows.sort(key=make_sort_key(page_layout.order))
-    yield from _section_lines(rows, page_layout, page_layout.breaks, first=True)
+    yield from _section_lines(rows, page_layout, page_layout.breaks)
     if page_layout.total:
         # Includes the rows without requests that are not printed; they add nothing.
         total = sum_rows(report.rows)
@@ -207,7 +207,7 @@
         yield from report.notes
 
 
-def _section_lines(rows, page_layout, breaks, first):
+def _section_lines(rows, page_layout, breaks):
     """Yield the lines of rows, grouped and subtotalled by the fields of ``breaks``.
 
     Parameters
@@ -215,8 +215,6 @@
     rows : list of Row
     page_layout : layout.Layout
     breaks : sequence of layout.ControlBreak
-    first : bool
-        Whether the first group follows no other one, so that nothing separates them.
     """
     if not breaks:
         yield from map(page_layout.row_line, rows)
@@ -225,11 +223,10 @@
     rows_by_value = {}
     for row in rows:
         rows_by_value.setdefault(row.value(outer_break.field), []).append(row)
-    for value, value_rows in rows_by_value.items():
-        if not first:
+    for index, (value, value_rows) in enumerate(rows_by_value.items()):
+        if index > 0:
             yield layout.NEW_PAGE if outer_break.new_page else ""
-        first = False
-        yield from _section_lines(value_rows, page_layout, inner_breaks, first=True)
+        yield from _section_lines(value_rows, page_layout, inner_breaks)
         if outer_break.subtotal:
             label = outer_break.subtotal.replace("{value}", str(value))
             yield page_layout.row_line(sum_rows(value_rows), label=label)
--- a/tests/stepped_loop.py
+++ b/tests/stepped_loop.py
@@ -12,10 +12,6 @@
     def __init__(self):
         super().__init__(clock.ManualClock())
 
-    def run_ready(self):
-        """Run the callbacks that are ready, without advancing the clock."""
-        self.advance(0.0)
-
     def advance(self, seconds):
         """Advance the clock; run the callbacks and timers that fall due, in order."""
         end_at = self.clock.now() + seconds
