--- a/standins/database.py
+++ b/standins/database.py
@@ -17,11 +17,8 @@
 import msgspec
 
 from cassiahill import clock, errors, http1, loop
-from standins import sqllog
+from standins import replication, sqllog, waiting
 
-# A pull waits this long for new entries, so it is also the heartbeat interval.
-PULL_WAIT_SECONDS = 0.2
-PULL_TIMEOUT_SECONDS = 0.75
 MAX_ENTRIES_PER_PULL = 500
 
 
@@ -82,12 +79,11 @@
         self.owner = ""
         self.states_by_connection = {}
         self.write_lock = None
-        self._write_lock_waiters = collections.deque()
-        self._used_slots = 0
-        self._slot_waiters = collections.deque()
-        self._status_waiters = []
-        self._log_waiters = []
-        self._pull_generation = 0
+        self.status_changes = waiting.Notifications(self.loop)
+        self._write_lock_releases = waiting.Notifications(self.loop)
+        self._log_changes = waiting.Notifications(self.loop)
+        self._slots = waiting.Slots(self.loop, options.slots)
+        self.replication = replication.Replication(self)
         self.counts = collections.Counter()
         self.server = http1.Server(
             self.loop,
@@ -98,7 +94,7 @@
         if self.role == "primary":
             self._become_primary()
         elif options.follow:
-            self._start_following(options.follow)
+            self.replication.follow(options.follow)
 
     # HTTP requests
 
@@ -161,7 +157,7 @@
             known_log_end == (self.term, self.log.position)
             and self.clock.now() < wait_until
         ):
-            yield self._wait_for_notification(self._status_waiters, wait_until)
+            yield self.status_changes.wait(wait_until)
         silent_seconds = self.clock.now() - self.primary_heard_at
         return http1.json_response(
             {
@@ -185,23 +181,6 @@
             }
         )
 
-    def _wait_for_notification(self, waiters, deadline):
-        """Return a future that ends with the next notification or at the deadline."""
-        future = Future()
-        waiters.append(future)
-        self.loop.call_at(
-            deadline, lambda: None if future.done() else future.set_result(None)
-        )
-        return future
-
-    @staticmethod
-    def _notify(waiters):
-        futures = waiters[:]
-        waiters.clear()
-        for future in futures:
-            if not future.done():
-                future.set_result(None)
-
     # Connections
 
     def _connection_count(self):
@@ -257,7 +236,7 @@
     def _post_execute(self, connection_state, body):
         self._check_connection(connection_state, body.get("term"))
         deadline = self.clock.now() + body.get("timeout_ms", 5000) / 1000
-        yield from self._acquire_slot(deadline)
+        yield from self._slots.acquire(deadline)
         try:
             if self.faults.service_ms:
                 service_seconds = (
@@ -282,7 +261,7 @@
                 raise
             return self._write(connection_state, statements)
         finally:
-            self._release_slot()
+            self._slots.release()
 
     def _write(self, connection_state, statements):
         results = []
@@ -347,26 +326,10 @@
 
     def _notify_log_changed(self):
         """Wake the requests that wait for a change of the status or the log."""
-        self._notify(self._status_waiters)
-        self._notify(self._log_waiters)
-
-    # Slots and the write lock
+        self.status_changes.notify_all()
+        self._log_changes.notify_all()
 
-    def _acquire_slot(self, deadline):
-        while self._used_slots >= self.options.slots:
-            if self.clock.now() >= deadline:
-                raise errors.DeadlinePassed("no slot was free in time")
-            future = self._wait_for_notification(self._slot_waiters, deadline)
-            yield future
-        self._used_slots += 1
-
-    def _release_slot(self):
-        self._used_slots -= 1
-        while self._slot_waiters:
-            future = self._slot_waiters.popleft()
-            if not future.done():
-                future.set_result(None)
-                return
+    # The write lock
 
     def _acquire_write_lock(self, connection_state, deadline):
         if self.role != "primary":
@@ -374,7 +337,7 @@
         while self.write_lock not in (None, connection_state):
             if self.clock.now() >= deadline:
                 raise errors.DeadlinePassed("the write lock was not free in time")
-            yield self._wait_for_notification(self._write_lock_waiters, deadline)
+            yield self._write_lock_releases.wait(deadline)
         if self.write_lock is None:
             self.write_lock = connection_state
             connection_state.writing = True
@@ -385,11 +348,7 @@
         connection_state.writing = False
         if self.write_lock is connection_state:
             self.write_lock = None
-            while self._write_lock_waiters:
-                future = self._write_lock_waiters.popleft()
-                if not future.done():
-                    future.set_result(None)
-                    return
+            self._write_lock_releases.notify_one()
 
     # Terms
 
@@ -417,7 +376,7 @@
             self.raised_by = raised_by
             self.primary = ""  # None in the new term before /promote or /follow.
             self._step_down()
-            self._pull_generation += 1
+            self.replication.stop()
             self._notify_log_changed()
         return {
             "term": self.term,
@@ -446,8 +405,8 @@
             # A former primary has not heard from the new one yet, so the time since
             # the last contact starts now.
             self.primary_heard_at = self.clock.now()
-            self._start_following(body["address"])
-            self._notify(self._status_waiters)
+            self.replication.follow(body["address"])
+            self.status_changes.notify_all()
         return {"term": self.term}
 
     # Replication
@@ -465,7 +424,7 @@
                 {"term": self.term, "truncate": True, "starts": self.log.term_starts()}
             )
         while after_position == self.log.position and self.clock.now() < wait_until:
-            yield self._wait_for_notification(self._log_waiters, wait_until)
+            yield self._log_changes.wait(wait_until)
         if self.role != "primary":
             raise errors.StaleTerm("the primary was replaced")
         entries = self.log.entries[
@@ -475,102 +434,6 @@
             {"term": self.term, "end": self.log.position, "entries": entries}
         )
 
-    def _start_following(self, address):
-        self._pull_generation += 1
-        host, _, port = address.rpartition(":")
-        self.loop.spawn(self._pull_entries(self._pull_generation, (host, int(port))))
-
-    def _pull_entries(self, generation, address):
-        """Pull log entries from a primary until this server follows another one."""
-        connection = None
-        received_position = self.log.position
-        delayed_entries = collections.deque()
-        while generation == self._pull_generation:
-            try:
-                if connection is None or connection.closed:
-                    connection = http1.ClientConnection(self.loop, address)
-                    received_position = self.log.position
-                    delayed_entries.clear()
-                received_term = (
-                    delayed_entries[-1][1].term
-                    if delayed_entries
-                    else self.log.term_at(received_position)
-                )
-                path = (
-                    f"/log?after={received_position}&after_term={received_term}"
-                    f"&term={self.term}&wait_ms={int(PULL_WAIT_SECONDS * 1000)}"
-                )
-                response = yield self.loop.with_deadline(
-                    connection.request(
-                        "GET", path, headers=((b"Domain", self._domain_header_value()),)
-                    ),
-                    self.clock.now() + PULL_TIMEOUT_SECONDS,
-                    errors.ConnectionLost("the primary did not answer in time"),
-                )
-                answer = http1.decode_response(response)
-            except errors.CassiahillError:
-                if connection is not None:
-                    connection.close()
-                connection = None
-                yield self.loop.sleep_until(self.clock.now() + 0.1)
-                continue
-            if generation != self._pull_generation:
-                break
-            self.primary_heard_at = self.clock.now()
-            if answer.get("truncate"):
-                self._truncate_to_history(answer["starts"])
-                received_position = self.log.position
-                delayed_entries.clear()
-                continue
-            apply_at = self.clock.now() + self.faults.lag_ms / 1000
-            for entry_body in answer["entries"]:
-                entry = sqllog.LogEntry(entry_body["term"], entry_body["statements"])
-                delayed_entries.append((apply_at, entry))
-                received_position += 1
-            self._apply_due_entries(generation, delayed_entries)
-            if received_position == answer["end"] and not delayed_entries:
-                self.recovering = False
-        if connection is not None:
-            connection.close()
-
-    def _domain_header_value(self):
-        """Return the value of the ``Domain`` header for requests to the primary."""
-        return self.options.domain.encode()
-
-    def _apply_due_entries(self, generation, delayed_entries):
-        """Append the entries whose ``lag_ms`` has passed; schedule the others."""
-        changed = False
-        while delayed_entries and delayed_entries[0][0] <= self.clock.now():
-            if generation != self._pull_generation:
-                return
-            self.log.append(delayed_entries.popleft()[1])
-            changed = True
-        if changed:
-            self._notify(self._status_waiters)
-        if delayed_entries:
-            self.loop.call_at(
-                delayed_entries[0][0],
-                lambda: self._apply_due_entries(generation, delayed_entries),
-            )
-
-    def _truncate_to_history(self, primary_term_starts):
-        """Drop the log suffix that the primary's history does not have."""
-        ends_by_term = {}
-        for (term, _), (_, next_start) in zip(
-            primary_term_starts, primary_term_starts[1:], strict=False
-        ):
-            ends_by_term[term] = next_start - 1
-        own_last_term = self.log.last_term
-        end_position = ends_by_term.get(own_last_term)
-        if own_last_term not in dict(primary_term_starts):
-            # The primary's history has no entry of that term, so drop the whole term.
-            end_position = dict(self.log.term_starts()).get(own_last_term, 1) - 1
-        elif end_position is None:
-            end_position = self.log.position - 1
-        kept_position = min(end_position, self.log.position - 1)
-        self.counts["entries_dropped"] += self.log.position - kept_position
-        self.log.truncate(max(0, kept_position))
-
 
 def build_parser():
     """Return the parser of the command line."""
--- a/tests/test_standins_database.py
+++ b/tests/test_standins_database.py
@@ -42,7 +42,7 @@
         replica = self.make_database()
         for term in (1, 1, 3, 3):
             replica.log.append(sqllog.LogEntry(term, []))
-        replica._truncate_to_history([[1, 1], [2, 3], [4, 9]])
+        replica.replication.truncate_to_history([[1, 1], [2, 3], [4, 9]])
         self.assertEqual((replica.log.position, replica.log.last_term), (2, 1))
 
 
