--- a/review/harness.py
+++ b/review/harness.py
@@ -16,7 +16,6 @@
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import time
 import tomllib
@@ -35,6 +34,7 @@
 EXIT_BROKEN = 1
 EXIT_NOT_RUN = 2
 MAX_RUN_SECONDS = 110
+MAX_PRINTED_LINES = 6
 
 
 class NotRun(Exception):
@@ -898,31 +898,33 @@
     directory = tempfile.mkdtemp(prefix="review-")
     deployment = Deployment(record, directory, proxy_count)
 
-    def finish(result):
-        """End all processes and exit; the stand-ins need no orderly end."""
+    def finish(result, *lines):
+        """End all processes, write what was found, and exit."""
         deployment.end()
+        for line in lines:
+            record.write(line)
         record.close()
         if os.environ.get("KEEP"):
-            print(f"logs in {directory}")
+            lines = (*lines, f"logs in {directory}")
         else:
             shutil.rmtree(directory, ignore_errors=True)
-        sys.stdout.flush()
+        with contextlib.suppress(OSError):  # Nobody may read the output any more.
+            print(*lines[-MAX_PRINTED_LINES:], sep="\n", flush=True)
+        # The stand-ins need no orderly end.
         os._exit(result)
 
     async def run():
         try:
             violations = await case(deployment, trouble)
         except Exception as error:  # noqa: BLE001 whatever it is, nothing was shown
-            record.write(f"not run: {error!r}")
-            print(f"not run: {error!r}")
-            finish(EXIT_NOT_RUN)
-        for violation in violations:
-            record.write(f"BROKEN: {violation}")
-        record.write(f"{len(violations)} violations")
-        print(f"{len(violations)} violations", *violations[:5], sep="\n  ")
-        finish(EXIT_BROKEN if violations else EXIT_HELD)
+            finish(EXIT_NOT_RUN, f"not run: {error!r}")
+        finish(
+            EXIT_BROKEN if violations else EXIT_HELD,
+            *(f"BROKEN: {violation}" for violation in violations),
+            f"{len(violations)} violations",
+        )
 
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
-        signal.signal(number, lambda *_: finish(EXIT_NOT_RUN))
+        signal.signal(number, lambda *_: finish(EXIT_NOT_RUN, "not run: stopped"))
     signal.alarm(MAX_RUN_SECONDS)
     asyncio.run(run())
