--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,6 +10,7 @@
 
 import harness  # noqa: E402
 
+RECORD_PATH = pathlib.Path(__file__).with_name("record.txt")
 PROXY_COUNT = 2
 CLIENT_COUNT = 12
 # Pause of a client between an answer and its next statement.
@@ -118,4 +119,4 @@
 
 
 if __name__ == "__main__":
-    harness.run_case(__file__, case, PROXY_COUNT)
+    harness.run_case(RECORD_PATH, case, PROXY_COUNT)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -9,6 +9,7 @@
 
 import harness  # noqa: E402
 
+RECORD_PATH = pathlib.Path(__file__).with_name("record.txt")
 PROXY_COUNT = 3
 CLIENT_COUNT = 9
 PAUSE_SECONDS = 0.1
@@ -69,4 +70,4 @@
 
 
 if __name__ == "__main__":
-    harness.run_case(__file__, case, PROXY_COUNT)
+    harness.run_case(RECORD_PATH, case, PROXY_COUNT)
--- a/review/harness.py
+++ b/review/harness.py
@@ -881,20 +881,20 @@
             proxy.end()
 
 
-def run_case(case_file, case, proxy_count):
+def run_case(record_path, case, proxy_count):
     """Run a case and exit with its result.
 
     Parameters
     ----------
-    case_file : str
-        Path of the case; ``record.txt`` is written beside it.
+    record_path : pathlib.Path
+        File that gets what was sent, answered and run.
     case : coroutine function
         Takes the ``Deployment`` and whether the disruption takes place; returns the
         list of violations.
     proxy_count : int
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(pathlib.Path(case_file).with_name("record.txt"))
+    record = Record(record_path)
     directory = tempfile.mkdtemp(prefix="review-")
     deployment = Deployment(record, directory, proxy_count)
 
