Keep commits of which a promoted primary may have the only copy

Cause: give_up_commits took what no other server has for unacknowledged. That holds only for commits since the present servers exist. What the primary had when it was promoted was acknowledged before, and its other holder was lost. The same holds after a replica has restarted without its log, after a server of any role has left, and for a process that started later and does not know what left before.

Now each process notes the position of the primary's first answer after such an event (sole_copies). It covers all commits acknowledged before, so a successor must have it. While the primary answers, it keeps its role until then; while it does not, it is awaited for 10 s since its last answer or the last loss. Commits after that answer are in the log of a present replica, all of which are paused and asked. A new log line, takeover_lacks_commits, tells both positions.

--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -21,6 +21,7 @@
     server_pool,
     server_probes,
     slot_shares,
+    sole_copies,
     takeover,
 )
 from cassiahill.loop import LoopFuture
@@ -83,6 +84,7 @@
     outstanding_writes : outstanding_writes.OutstandingWrites
     read_durations : read_durations.ReadDurations
     removed_replicas : removed_replicas.RemovedReplicas
+    sole_copies : sole_copies.SoleCopies
     slot_share : slot_shares.SlotShare
     """
 
@@ -121,6 +123,7 @@
         self.pools_by_id = {}
         self.progress_by_id = {}
         self.removed_replicas = removed_replicas.RemovedReplicas()
+        self.sole_copies = sole_copies.SoleCopies()
         self.primary_unreachable_since = None
         self.read_durations = read_durations.ReadDurations()
         self.outstanding_writes = outstanding_writes.OutstandingWrites(loop.clock)
@@ -149,6 +152,7 @@
         if pool is not None and restarted:
             pool.close()
             pool = None
+            self.sole_copies.record_lost_log(now)
         if pool is None:
             self.pools_by_id[server.server_id] = server_pool.ServerPool(
                 self._loop,
@@ -173,6 +177,7 @@
         now = self._loop.clock.now()
         if pool is not None:
             pool.close()
+            self.sole_copies.record_lost_log(now)
             if not pool.server.registered_as_primary:
                 self.removed_replicas.record_removal(server_id, now)
         if self.primary.record_removal(server_id, now):
@@ -334,7 +339,9 @@
             self.primary_positions.add_sample(
                 position_samples.PositionSample(asked_at, server_id, reply.position)
             )
-            self.removed_replicas.record_primary_position(asked_at, reply.position)
+            self.sole_copies.record_primary_position(
+                server_id, asked_at, reply.position
+            )
 
     def record_unanswered_probe(self, server_id, asked_at):
         """Record that a server did not answer a probe sent at ``asked_at``."""
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -200,17 +200,16 @@
 
 
 def replica_with_longest_log(statuses):
-    """Return the id of the replica with the longest log.
+    """Return the ``ReplicaStatus`` of the replica with the longest log.
 
     Among equals, one that is not draining is preferred. A draining replica can win,
     because no other server has its last entries; a planned switchover then replaces it
     as primary.
     """
-    longest_status = max(
+    return max(
         statuses,
         key=lambda status: (status.received, not status.draining, status.server_id),
     )
-    return longest_status.server_id
 
 
 class Takeover:
@@ -327,8 +326,15 @@
             if successor is None:
                 self._log_decision("takeover_unsafe", reason, primary, statuses)
                 return False
-            self._log_decision("takeover", reason, primary, statuses, successor, token)
-            return (yield from self._order_promotion(successor, token))
+            self._log_decision(
+                "takeover", reason, primary, statuses, successor.server_id, token
+            )
+            promoted = yield from self._order_promotion(successor.server_id, token)
+            if promoted and successor.received is not None:
+                self._group.sole_copies.record_promotion(
+                    successor.server_id, successor.received
+                )
+            return promoted
         finally:
             self._loop.spawn(self._resume_receiving(replicas))
 
@@ -346,9 +352,9 @@
 
         Returns
         -------
-        str or None
-            Id of the server to promote, which may be another one than ``successor``;
-            None when no promotion is safe.
+        ReplicaStatus or None
+            Last status of the server to promote, which may be another one than
+            ``successor``; None when no promotion is safe.
         """
         paused_at = self._loop.clock.now()
         statuses = yield from self._ask_statuses(
@@ -366,18 +372,18 @@
         positions = [
             *(status.received for status in paused_statuses),
             old_primary.received,
-            self._group.removed_replicas.required_position,
+            self._group.sole_copies.required_position,
         ]
         required_position = max(
             (position for position in positions if position is not None), default=None
         )
         if required_position is None:
-            return successor
+            return ReplicaStatus(successor, False, None)
         deadline = self._loop.clock.now() + catch_up_seconds
         while self._loop.clock.now() < deadline:
             status = yield from self._ask_status(successor, statements.ReadStatus())
             if status.received is not None and status.received >= required_position:
-                return successor
+                return status
             yield self._loop.sleep_until(self._loop.clock.now() + POLL_INTERVAL_SECONDS)
         last_status = yield from self._ask_status(
             successor, statements.PauseReceiving(term)
@@ -385,12 +391,14 @@
         if last_status.received is None:
             return None
         best_successor = replica_with_longest_log([*paused_statuses, last_status])
-        best_position = max(
-            status.received for status in [*paused_statuses, last_status]
-        )
-        if self._lacks_commits_of_removed_replicas(
-            best_position, old_primary.received is not None
-        ):
+        if self._may_lack_sole_copies(best_successor, old_primary.received is not None):
+            event_log.event(
+                "takeover_lacks_commits",
+                group=self._group.name,
+                primary=primary,
+                required=self._group.sole_copies.required_position,
+                received=best_successor.received,
+            )
             return None
         if old_primary.received is None:
             return best_successor
@@ -409,7 +417,8 @@
 
         Parameters
         ----------
-        primary, successor : str
+        primary : str
+        successor : ReplicaStatus
         known_ids : set of str
             Ids of the primary and of the paused replicas.
         term : int
@@ -417,8 +426,8 @@
 
         Returns
         -------
-        str or None
-            Id of the server to promote; None when no promotion is safe.
+        ReplicaStatus or None
+            Status of the server to promote; None when no promotion is safe.
         """
         outstanding_writes = self._group.outstanding_writes
         if outstanding_writes.acknowledged_at > paused_at:
@@ -432,27 +441,30 @@
             self._loop.clock.now() + ACKNOWLEDGEMENT_DELAY_SECONDS
         )
         if outstanding_writes.acknowledged_at > paused_at:
-            return primary
+            return step_down_status
         if not known_ids.issuperset(self._group.pools_by_id):
             # Other proxies may have got acknowledgements from a replica that has
             # registered since.
             return None
         return successor
 
-    def _lacks_commits_of_removed_replicas(self, position, primary_answers):
+    def _may_lack_sole_copies(self, successor, primary_answers):
         """Return whether only the primary may have some acknowledged commits.
 
-        They were acknowledged by a replica that has left the group. While the primary
-        answers, it keeps its role until the others have received them.
+        While the primary answers, it keeps its role until the others have received
+        them. Otherwise it may come back with them for some time.
         """
-        removed_replicas = self._group.removed_replicas
-        required_position = removed_replicas.required_position
-        if not self._group.synchronous or required_position is None:
-            return False
-        waited_seconds = self._loop.clock.now() - removed_replicas.removed_at
-        if not primary_answers and waited_seconds > REMOVED_REPLICA_WAIT_SECONDS:
+        sole_copies = self._group.sole_copies
+        if not self._group.synchronous or not sole_copies.may_be_beyond(
+            successor.received
+        ):
             return False
-        return position < required_position
+        if primary_answers:
+            return True
+        latest = self._group.primary_positions.latest_sample
+        answered_at = float("-inf") if latest is None else latest.asked_at
+        waited_since = max(answered_at, sole_copies.lost_at)
+        return self._loop.clock.now() - waited_since <= REMOVED_REPLICA_WAIT_SECONDS
 
     def _order_promotion(self, successor, token):
         """Order the promotion until the successor is the primary; return whether it is.
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -67,9 +67,11 @@
         The search found that another replica was preferred although it was behind.
         """
         statuses = [status("b", 5), status("c", 9, draining=True)]
-        self.assertEqual(takeover.replica_with_longest_log(statuses), "c")
+        longest = takeover.replica_with_longest_log(statuses)
+        self.assertEqual(longest.server_id, "c")
         equal = [status("b", 9), status("c", 9, draining=True)]
-        self.assertEqual(takeover.replica_with_longest_log(equal), "b")
+        longest = takeover.replica_with_longest_log(equal)
+        self.assertEqual(longest.server_id, "b")
 
     def test_no_successor_without_replicas(self):
         """Guards against an order to promote the present primary."""
@@ -220,6 +222,88 @@
         acknowledged = set(servers.acknowledged)
         self.assertLessEqual(acknowledged, set(servers.by_id["b"].log))
 
+    def lose_primary_with_a_replica_behind(self):
+        """Let ``b`` receive nothing, lose ``a`` and make ``c`` the primary."""
+        servers = self.fixture.servers
+        self.run_for(0.5)
+        servers.by_id["b"].not_receiving = True
+        for _ in range(3):
+            self.assertIsNone(self.fixture.write(self.fixture.session()).code)
+        servers.by_id["a"].unreachable = True
+        self.run_for(3.0)
+        self.assertEqual(self.fixture.group.primary.server_id, "c")
+
+    def assert_nothing_acknowledged_is_lost(self):
+        """Check that no promotion lost a commit that the last primary had."""
+        servers = self.fixture.servers
+        log = servers.by_id[servers.primary].log
+        self.assertLessEqual(set(servers.acknowledged), set(log))
+
+    def test_commits_that_only_a_promoted_primary_has_are_kept(self):
+        """Guards against the loss of what a lost primary's only other copy holds.
+
+        A promoted primary that got no acknowledgements from a replica that was behind
+        was replaced by it (review/1).
+        """
+        self.set_up_group()
+        self.lose_primary_with_a_replica_behind()
+        self.write_and_run(1.0)
+        self.fixture.group.remove_server("a")
+        self.write_and_run(6.0)
+        self.assertEqual([server_id for server_id, _ in self.orders.promotions], ["c"])
+        self.fixture.servers.catch_up("b")
+        self.write_and_run(2.0)
+        self.assert_nothing_acknowledged_is_lost()
+        self.assertIsNone(self.fixture.write(self.fixture.session()).code)
+
+    def test_promoted_primary_with_the_only_copy_is_awaited_when_it_crashes(self):
+        """Guards against the loss of its commits to a replica that is behind."""
+        self.set_up_group()
+        self.lose_primary_with_a_replica_behind()
+        self.fixture.group.remove_server("a")
+        self.run_for(0.5)
+        self.fixture.servers.by_id["c"].unreachable = True
+        self.run_for(6.0)
+        self.assertEqual([server_id for server_id, _ in self.orders.promotions], ["c"])
+        self.fixture.servers.by_id["c"].unreachable = False
+        self.fixture.servers.catch_up("b")
+        self.run_for(2.0)
+        self.assert_nothing_acknowledged_is_lost()
+
+    def test_promoted_primary_that_drains_keeps_its_role_while_others_lag(self):
+        """Guards against the loss of its commits by a planned replacement."""
+        self.set_up_group()
+        self.lose_primary_with_a_replica_behind()
+        self.fixture.group.remove_server("a")
+        servers = self.fixture.servers
+        draining = servers.registered("c", draining=True)
+        self.fixture.group.put_server(draining, servers.registered("c"))
+        self.run_for(4.0)
+        self.assertEqual(servers.primary, "c")
+        servers.catch_up("b")
+        self.run_for(2.0)
+        self.assertEqual(servers.primary, "b")
+        self.assert_nothing_acknowledged_is_lost()
+
+    def test_commits_of_a_replica_that_restarted_without_its_log_are_kept(self):
+        """Guards against a restarted replica that counts as one that has its log."""
+        self.set_up_group()
+        servers = self.fixture.servers
+        self.run_for(0.5)
+        servers.by_id["b"].not_receiving = True
+        for _ in range(3):
+            self.assertIsNone(self.fixture.write(self.fixture.session()).code)
+        servers.by_id["c"].not_receiving = True
+        servers.by_id["c"].log = servers.by_id["c"].log[:1]
+        servers.by_id["c"].applied = 1
+        restarted = servers.registered("c", started_at_ms=2)
+        self.fixture.group.put_server(restarted, servers.registered("c"))
+        self.write_and_run(6.0)
+        self.assertEqual(self.orders.promotions, [])
+        servers.catch_up("c")
+        self.write_and_run(2.0)
+        self.assert_nothing_acknowledged_is_lost()
+
     def test_wait_for_a_removed_replica_is_bounded(self):
         """Guards against a group that never gets a primary again."""
         self.set_up_group()
