Rely only on pauses of replicas that are still in force

Now an attempt ends only after its replicas have answered; a pause is ended only by a process that is still the promoter, and only its own pause (the term tells whose); connections whose status answer was lost are reset; and just before the order all replicas are asked whether they are still paused in this term and have nothing more. A former promoter repeats no orders. A promoter that was lost left its pauses for good, if the primary answered again: its successor ends them after 15 s, when no order of it can come late.

--- a/cassiahill/line_connections.py
+++ b/cassiahill/line_connections.py
@@ -103,6 +103,10 @@
         """Close the connection; the server rolls back an open transaction."""
         self._stream.close()
 
+    def abort(self):
+        """Close the connection so that a statement on its way is not delivered late."""
+        self._stream.abort()
+
     def _send(self, data):
         future = LoopFuture()
         if self.closed:
--- a/cassiahill/server_probes.py
+++ b/cassiahill/server_probes.py
@@ -124,7 +124,7 @@
         )
     except errors.CassiahillError as error:
         event_log.event("status_lost", server=pool.server.server_id, cause=error.detail)
-        connection.close()
+        connection.abort()
         pool.record_lost_answer(loop.clock.now())
         pool.record_statement_end(loop.clock.now())
         return None
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -343,6 +343,9 @@
                 reported_since = self.fleet.reports.primary_unreachable_since(name)
                 symptoms = group.primary_symptoms(now, reported_since)
                 self._takeovers_by_group[name].start_if_needed(symptoms)
+        elif not self.fleet.election.is_promoter:
+            for group_takeover in self._takeovers_by_group.values():
+                group_takeover.record_not_promoter()
         return now + SUPERVISION_INTERVAL_SECONDS
 
     def _check_reachability(self, now):
--- a/cassiahill/statements.py
+++ b/cassiahill/statements.py
@@ -218,9 +218,12 @@
         Last log entry that it has received, whether applied or not.
     connections : int
         Number of open connections of all callers.
+    paused_term : int
+        Term of the pause in which it receives no log entries; 0 outside a pause.
     """
 
     is_primary: bool
     term: int
     received: LogPosition | None
     connections: int
+    paused_term: int = 0
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -7,11 +7,12 @@
 """
 
 import enum
+import math
 
 import attrs
 
-from cassiahill import event_log, statements
-from cassiahill.statements import Code
+from cassiahill import event_log, replica_statuses, statements
+from cassiahill.replica_statuses import POLL_INTERVAL_SECONDS, ReplicaStatus
 
 # The next constants tell how long a symptom must last before the primary is replaced.
 PRIMARY_UNREACHABLE_SECONDS = 0.5  # The primary's status is then read once more.
@@ -27,7 +28,6 @@
 
 RETRY_PAUSE_SECONDS = 0.3  # Pause after an attempt that promoted no server.
 PAUSE_AFTER_PROMOTION_SECONDS = 1.5  # Lets the new primary start to serve.
-ANSWER_TIMEOUT_SECONDS = 0.4
 # Shorter than ANSWER_TIMEOUT_SECONDS, because this primary has not answered for some
 # time already.
 PRIMARY_RECHECK_TIMEOUT_SECONDS = 0.25
@@ -39,7 +39,8 @@
 # An order without an answer may still be carried out some 12 s later. Until the
 # successor is the primary, the order is repeated and the other replicas stay paused.
 MAX_PROMOTION_ORDERS = 9
-POLL_INTERVAL_SECONDS = 0.03
+# By then no order can be carried out any more that a former promoter gave.
+ABANDONED_PAUSE_SECONDS = 15.0
 ACKNOWLEDGEMENT_DELAY_SECONDS = 0.06  # Time for a sent acknowledgement to arrive.
 # Longer than a network partition around the primary and a replica is expected to last;
 # both answer again after it.
@@ -150,27 +151,6 @@
     return None
 
 
-@attrs.frozen
-class ReplicaStatus:
-    """Status that a server reported, or the lack of an answer.
-
-    Attributes
-    ----------
-    server_id : str
-    draining : bool
-        Whether the server is about to leave the group.
-    received : positions.LogPosition or None
-        Last log position that it has received; None when it did not answer.
-    term : int
-        Highest term that it has heard of.
-    """
-
-    server_id: str
-    draining: bool
-    received: object
-    term: int = 0
-
-
 def choose_successor(statuses, synchronous=True):
     """Return the id of the replica to promote, or None while that is not safe.
 
@@ -236,9 +216,15 @@
         self._next_token = next_token
         self._confirm_promoter = confirm_promoter
         self._resign = resign
+        self._statuses = replica_statuses.ReplicaStatuses(loop, group)
         self._blocked_attempts = 0
         self._in_progress = False
         self._next_attempt_at = 0.0
+        self._check_pauses_at = None
+
+    def record_not_promoter(self):
+        """Record that another process is the promoter, which may pause replicas."""
+        self._check_pauses_at = None
 
     def start_if_needed(self, symptoms):
         """Start to replace the primary if the symptoms require it.
@@ -252,11 +238,17 @@
         now = self._loop.clock.now()
         if self._in_progress or now < self._next_attempt_at:
             return
+        if self._check_pauses_at is None:
+            self._check_pauses_at = now + ABANDONED_PAUSE_SECONDS
         reason = promotion_reason(symptoms, now)
-        if reason is None:
+        if reason is not None:
+            task = self._replace_primary(symptoms.primary, reason)
+        elif now >= self._check_pauses_at and self._group.active:
+            task = self._end_abandoned_pauses()
+        else:
             return
         self._in_progress = True
-        future = self._loop.spawn(self._replace_primary(symptoms.primary, reason))
+        future = self._loop.spawn(task)
         self._loop.when_done(future, self._on_finished)
 
     def _on_finished(self, future):
@@ -286,11 +278,11 @@
             REMOVED_REPLICA_WAIT_SECONDS
         )
         old_primary_status = self._loop.spawn(
-            self._ask_status(
+            self._statuses.ask(
                 primary, statements.ReadStatus(), PRIMARY_RECHECK_TIMEOUT_SECONDS
             )
         )
-        statuses = yield from self._ask_statuses(replicas, statements.ReadStatus())
+        statuses = yield from self._statuses.ask_all(replicas, statements.ReadStatus())
         if (
             reason == PRIMARY_UNREACHABLE
             and (yield old_primary_status).received is not None
@@ -315,28 +307,92 @@
             )
             return False
         self._blocked_attempts = 0
-        other_replicas = [server_id for server_id in replicas if server_id != successor]
         term = 1 + max(
             status.term for status in statuses if status.received is not None
         )
-        try:
-            successor = yield from self._prepare_successor(
-                primary, successor, other_replicas, term
-            )
-            if successor is None:
-                self._log_decision("takeover_unsafe", reason, primary, statuses)
-                return False
-            self._log_decision(
-                "takeover", reason, primary, statuses, successor.server_id, token
-            )
-            promoted = yield from self._order_promotion(successor.server_id, token)
-            if promoted and successor.received is not None:
-                self._group.sole_copies.record_promotion(
-                    successor.server_id, successor.received
-                )
-            return promoted
-        finally:
-            self._loop.spawn(self._resume_receiving(replicas))
+        promoted = self._loop.spawn(
+            self._promote_safely(primary, successor, statuses, term, reason, token)
+        )
+        yield self._loop.first_done(promoted)
+        # Until the replicas have answered, a message that resumes one of them may still
+        # be on its way, so that the next attempt could not rely on its own pauses.
+        yield from self._end_own_pauses(replicas, term)
+        return promoted.result()
+
+    def _promote_safely(self, primary, successor, statuses, term, reason, token):
+        """Pause the other replicas and promote the successor; a task.
+
+        Parameters
+        ----------
+        primary : str or None
+        successor : str
+        statuses : list of ReplicaStatus
+            Those of all replicas.
+        term : int
+            Term for the pauses.
+        reason : str
+        token : int
+
+        Returns
+        -------
+        bool
+            Whether a server was promoted.
+        """
+        replicas = [status.server_id for status in statuses]
+        other_replicas = [server_id for server_id in replicas if server_id != successor]
+        prepared = yield from self._prepare_successor(
+            primary, successor, other_replicas, term
+        )
+        if prepared is None or not (
+            yield from self._are_paused(replicas, prepared, term)
+        ):
+            self._log_decision("takeover_unsafe", reason, primary, statuses)
+            return False
+        successor = prepared.server_id
+        self._log_decision("takeover", reason, primary, statuses, successor, token)
+        promoted = yield from self._order_promotion(successor, token)
+        if promoted and prepared.received is not None:
+            self._group.sole_copies.record_promotion(successor, prepared.received)
+        return promoted
+
+    def _end_own_pauses(self, replicas, term):
+        """Let the replicas receive again, unless another promoter is in charge."""
+        if not (yield self._confirm_promoter()):
+            event_log.event("pauses_left_to_promoter", group=self._group.name)
+            return
+        if not (
+            yield from self._statuses.resume(replicas, lambda paused: paused == term)
+        ):
+            self._check_pauses_at = self._loop.clock.now() + ABANDONED_PAUSE_SECONDS
+
+    def _end_abandoned_pauses(self):
+        """End the pauses of a promoter that could not do so itself; a task."""
+        if not (yield self._confirm_promoter()):
+            return False
+        ended = yield from self._statuses.resume(
+            list(self._group.pools_by_id), lambda _paused: True
+        )
+        retry_seconds = ABANDONED_PAUSE_SECONDS
+        self._check_pauses_at = (
+            math.inf if ended else self._loop.clock.now() + retry_seconds
+        )
+        return False
+
+    def _are_paused(self, replicas, successor, term):
+        """Return whether other replicas are still paused and have no later entries.
+
+        A replica may have restarted since, or another promoter may have resumed it.
+        """
+        if not self._group.synchronous or successor.received is None:
+            return True
+        others = [name for name in replicas if name != successor.server_id]
+        statuses = yield from self._statuses.ask_all(others, statements.ReadStatus())
+        return all(
+            status.received is not None
+            and status.paused_term == term
+            and status.received <= successor.received
+            for status in statuses
+        )
 
     def _prepare_successor(self, primary, successor, other_replicas, term):
         """Pause the other replicas and let the successor receive all that they have.
@@ -357,7 +413,7 @@
             ``successor``; None when no promotion is safe.
         """
         paused_at = self._loop.clock.now()
-        statuses = yield from self._ask_statuses(
+        statuses = yield from self._statuses.ask_all(
             other_replicas, statements.PauseReceiving(term)
         )
         paused_statuses = [status for status in statuses if status.received is not None]
@@ -366,7 +422,9 @@
         catch_up_seconds = FAILOVER_CATCH_UP_SECONDS
         old_primary = ReplicaStatus(primary, False, None)
         if primary in self._group.pools_by_id:
-            old_primary = yield from self._ask_status(primary, statements.ReadStatus())
+            old_primary = yield from self._statuses.ask(
+                primary, statements.ReadStatus()
+            )
             if old_primary.received is not None:
                 catch_up_seconds = SWITCHOVER_CATCH_UP_SECONDS
         positions = [
@@ -381,11 +439,11 @@
             return ReplicaStatus(successor, False, None)
         deadline = self._loop.clock.now() + catch_up_seconds
         while self._loop.clock.now() < deadline:
-            status = yield from self._ask_status(successor, statements.ReadStatus())
+            status = yield from self._statuses.ask(successor, statements.ReadStatus())
             if status.received is not None and status.received >= required_position:
                 return status
             yield self._loop.sleep_until(self._loop.clock.now() + POLL_INTERVAL_SECONDS)
-        last_status = yield from self._ask_status(
+        last_status = yield from self._statuses.ask(
             successor, statements.PauseReceiving(term)
         )
         if last_status.received is None:
@@ -432,7 +490,7 @@
         outstanding_writes = self._group.outstanding_writes
         if outstanding_writes.acknowledged_at > paused_at:
             return None
-        step_down_status = yield from self._ask_status(
+        step_down_status = yield from self._statuses.ask(
             primary, statements.StepDown(term)
         )
         if step_down_status.received is None:
@@ -471,7 +529,9 @@
 
         The answer to an order can be lost, so the group's known primary decides.
         """
-        for _ in range(MAX_PROMOTION_ORDERS):
+        for repeated in range(MAX_PROMOTION_ORDERS):
+            if repeated and not (yield self._confirm_promoter()):
+                return False
             result = yield self._promotion_orders.promote(
                 self._group.name, successor, token
             )
@@ -493,42 +553,6 @@
                 )
         return False
 
-    def _resume_receiving(self, replicas):
-        """Let paused replicas receive the log again; a task."""
-        for server_id in replicas:
-            if server_id in self._group.pools_by_id:
-                yield from self._ask_status(server_id, statements.ResumeReceiving())
-
-    def _ask_statuses(self, server_ids, statement):
-        """Send a statement to several servers at once; return a status for each."""
-        futures = [
-            self._loop.spawn(self._ask_status(server_id, statement))
-            for server_id in server_ids
-        ]
-        statuses = []
-        for future in futures:
-            statuses.append((yield future))
-        return statuses
-
-    def _ask_status(self, server_id, statement, timeout_seconds=ANSWER_TIMEOUT_SECONDS):
-        """Send a status or replication statement; return the ``ReplicaStatus``.
-
-        The statement is sent again while the server answers that it is busy.
-        """
-        deadline = self._loop.clock.now() + timeout_seconds
-        pool = self._group.pools_by_id.get(server_id)
-        draining = pool is not None and pool.server.draining
-        while pool is not None and self._loop.clock.now() < deadline:
-            report = yield from self._group.ask_status_report(
-                server_id, statement, deadline
-            )
-            if report is not Code.BUSY:
-                if report is None:
-                    break
-                return ReplicaStatus(server_id, draining, report.received, report.term)
-            yield self._loop.sleep_until(self._loop.clock.now() + POLL_INTERVAL_SECONDS)
-        return ReplicaStatus(server_id, draining, None)
-
     def _log_decision(
         self, event_name, reason, primary, statuses, successor=None, token=None
     ):
--- a/cassiahill/transport.py
+++ b/cassiahill/transport.py
@@ -3,6 +3,7 @@
 import errno
 import socket
 import ssl
+import struct
 
 from cassiahill import errors
 from cassiahill.loop import READ, WRITE
@@ -16,6 +17,8 @@
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 3
 UNACKNOWLEDGED_TIMEOUT_MS = 3000
+# Value of SO_LINGER that makes the kernel reset the connection when it is closed.
+NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class Stream:
@@ -110,6 +113,12 @@
         self._write_buffer.clear()
         self._on_closed()
 
+    def abort(self):
+        """Close now, and drop also what the kernel has not delivered yet."""
+        if not self.closed:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        self.close()
+
     def set_reading_paused(self, paused):
         """Stop or resume reading, for backpressure on pipelined requests.
 
--- a/tests/line_group.py
+++ b/tests/line_group.py
@@ -279,6 +279,9 @@
             if not future.done():
                 future.set_exception(errors.ConnectionLost("closed"))
 
+    def abort(self):
+        self.close()
+
     def _answer(self, reply, request_id=None):
         """Return the future of a reply, which never comes if it is None or lost."""
         future = LoopFuture()
@@ -399,6 +402,7 @@
             max(self._server.term, self._server.paused_term),
             self._server.received,
             self._server.connections,
+            self._server.paused_term,
         )
 
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -120,12 +120,13 @@
         self.orders = RecordingOrders(self.fixture, results)
         self.tokens = itertools.count(1)
         self.resigned_at = []
+        self.is_promoter = True
         self.takeover = takeover.Takeover(
             self.fixture.loop,
             self.fixture.group,
             self.orders,
             lambda: next(self.tokens),
-            lambda: completed_future(True),
+            lambda: completed_future(self.is_promoter),
             lambda: self.resigned_at.append(self.fixture.loop.clock.now()),
         )
 
@@ -433,6 +434,72 @@
         self.assertEqual(len({token for _, token in self.orders.promotions}), 1)
         self.assertEqual(self.fixture.group.primary.server_id, successor)
 
+    def drain_primary(self):
+        """Let the primary report that it drains."""
+        servers = self.fixture.servers
+        draining = servers.registered("a", draining=True)
+        self.fixture.group.put_server(draining, servers.registered("a"))
+
+    def test_former_promoter_does_not_end_the_pauses_of_its_successor(self):
+        """Guards against commits that a replica acknowledges during a promotion.
+
+        The former promoter's repeated order was refused, and it then let the replicas
+        receive again, although its successor's order was about to be carried out.
+        """
+        self.set_up_group([OrderResult.UNANSWERED] * 2 + [OrderResult.REFUSED] * 6)
+        self.drain_primary()
+        self.run_for(0.5)
+        self.is_promoter = False
+        former = self.takeover
+        self.takeover = takeover.Takeover(
+            self.fixture.loop,
+            self.fixture.group,
+            self.orders,
+            lambda: next(self.tokens),
+            lambda: completed_future(True),
+            lambda: None,
+        )
+        self.run_for(0.5)
+        successor = self.orders.promotions[-1][0]
+        other = self.fixture.servers.by_id[{"b": "c", "c": "b"}[successor]]
+        term = other.paused_term
+        self.run_for(0.9)
+        self.assertFalse(former._in_progress)
+        self.assertEqual(other.paused_term, term)
+
+    def test_replica_whose_pause_was_ended_blocks_the_promotion(self):
+        """Guards against commits that a replica acknowledges after it has restarted.
+
+        A restart ends the pause. The acknowledgement went to another proxy.
+        """
+        self.set_up_group()
+        servers = self.fixture.servers
+        self.isolate_primary()
+        other = servers.by_id["b"]
+        while not other.paused_term:
+            self.run_for(0.05)
+        other.paused_term = 0
+        other.not_receiving = False
+        self.assertTrue(servers.commit(servers.by_id["a"]))
+        servers.acknowledged.append(servers.by_id["a"].received)
+        self.run_for(4.0)
+        self.assertTrue(self.orders.promotions)
+        self.assert_nothing_acknowledged_is_lost()
+
+    def test_pauses_of_a_lost_promoter_are_ended(self):
+        """Guards against a replica that receives nothing any more.
+
+        The promoter was lost after it had paused the replica, and the primary answered
+        again. The replica stays paused while an order may still be carried out.
+        """
+        self.set_up_group()
+        replica = self.fixture.servers.by_id["b"]
+        replica.paused_term = 2
+        self.run_for(takeover.ABANDONED_PAUSE_SECONDS - 1.0)
+        self.assertEqual(replica.paused_term, 2)
+        self.run_for(2.0)
+        self.assertEqual(replica.paused_term, 0)
+
     def test_draining_primary_serves_until_it_is_replaced(self):
         """Guards against writes that fail during a planned switchover."""
         self.set_up_group()
--- a/tests/test_takeover_search.py
+++ b/tests/test_takeover_search.py
@@ -126,7 +126,7 @@
         replicas = [
             server_id for server_id in self._group.pools_by_id if server_id != primary
         ]
-        statuses = yield from self._ask_statuses(
+        statuses = yield from self._statuses.ask_all(
             replicas, takeover.statements.ReadStatus()
         )
         answered = [status for status in statuses if status.received is not None]
