End busy sessions of a stopping proxy with an answer

Cause: on a stop only sessions idle for 0.1 s were closed. A session with 20 ms between an answer and the next statement stayed until the process exited. New transactions could also begin after the abort at half of the grace, since transactions were aborted once only, and those without a statement not at all.

Now a session closes with the first answer after which it is idle, once the listeners are closed; the client reads the close with the answer. From half of the grace on statements, begins and commits are refused with a promise at once, so that what runs then was sent before. A proxy that relays a session does the same, and an owner announces the end of a relayed one.

Sessions closed by a cut keep the rule for idle ones: their process goes on and answers.

--- a/cassiahill/relays.py
+++ b/cassiahill/relays.py
@@ -70,6 +70,11 @@
         """Whether no request is outstanding and no transaction is open."""
         return not self._outstanding_requests and not self._in_transaction
 
+    @property
+    def outstanding_count(self):
+        """Number of statements without a reply yet."""
+        return len(self._outstanding_requests)
+
     def send(self, line, request):
         """Forward a statement to the owner.
 
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -1,6 +1,5 @@
 """The session proxy process: wires its parts together and supervises them."""
 
-import math
 import signal
 
 import attrs
@@ -23,7 +22,7 @@
 
 # Instants of a shutdown, as fractions of the grace period.
 STOP_LISTENING_SHARE = 0.4  # By then the balancer sends no new clients.
-ABORT_TRANSACTIONS_SHARE = 0.5  # Until then open transactions may end by themselves.
+REFUSE_STATEMENTS_SHARE = 0.5  # Until then open transactions may end by themselves.
 EXIT_SHARE = 0.85  # The rest is left for the process to exit.
 DRAIN_POLL_SECONDS = 0.05
 SUPERVISION_INTERVAL_SECONDS = 0.05
@@ -441,13 +440,12 @@
         started_at = self._shutdown_since
         yield self._loop.sleep_until(started_at + STOP_LISTENING_SHARE * grace_seconds)
         self.sessions.stop_listening()
-        abort_at = started_at + ABORT_TRANSACTIONS_SHARE * grace_seconds
+        refuse_at = started_at + REFUSE_STATEMENTS_SHARE * grace_seconds
         while len(self.sessions):
             self.sessions.close_idle()
             now = self._loop.clock.now()
-            if now >= abort_at:
-                self.sessions.abort_transactions()
-                abort_at = math.inf
+            if now >= refuse_at:
+                self.sessions.refuse_statements()
             if now >= started_at + EXIT_SHARE * grace_seconds:
                 break
             yield self._loop.sleep_until(now + DRAIN_POLL_SECONDS)
--- a/cassiahill/session_server.py
+++ b/cassiahill/session_server.py
@@ -51,6 +51,14 @@
     relay_address : tuple of (str, int)
         Where other proxies connect to relay sessions.
     routing : SessionRouting
+
+    Attributes
+    ----------
+    closes_at_rest : bool
+        Whether each session closes as soon as it is idle after an answer.
+    refuses_statements : bool
+        Whether statements and transactions are refused, because the process would not
+        live to answer them.
     """
 
     def __init__(
@@ -70,6 +78,8 @@
         self.get_group = get_group
         self.on_reply = on_reply
         self.routing = routing
+        self.closes_at_rest = False
+        self.refuses_statements = False
         self._sessions = set()
         self._listener = transport.Listener(loop, address, self._accept)
         self._relay_listener = transport.Listener(
@@ -99,10 +109,20 @@
         self._sessions.discard(session)
 
     def stop_listening(self):
-        """Stop accepting clients and relayed sessions."""
+        """Stop accepting clients, and let each session end with its next answer.
+
+        A client that is never idle for long gets the close together with an answer, so
+        that it sends nothing more. ``close_idle`` ends the other sessions.
+        """
+        self.closes_at_rest = True
         self._listener.close()
         self._relay_listener.close()
 
+    def refuse_statements(self):
+        """Refuse what clients send from now on, and abort their transactions."""
+        self.refuses_statements = True
+        self.abort_transactions()
+
     def close_idle(self, group=None):
         """Close the idle sessions of one group or of all.
 
@@ -122,7 +142,7 @@
     def abort_transactions(self):
         """Abort the transactions that wait for their client's next statement."""
         for session in list(self._sessions):
-            session.abort_transaction("the proxy stops")
+            session.abort_transaction(sessions.STOPPING)
 
     def _accept(self, sock):
         transport.enable_keepalive(sock)
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -23,6 +23,7 @@
 MIN_IDLE_SECONDS = 0.1
 OPEN_POLL_INTERVAL_SECONDS = 0.02
 OPEN_TIMEOUT_SECONDS = 1.5  # Clients give up after 2 s.
+STOPPING = "the proxy stops"  # Detail of the refusals of a process that stops.
 
 _FAILED = TransactionState.FAILED
 _OPEN = TransactionState.OPEN
@@ -144,6 +145,17 @@
             if len(self._pending_lines) == MAX_PENDING_LINES // 2:
                 self._stream.set_reading_paused(False)
             self._process_line(line, arrived_at)
+        self._close_at_rest()
+
+    def _close_at_rest(self):
+        """Close the session if it is idle and the proxy stops."""
+        if (
+            self._server.closes_at_rest
+            and self.database is not None
+            and self.is_idle
+            and not self._stream.closing
+        ):
+            self.close_while_idle()
 
     def _process_line(self, line, arrived_at):
         try:
@@ -155,7 +167,7 @@
             case statements.OpenSession() if self.database is None:
                 self._start_task(self._open_session(message, line), "open")
             case statements.Request() if self._relay is not None:
-                self._relay.send(line + LINE_END, message)
+                self._relay_request(message, line)
             case statements.Request() if self.database is not None:
                 self._handle_request(message, arrived_at)
             case statements.CloseSession():
@@ -247,10 +259,25 @@
             self._server.routing.record_owner_failure(route.group, member)
         return False
 
+    def _relay_request(self, request, line):
+        """Pass a request on to the owner, or refuse it and end the session."""
+        if not (
+            self._refuses(request.statement) and self._relay.outstanding_count == 0
+        ):
+            self._relay.send(line + LINE_END, request)
+            return
+        # The owner rolls back when the relay ends.
+        code = Code.BUSY if self._relay.is_idle else Code.ABORTED
+        event_log.event("relay_refused", request=request.request_id, code=code.value)
+        reply = Reply(code=code, detail=STOPPING, state=TransactionState.IDLE)
+        self._stream.write(self._server.dialect.encode_reply(reply))
+        self.close()
+
     def _forward_to_client(self, data):
         """Forward an owner's reply to the client."""
         self.last_active_at = self._loop.clock.now()
         self._stream.write(data)
+        self._close_at_rest()
 
     def _on_relay_ended(self, reply):
         """Send the reply to an outstanding statement, if any, and close the session."""
@@ -280,6 +307,8 @@
                 self._send_error(
                     request, Code.MALFORMED, "the transaction has failed", arrived_at
                 )
+            case _ if self._refuses(statement):
+                self._refuse_statement(request, arrived_at)
             case statements.Begin():
                 self._handle_begin(request, arrived_at)
             case statements.SetValue(name=name, value=value):
@@ -294,6 +323,21 @@
             case statements.Run() | statements.Execute() | statements.Commit():
                 self._start_statement(request, arrived_at)
 
+    def _refuses(self, statement):
+        """Return whether the proxy stops and would not live to answer a statement."""
+        return self._server.refuses_statements and isinstance(
+            statement,
+            statements.Begin | statements.Run | statements.Execute | statements.Commit,
+        )
+
+    def _refuse_statement(self, request, arrived_at):
+        """Reply that nothing of a statement or its transaction is kept."""
+        if self._transaction is None:
+            self._send_error(request, Code.BUSY, STOPPING, arrived_at)
+            return
+        self._roll_back()
+        self._send_error(request, Code.ABORTED, STOPPING, arrived_at)
+
     def _handle_begin(self, request, arrived_at):
         if self._transaction is not None:
             self._send_error(request, Code.MALFORMED, "already begun", arrived_at)
