Refuse writes behind a cut that keeps all replicas out of reach

The promoter ordered a promotion at 11.599, which took effect at 12.60. At 12.600 a replacement of that primary started in zone b, received its log and acknowledged the commits that waited, among them one that a cut-off proxy had sent at 12.14. The promoter can neither know nor reach such a replica, and its order cannot be taken back. But the proxies behind the cut knew since 11.01 that they were cut off, and still passed on writes that no registered replica could acknowledge, and that ended unknown after a second.

Now a proxy that is cut off refuses writes, and aborts transactions that wrote, unless a replica of the group is in its own failure domain: at once and with a promise, so clients go elsewhere. A cut with a replica within reach is safe, since a promotion needs the answer of all replicas. Reads at the primary go on.

What remains: a write sent in the first 0.7 s of a cut can still be acknowledged in this way until its deadline, a second later at most.

Tests: test_session_executor.WriteInPartitionTest; the first and third fail on (the write is acknowledged, the commit is not aborted).

--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -274,6 +274,23 @@
             and self.primary_unreachable_since is None
         )
 
+    @property
+    def can_acknowledge_commits(self):
+        """Whether a replica that acknowledges commits may be within reach.
+
+        In a partition without one, the other failure domains may promote a server
+        that lacks what is committed here.
+        """
+        return (
+            not self.partitioned
+            or not self.synchronous
+            or any(
+                pool.server.failure_domain == self._own_domain
+                and server_id != self.primary.server_id
+                for server_id, pool in self.pools_by_id.items()
+            )
+        )
+
     def read_requirement(self, fresh_since, own_commit):
         """Return what a read requires of a server.
 
--- a/cassiahill/session_executor.py
+++ b/cassiahill/session_executor.py
@@ -88,9 +88,14 @@
             request, self._requirement_getter(request, request.arrived_at)
         )
         for attempt in range(MAX_ATTEMPTS):
+            if self._would_commit_in_vain(request):
+                return self._refuse_request(request, queued_request)
             lease = yield self._group.acquire(queued_request)
             if lease is None:
                 return self._refuse_request(request, queued_request)
+            if self._would_commit_in_vain(request):
+                self._sender.release(lease)
+                return self._refuse_request(request, queued_request)
             if request.access is Access.WRITE:
                 outcome = yield from self._run_write(lease, request)
             else:
@@ -237,6 +242,8 @@
         -------
         statements.Reply
         """
+        if self._would_commit_in_vain(request, transaction):
+            return self._abort_in_partition(transaction, request)
         if transaction.lease is None:
             failure = yield from self._start_transaction(transaction, request)
             if failure is not None:
@@ -270,6 +277,25 @@
             reply = attrs.evolve(reply, state=TransactionState.FAILED)
         return reply
 
+    def _would_commit_in_vain(self, request, transaction=None):
+        """Return whether a write would wait for an acknowledgement in vain."""
+        writes = request.access is Access.WRITE or (
+            transaction is not None and transaction.wrote
+        )
+        return writes and not self._group.can_acknowledge_commits
+
+    def _abort_in_partition(self, transaction, request):
+        """Abort a transaction that writes, because its commit would be in vain."""
+        event_log.event("transaction_cut_off", request=request.request_id)
+        self.roll_back(transaction)
+        transaction.failed = True
+        state = (
+            TransactionState.IDLE if request.access is None else TransactionState.FAILED
+        )
+        return Reply(
+            code=Code.ABORTED, detail="no replica is within reach", state=state
+        )
+
     def roll_back(self, transaction):
         """Roll back a transaction and release its connection."""
         lease = transaction.lease
--- a/tests/test_session_executor.py
+++ b/tests/test_session_executor.py
@@ -6,7 +6,7 @@
 from cassiahill.positions import LogPosition
 from cassiahill.server_group import ServerGroup
 from cassiahill.statements import Access, Code, Run, Shape, TransactionState
-from tests.line_group import InMemoryDialect, InMemoryGroup
+from tests.line_group import InMemoryDialect, InMemoryGroup, InMemoryServer
 from tests.session_builders import TIMEOUT_SECONDS, GroupFixture
 from tests.stepped_loop import SteppedLoop
 
@@ -177,6 +177,62 @@
         self.assertEqual(self.fixture.ran("read 1"), [])
 
 
+class WriteInPartitionTest(unittest.TestCase):
+    """The primary is in the own failure domain, and no other server is."""
+
+    def setUp(self):
+        self.fixture = GroupFixture()
+        self.session = self.fixture.session()
+
+    def add_replica_in_own_domain(self):
+        """Register a replica in the failure domain of the primary and the proxy."""
+        self.fixture.servers.by_id["d"] = InMemoryServer(
+            "d", "domain-a", self.fixture.servers.by_id["a"].log[:], applied=1
+        )
+        self.fixture.group.put_server(self.fixture.servers.registered("d"), None)
+        self.fixture.loop.advance(0.5)
+
+    def test_write_is_refused_at_once_without_a_replica_within_reach(self):
+        """Guards against the loss of a commit when others promote meanwhile.
+
+        A replica that started beside the primary acknowledged it in the moment of the
+        promotion (dense-27 at Safeplate, seeds 3 and 6).
+        """
+        self.fixture.group.partitioned = True
+        reply = self.fixture.write(self.session)
+        self.assertEqual(reply.code, Code.BUSY)
+        self.assertEqual(self.fixture.ran(), [])
+
+    def test_primary_still_serves_reads_in_a_partition(self):
+        """Guards against refusing what needs no acknowledgement."""
+        self.fixture.group.partitioned = True
+        session = self.fixture.session(Consistency.PRIMARY)
+        self.assertIsNone(self.fixture.read(session).code)
+
+    def test_transaction_that_wrote_is_aborted_in_a_partition(self):
+        """Guards against a commit that waits for an acknowledgement in vain."""
+        transaction = self.fixture.begin()
+        write = self.fixture.run_in_transaction(self.session, transaction)
+        self.assertIsNone(write.code)
+        self.fixture.group.partitioned = True
+        reply = self.fixture.commit(self.session, transaction)
+        self.assertEqual(reply.code, Code.ABORTED)
+        self.fixture.loop.advance(0.5)
+        self.assertEqual(self.fixture.servers.committed, [])
+
+    def test_write_runs_with_a_replica_within_reach(self):
+        """Guards against refusing writes that can be acknowledged."""
+        self.add_replica_in_own_domain()
+        self.fixture.group.partitioned = True
+        self.assertIsNone(self.fixture.write(self.session).code)
+
+    def test_asynchronous_group_takes_writes_in_a_partition(self):
+        """Guards against refusing writes that need no acknowledgement."""
+        fixture = GroupFixture(synchronous=False)
+        fixture.group.partitioned = True
+        self.assertIsNone(fixture.write(fixture.session()).code)
+
+
 class SessionValuesTest(unittest.TestCase):
     def setUp(self):
         self.fixture = GroupFixture(servers=("a", "b"))
