Notice a lost watch of the store in time for the next change

Cause: a watch that was sent into a silent moment of the store, or whose answer fell into it, hides all changes until its time of 17 s and 1.5 s more is over. Its connection lives on, so that no keepalive fails. The process takes the store for reachable meanwhile and refuses newer servers of its peers.

Now a watch ends after 4 s where each process watches; in a large fleet after 7 s at the first reader of each failure domain, which tells the others. A process that hears of a newer list of servers or members for 0.6 s while its own watch waits gives that watch up, asks at once, and logs change_missed.

Not taken: one short watch for all kinds (the store has none), watches by one process alone (it may be gone for good and still be registered).

The same elsewhere: all three kinds use the same watcher.

--- a/cassiahill/catalog_feed.py
+++ b/cassiahill/catalog_feed.py
@@ -209,6 +209,15 @@
         )
         self._server_watcher.pause_seconds = pause
 
+    def set_watch_wait(self, seconds):
+        """Set the longest wait of the watches; see ``StoreWatcher.wait_seconds``."""
+        self._configuration_watcher.wait_seconds = seconds
+        self._server_watcher.wait_seconds = seconds
+
+    def record_announcement(self, servers_revision):
+        """Check the watch of the servers, because a peer may have newer ones."""
+        self._server_watcher.record_announcement(servers_revision)
+
     def close(self):
         """Stop watching the store."""
         self._lapse_timer.cancel()
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -67,6 +67,14 @@
         """Set whether a peer announces changes, so that the store is not watched."""
         raise NotImplementedError
 
+    def set_watch_wait(self, seconds):
+        """Set the longest wait of the watches of configuration and servers."""
+        raise NotImplementedError
+
+    def record_announcement(self, servers_revision):
+        """Check the watch of the servers, because a peer may have newer ones."""
+        raise NotImplementedError
+
     def request_lists(self):
         """Read configuration and servers in the store now."""
         raise NotImplementedError
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -224,6 +224,14 @@
         """Set whether a peer announces changes, so that the store is not watched."""
         self.catalog_feed.set_resting(following)
 
+    def set_watch_wait(self, seconds):
+        """Set the longest wait of the watches of configuration and servers."""
+        self.catalog_feed.set_watch_wait(seconds)
+
+    def record_announcement(self, servers_revision):
+        """Check the watch of the servers, because a peer may have newer ones."""
+        self.catalog_feed.record_announcement(servers_revision)
+
     def request_lists(self):
         """Read configuration and servers in the store now."""
         self.catalog_feed.request_lists()
--- a/cassiahill/shared_store.py
+++ b/cassiahill/shared_store.py
@@ -9,6 +9,9 @@
 from cassiahill import errors
 from cassiahill.loop import completed_future, failed_future
 
+# Longest wait of a watch. It must not exceed the history that the store keeps.
+MAX_WATCH_SECONDS = 17.0
+
 
 @attrs.frozen(order=True)
 class Revision:
@@ -118,17 +121,19 @@
         """
         raise NotImplementedError
 
-    def watch(self, kind, revision, may_wait=True):
+    def watch(self, kind, revision, wait_seconds=MAX_WATCH_SECONDS):
         """Return the future of the ``ChangeBatch`` after a revision; it may be empty.
 
-        With ``may_wait`` it is answered at the next change, or empty after some time.
-        Without, it is answered at once.
+        It is answered at the next change, or empty after ``wait_seconds``.
 
         It fails with ``errors.HistoryLost`` when the store no longer has the history
         since the revision, or is in another era.
         """
         raise NotImplementedError
 
+    def abandon_watch(self, kind):
+        """Let a watch that still waits fail with ``errors.PlatformUnavailable``."""
+
     def get(self, kind, name, may_be_stale=False):
         """Return the future of a ``StoredObject``, or of None if there is none.
 
@@ -191,7 +196,7 @@
             with_unknown_era(snapshot) if may_be_stale else snapshot
         )
 
-    def watch(self, kind, revision, may_wait=True):
+    def watch(self, kind, revision, wait_seconds=MAX_WATCH_SECONDS):
         """Return the future of the changes of a kind after a revision."""
         if not self.available:
             return failed_future(errors.PlatformUnavailable("the store is down"))
--- a/cassiahill/store_follower.py
+++ b/cassiahill/store_follower.py
@@ -87,6 +87,10 @@
             The promoter reads the store in any case.
         now : float
         """
+        wait_seconds = self.following.watch_wait_seconds()
+        self._process_state.set_watch_wait(wait_seconds)
+        if self.following.readers.every_proxy_reads:
+            self._registry.watcher.wait_seconds = wait_seconds
         is_reader = is_promoter or self.following.is_reader()
         if is_reader or not self.following.reads_store(now):
             self._set_reads_store(is_reader)
@@ -155,6 +159,9 @@
         announced : heartbeats.Heartbeat or heartbeats.HeartbeatAnswer
         """
         version, servers_revision = self._process_state.versions()
+        if announced.reads_store:
+            self._process_state.record_announcement(announced.servers_as_of)
+            self._registry.watcher.record_announcement(announced.members_as_of)
         follows = not self.reads_store and announced.reads_store
         newer_servers = announced.servers_as_of > servers_revision and (
             follows or self._process_state.is_store_unreachable()
--- a/cassiahill/store_readers.py
+++ b/cassiahill/store_readers.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from cassiahill import rendezvous
+from cassiahill.shared_store import MAX_WATCH_SECONDS
 
 READERS_PER_DOMAIN = 2  # One reads while the other restarts.
 MAX_INDEPENDENT_PROXIES = 16  # Largest fleet in which every proxy reads the store.
@@ -24,6 +25,10 @@
 FOLLOWING_TIMEOUT_SECONDS = 2.0
 # Time after which a proxy asks its preferred reader again, in its own failure domain.
 PREFERRED_RETRY_SECONDS = 5.0
+# Longest wait of a watch where each proxy watches, and of the first reader of a domain
+# otherwise. A lost watch is noticed soon enough for a change that follows an outage.
+INDEPENDENT_WATCH_SECONDS = 4.0
+FIRST_READER_WATCH_SECONDS = 7.0
 # Part of the timeout by which the proxies of a domain differ, so that they do not call
 # the store at the same moment.
 TIMEOUT_SPREAD = 0.5
@@ -132,6 +137,19 @@
             return False
         return self.is_reader() or now >= self._read_alone_at
 
+    def watch_wait_seconds(self):
+        """Return the longest wait of this proxy's watches.
+
+        In a large fleet only the first reader of each failure domain renews its watches
+        often. Its peers hear from it what their own watches have missed.
+        """
+        if self.readers.every_proxy_reads:
+            return INDEPENDENT_WATCH_SECONDS
+        own_readers, _ = self.readers.candidates(self._own_domain)
+        if own_readers[:1] == [self._own_name]:
+            return FIRST_READER_WATCH_SECONDS
+        return MAX_WATCH_SECONDS
+
     def reader_to_ask(self):
         """Return the name of the reader that this proxy follows, or None.
 
--- a/cassiahill/store_watcher.py
+++ b/cassiahill/store_watcher.py
@@ -4,12 +4,14 @@
 
 from cassiahill import errors, event_log
 from cassiahill.loop import LoopFuture
-from cassiahill.shared_store import Revision
+from cassiahill.shared_store import MAX_WATCH_SECONDS, Revision
 
 BASE_BACKOFF_SECONDS = 0.15
 MAX_BACKOFF_SECONDS = 1.0  # Changes must apply within seconds of an outage's end.
 # Pause between two watches, so that one watch returns a burst of changes.
 WATCH_PAUSE_SECONDS = 0.25
+# A watch has missed a change that another process has known for longer than this.
+MISSED_CHANGE_SECONDS = 0.6
 
 
 @attrs.define
@@ -53,6 +55,9 @@
 
     Attributes
     ----------
+    wait_seconds : float
+        Longest wait of a watch. A watch whose request or answer was lost in the network
+        hides all changes until then, because its connection may live on.
     reachability : StoreReachability
     revision : shared_store.Revision
         Revision from which the next watch continues.
@@ -79,6 +84,9 @@
         self._on_snapshot = on_snapshot
         self._on_changes = on_changes
         self.pause_seconds = pause_seconds
+        self.wait_seconds = MAX_WATCH_SECONDS
+        self._watch_began_at = None
+        self._check_scheduled = False
         self._may_be_stale = may_be_stale
         self._consecutive_failures = 0
         self._closed = False
@@ -126,6 +134,36 @@
         self.revision = max(self.revision, revision)
         self.changed_revision = max(self.changed_revision, revision)
 
+    def record_announcement(self, revision):
+        """Check the watch in progress, because a peer announces newer objects.
+
+        Parameters
+        ----------
+        revision : shared_store.Revision
+            Revision of the peer's objects.
+        """
+        began_at = self._watch_began_at
+        if began_at is None or self._check_scheduled or revision <= self.revision:
+            return
+        self._check_scheduled = True
+        self._loop.call_at(
+            self._loop.clock.now() + MISSED_CHANGE_SECONDS,
+            lambda: self._abandon_if_missed(began_at, revision),
+        )
+
+    def _abandon_if_missed(self, began_at, revision):
+        """Abandon a watch that still waits although the objects have changed."""
+        self._check_scheduled = False
+        if self._watch_began_at == began_at and revision > self.revision:
+            event_log.event(
+                "change_missed",
+                kind=self._kind,
+                known=self.revision.number,
+                announced=revision.number,
+                era=revision.era,
+            )
+            self._store.abandon_watch(self._kind)
+
     def _end_rest(self):
         wake_up, self._wake_up = self._wake_up, LoopFuture()
         wake_up.set_result(None)
@@ -200,7 +238,12 @@
         began_at_revision = self.revision
         # After a failure, an answer at once shows that the store is back.
         may_wait = self.reachability.unreachable_since is None
-        batch = yield self._store.watch(self._kind, began_at_revision, may_wait)
+        wait_seconds = self.wait_seconds if may_wait else 0.0
+        self._watch_began_at = self._loop.clock.now()
+        try:
+            batch = yield self._store.watch(self._kind, began_at_revision, wait_seconds)
+        finally:
+            self._watch_began_at = None
         if self.revision != began_at_revision:
             return
         self.revision = max(self.revision, batch.revision)
--- a/tests/test_session_fleet.py
+++ b/tests/test_session_fleet.py
@@ -56,6 +56,12 @@
     def set_following(self, following):
         pass
 
+    def set_watch_wait(self, seconds):
+        pass
+
+    def record_announcement(self, servers_revision):
+        pass
+
     def request_lists(self):
         pass
 
