--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -372,10 +372,8 @@
         ended = yield from self._statuses.resume(
             list(self._group.pools_by_id), lambda _paused: True
         )
-        retry_seconds = ABANDONED_PAUSE_SECONDS
-        self._check_pauses_at = (
-            math.inf if ended else self._loop.clock.now() + retry_seconds
-        )
+        retry_at = self._loop.clock.now() + ABANDONED_PAUSE_SECONDS
+        self._check_pauses_at = math.inf if ended else retry_at
         return False
 
     def _are_paused(self, replicas, successor, term):
@@ -385,7 +383,9 @@
         """
         if not self._group.synchronous or successor.received is None:
             return True
-        others = [name for name in replicas if name != successor.server_id]
+        others = [
+            server_id for server_id in replicas if server_id != successor.server_id
+        ]
         statuses = yield from self._statuses.ask_all(others, statements.ReadStatus())
         return all(
             status.received is not None
