--- a/cassiahill/catalog.py
+++ b/cassiahill/catalog.py
@@ -36,6 +36,8 @@
         Latency target of a request in seconds.
     priority : int
         0 is the most urgent.
+    public : bool
+        Whether callers need no key, in a deployment with tenants.
     """
 
     database: str
@@ -45,6 +47,7 @@
     timeout: float
     target: float
     priority: int
+    public: bool = False
 
 
 @attrs.frozen
@@ -79,6 +82,8 @@
         Time without a statement after which a transaction is aborted.
     document : dict
         The configuration as it was read.
+    tenants : tenants.TenantDirectory or None
+        None in a deployment without tenants, where callers need no key.
     """
 
     version: int
@@ -86,6 +91,7 @@
     groups_by_name: dict
     idle_transaction_seconds: float
     document: dict = attrs.field(repr=False, eq=False)
+    tenants: object = None
 
 
 @attrs.frozen
--- a/cassiahill/statements.py
+++ b/cassiahill/statements.py
@@ -26,6 +26,7 @@
     FAILED = "failed"
     TIMED_OUT = "timed_out"
     UNKNOWN_DATABASE = "unknown_database"
+    UNAUTHENTICATED = "unauthenticated"  # The caller's key is not in force.
     MALFORMED = "malformed"
     TOO_LARGE = "too_large"
     ABORTED = "aborted"
