Decode the tenants of a configuration

A configuration document may hold tenants with keys and limits, and was read without them. Keys are digested while they are decoded. A malformed part of an entry is logged with the entry's index or name, never with a key, and left out; the rest serves on. An invalid limit counts as 0 and a damaged list as an empty one, because any other reading could allow what was not meant to be allowed.

A key that several tenants hold identifies none of them, and their names are logged. The tenant's priority is kept; nothing uses it yet.

Tested: test_tenants, test_adapter_documents.

--- a/cassiahill/statements.py
+++ b/cassiahill/statements.py
@@ -159,10 +159,18 @@
 
 @attrs.frozen
 class OpenSession:
-    """First message of a client: the database to use, and the client's own name."""
+    """First message of a client.
+
+    Attributes
+    ----------
+    database : str
+    caller : str
+        The client's key, or the digest of it if another proxy relays the session. In a
+        deployment without tenants it is a name that the client chooses.
+    """
 
     database: str
-    caller: str
+    caller: str = attrs.field(repr=False)
 
 
 @attrs.frozen
--- a/cassiahill/tenants.py
+++ b/cassiahill/tenants.py
@@ -10,6 +10,7 @@
 import attrs
 
 KEY_DIGEST_BYTES = 16
+LOWEST_PRIORITY = 9
 
 
 def digest_key(key):
@@ -37,12 +38,15 @@
         limit.
     burst : float
         Operations beyond the rate that it may start at once.
+    priority : int
+        0 is the most urgent.
     """
 
     name: str
     key_digests: frozenset = attrs.field(repr=False)
     rate: float = math.inf
     burst: float = math.inf
+    priority: int = LOWEST_PRIORITY
 
 
 @attrs.frozen
@@ -53,10 +57,13 @@
     ----------
     by_name : dict of str to Tenant
     by_key_digest : dict of str to Tenant
+    names_by_shared_digest : dict of str to set of str
+        Names of the tenants that hold a digest which several hold.
     """
 
     by_name: dict
     by_key_digest: dict = attrs.field(repr=False)
+    names_by_shared_digest: dict = attrs.field(factory=dict, repr=False)
 
     @classmethod
     def from_tenants(cls, tenants):
@@ -66,12 +73,14 @@
         """
         by_name = {}
         by_key_digest = {}
-        shared_digests = set()
+        names_by_shared_digest = {}
         for tenant in tenants:
             by_name[tenant.name] = tenant
             for digest in tenant.key_digests:
-                if by_key_digest.setdefault(digest, tenant) is not tenant:
-                    shared_digests.add(digest)
-        for digest in shared_digests:
+                first = by_key_digest.setdefault(digest, tenant)
+                if first is not tenant:
+                    names = names_by_shared_digest.setdefault(digest, {first.name})
+                    names.add(tenant.name)
+        for digest in names_by_shared_digest:
             del by_key_digest[digest]
-        return cls(by_name, by_key_digest)
+        return cls(by_name, by_key_digest, names_by_shared_digest)
--- a/tests/test_adapter_documents.py
+++ b/tests/test_adapter_documents.py
@@ -5,7 +5,10 @@
 
 from cassiahill import errors
 from cassiahill.catalog import Consistency
+from cassiahill.tenants import digest_key
 from tests import adapter_path
+from tests.log_lines import captured_log_lines
+from tests.tenant_builders import NORTH_KEY, SOUTH_KEY
 
 with adapter_path.importable():
     from adapter import documents, settings
@@ -98,6 +101,119 @@
             self.assertIsNone(documents.decode_configuration(document))
 
 
+class DecodeTenantsTest(unittest.TestCase):
+    def decode(self, entries):
+        """Return the directory of the entries, and the log lines."""
+        with captured_log_lines() as lines:
+            configuration = documents.decode_configuration(
+                {"version": 1, "tenants": entries}
+            )
+        return configuration.tenants, "".join(lines)
+
+    def test_valid_entries(self):
+        """Guards against a tenant with a wrong limit or key."""
+        directory, log = self.decode(
+            [
+                {
+                    "name": "north",
+                    "apiKeys": [NORTH_KEY],
+                    "priority": 2,
+                    "ratePerS": 20,
+                    "burst": 7.5,
+                },
+                {"name": "south", "apiKeys": [SOUTH_KEY, "second"]},
+            ]
+        )
+        north, south = directory.by_name["north"], directory.by_name["south"]
+        self.assertEqual((north.rate, north.burst, north.priority), (20.0, 7.5, 2))
+        self.assertEqual((south.rate, south.burst), (math.inf, math.inf))
+        self.assertIs(directory.by_key_digest[digest_key("second")], south)
+        self.assertEqual(log, "")
+
+    def test_deployment_without_tenants(self):
+        """Guards against keys that are demanded where nobody has one."""
+        configuration = documents.decode_configuration({"version": 1})
+        self.assertIsNone(configuration.tenants)
+
+    def test_damaged_list_opens_nothing(self):
+        """Guards against service without keys after the whole list is damaged."""
+        for entries in ({}, "x", 7, False):
+            directory, log = self.decode(entries)
+            self.assertEqual(directory.by_name, {})
+            self.assertIn("tenants_unreadable", log)
+
+    def test_malformed_entries_leave_others(self):
+        """Guards against tenants that lose service by a fault in another's entry."""
+        malformed_entries = [
+            None,
+            "x",
+            {},
+            {"apiKeys": [NORTH_KEY]},
+            *(
+                {"name": name, "apiKeys": [NORTH_KEY]}
+                for name in ("", 7, "two words", "line\nfeed", "\ud800")
+            ),
+        ]
+        south_entry = {"name": "south", "apiKeys": [SOUTH_KEY]}
+        directory, log = self.decode([*malformed_entries, south_entry])
+        self.assertEqual(set(directory.by_name), {"south"})
+        self.assertEqual(set(directory.by_key_digest), {digest_key(SOUTH_KEY)})
+        self.assertEqual(log.count("tenant_unreadable"), len(malformed_entries))
+        self.assertNotIn(NORTH_KEY, log)
+
+    def test_invalid_keys_leave_others(self):
+        """Guards against a key that no client presents, and loss of the valid ones."""
+        directory, log = self.decode(
+            [
+                {"name": "north", "apiKeys": [NORTH_KEY, "", 7, None, "\ud800"]},
+                {"name": "south", "apiKeys": SOUTH_KEY},
+            ]
+        )
+        self.assertEqual(set(directory.by_key_digest), {digest_key(NORTH_KEY)})
+        self.assertEqual(set(directory.by_name), {"north", "south"})
+        self.assertIn("4 invalid values", log)
+        for key in (NORTH_KEY, SOUTH_KEY):
+            self.assertNotIn(key, log)
+
+    def test_invalid_limit_is_zero(self):
+        """Guards against operations beyond a limit that cannot be read."""
+        for value in (-1, "20", True, [], math.nan, math.inf, 10**400):
+            entry = {"name": "north", "apiKeys": [NORTH_KEY], "ratePerS": value}
+            directory, log = self.decode([{**entry, "burst": value}])
+            north = directory.by_name["north"]
+            self.assertEqual((north.rate, north.burst), (0.0, 0.0), value)
+            self.assertEqual(log.count("not a number"), 2)
+
+    def test_missing_burst_does_not_lift_the_rate(self):
+        """Guards against a limited tenant with an unlimited burst."""
+        directory, _ = self.decode([{"name": "north", "apiKeys": [], "ratePerS": 5}])
+        self.assertEqual(directory.by_name["north"].burst, 0.0)
+
+    def test_shared_key_is_logged_with_both_names(self):
+        """Guards against two tenants without service and without a finding."""
+        directory, log = self.decode(
+            [
+                {"name": "north", "apiKeys": [NORTH_KEY]},
+                {"name": "south", "apiKeys": [NORTH_KEY, SOUTH_KEY]},
+            ]
+        )
+        self.assertEqual(set(directory.by_key_digest), {digest_key(SOUTH_KEY)})
+        self.assertIn("north, south", log)
+        self.assertNotIn(NORTH_KEY, log)
+
+    def test_second_entry_of_a_name_is_dropped(self):
+        """Guards against a tenant whose limit depends on which entry is used."""
+        directory, log = self.decode(
+            [
+                {"name": "north", "apiKeys": [NORTH_KEY], "ratePerS": 5},
+                {"name": "north", "apiKeys": [SOUTH_KEY]},
+            ]
+        )
+        self.assertEqual(directory.by_name["north"].rate, 5.0)
+        self.assertEqual(set(directory.by_key_digest), {digest_key(NORTH_KEY)})
+        self.assertIn("another entry has the same name", log)
+
+
 class DecodeSettingsTest(unittest.TestCase):
     def test_valid_settings_with_unknown_keys(self):
         """Guards against a failing start after the platform adds a key."""
