--- a/cassiahill/errors.py
+++ b/cassiahill/errors.py
@@ -102,6 +102,13 @@
     http_status = 403
 
 
+class Unauthenticated(NotRunError):
+    """The caller's key is not in force."""
+
+    code = "unauthenticated"
+    http_status = 401
+
+
 class DeadlinePassed(NotRunError):
     """The deadline passed before the statement was sent to a database."""
 
--- a/cassiahill/session_metrics.py
+++ b/cassiahill/session_metrics.py
@@ -16,6 +16,7 @@
 
     def __init__(self):
         self.reply_counts_by_label = collections.Counter()
+        self.refused_caller_counts_by_reason = collections.Counter()
         self._bucket_counts_by_priority = {}
         self._total_seconds_by_priority = collections.Counter()
 
@@ -38,6 +39,15 @@
         bucket_counts[bisect.bisect_left(BUCKET_BOUNDS_SECONDS, seconds)] += 1
         self._total_seconds_by_priority[priority] += seconds
 
+    def count_refused_caller(self, reason):
+        """Count a session or statement that was refused because of who its caller is.
+
+        Parameters
+        ----------
+        reason : caller_checks.RefusalReason
+        """
+        self.refused_caller_counts_by_reason[reason.value] += 1
+
     def render(self, gauges_by_name):
         """Return the metrics in the Prometheus text format.
 
@@ -65,6 +75,13 @@
         )
         for (priority, outcome), count in sorted(self.reply_counts_by_label.items()):
             replies.add_metric((str(priority), outcome), count)
+        refused_callers = metrics_core.CounterMetricFamily(
+            "cassiahill_session_refused_callers",
+            "Sessions and statements refused because of their callers, by reason.",
+            labels=("reason",),
+        )
+        for reason, count in sorted(self.refused_caller_counts_by_reason.items()):
+            refused_callers.add_metric((reason,), count)
         seconds = metrics_core.HistogramMetricFamily(
             "cassiahill_session_reply_seconds",
             "Time from receipt to answer, by priority.",
@@ -87,7 +104,7 @@
             metrics_core.GaugeMetricFamily(f"cassiahill_session_{name}", name, value)
             for name, value in gauges_by_name.items()
         ]
-        return [replies, seconds, *gauges]
+        return [replies, refused_callers, seconds, *gauges]
 
 
 class _FamilyCollector:
--- a/tests/test_session_metrics.py
+++ b/tests/test_session_metrics.py
@@ -6,6 +6,7 @@
 
 from prometheus_client.parser import text_string_to_metric_families
 
+from cassiahill.caller_checks import RefusalReason
 from cassiahill.session_metrics import SessionMetrics
 
 
@@ -16,6 +17,7 @@
         for seconds in (0.001, 0.2, 9.0):
             metrics.count_reply(0, "ok", seconds)
         metrics.count_reply(1, "busy", 0.0)
+        metrics.count_refused_caller(RefusalReason.RATE_LIMIT)
         text = metrics.render({"open_sessions": 7}).decode()
         samples = {
             (sample.name, tuple(sorted(sample.labels.items()))): sample.value
@@ -26,6 +28,11 @@
         self.assertEqual(samples["cassiahill_session_replies_total", ok], 3)
         count = ("cassiahill_session_reply_seconds_count", (("priority", "0"),))
         self.assertEqual(samples[count], 3)
+        refused = (
+            "cassiahill_session_refused_callers_total",
+            (("reason", "rate_limit"),),
+        )
+        self.assertEqual(samples[refused], 1)
         self.assertEqual(samples["cassiahill_session_open_sessions", ()], 7)
 
     def test_operations_page_lists_every_metric(self):
