Pass the tenant of a session to its queued requests

A connection will be opened in one tenant's name, so a request that waits for one must tell whose it has to be. SessionExecutor and QueuedRequest get the tenant as their last parameter and field; nothing reads it yet.

--- a/cassiahill/request_queue.py
+++ b/cassiahill/request_queue.py
@@ -52,6 +52,9 @@
         Whether ``target_at`` has passed.
     sequence_number : int
         Order of arrival.
+    tenant : str or None
+        Tenant in whose name the connection must have been opened; None for the
+        process's own name.
     """
 
     request_id: str
@@ -65,6 +68,7 @@
     target_at: float = math.inf
     late: bool = False
     sequence_number: int = attrs.field(factory=itertools.count().__next__)
+    tenant: str | None = None
 
     @property
     def refuse_at(self):
--- a/cassiahill/session_executor.py
+++ b/cassiahill/session_executor.py
@@ -57,15 +57,23 @@
     group : server_group.ServerGroup
     route : catalog.Route
     state : SessionState
+    tenant : str or None
+        Tenant in whose name the statements run; None for the process's own name.
     """
 
-    def __init__(self, loop, group, route, state):
+    def __init__(self, loop, group, route, state, tenant=None):
         self._loop = loop
         self._group = group
         self._route = route
         self._session_state = state
+        self._tenant = tenant
         self._sender = StatementSender(loop, group, state)
 
+    @property
+    def tenant(self):
+        """Tenant in whose name the statements run, or None."""
+        return self._tenant
+
     @property
     def route(self):
         """The route of the session's database."""
@@ -424,6 +432,7 @@
             target_at=request.arrived_at
             + self._route.target
             - self._group.read_durations.usual_seconds(self._route.database),
+            tenant=self._tenant,
         )
 
     def _refuse_request(self, request, queued_request):
