Check the keys of callers when sessions open and for each statement

The opening of a session moves from Session to session_opening, which digests the key at once and refuses an unknown one before it looks for an owner. A relayed session is opened with the digest in place of the key. The proxy that serves a session checks each statement on arrival, also inside transactions: after the key was taken away, the transaction is rolled back and the session ends. A newer configuration ends idle sessions of revoked keys.

At the start of an operation the tenant of the key is looked up again. A session that was opened on a public route, or whose key passed to another tenant, would otherwise be refused although its key is in force.

A session that closes takes no more lines, so that a statement behind a refused one cannot run.

tests/session_server.py gets a public route and optional tenants; its routing takes the new optional parameter. No assertion changed.

--- a/cassiahill/dialect.py
+++ b/cassiahill/dialect.py
@@ -47,6 +47,19 @@
         """
         raise NotImplementedError
 
+    def encode_relay_open(self, database, key_digest):
+        """Return the bytes that open a relayed session at another proxy.
+
+        They have the form of a client's first message, with the digest in place of the
+        key.
+
+        Parameters
+        ----------
+        database : str
+        key_digest : str
+        """
+        raise NotImplementedError
+
     def encode_open(self, group, caller, server_id):
         """Return the bytes that open a connection to a backend server."""
         raise NotImplementedError
--- /dev/null
+++ b/cassiahill/session_opening.py
@@ -0,0 +1,140 @@
+"""Opening of a session: who its caller is, and which proxy serves it."""
+
+import attrs
+
+from cassiahill import errors, event_log, relays, tenants
+from cassiahill.statements import Code
+
+OPEN_POLL_INTERVAL_SECONDS = 0.02
+OPEN_TIMEOUT_SECONDS = 1.5  # Clients give up after 2 s.
+
+
+@attrs.frozen
+class Opened:
+    """The session is open.
+
+    Attributes
+    ----------
+    route : catalog.Route
+    caller : caller_checks.Caller
+    relay : relays.Relay or None
+        None if this process serves the session.
+    """
+
+    route: object
+    caller: object
+    relay: object = None
+
+
+@attrs.frozen
+class Refused:
+    """The session is refused, for a reason that its client is told."""
+
+    code: Code
+    detail: str
+
+
+class SessionOpening:
+    """Opens one session, here or at an owner of its group.
+
+    Parameters
+    ----------
+    server : session_server.SessionServer
+    message : statements.OpenSession
+        Its key is replaced by the digest at once.
+    first_line : bytes
+        The line of the message, including the line end.
+    is_relayed : bool
+        Whether another proxy relays the session; it is then served here, and the
+        message holds the digest of the key.
+    connect_relay : callable
+        Takes an owner's address, the first line for it and the timeout of a statement
+        in seconds; returns a ``relays.Relay``.
+    is_closed : callable
+        Returns whether the client has closed the connection.
+    """
+
+    def __init__(
+        self, server, message, first_line, is_relayed, connect_relay, is_closed
+    ):
+        self._loop = server.loop
+        self._server = server
+        self._database = message.database
+        self._is_relayed = is_relayed
+        if is_relayed:
+            self._key_digest = message.caller
+        else:
+            self._key_digest = tenants.digest_key(message.caller)
+        self._first_line = first_line
+        self._connect_relay = connect_relay
+        self._is_closed = is_closed
+
+    def run(self):
+        """Open the session; a task.
+
+        Returns
+        -------
+        Opened or Refused
+        """
+        routing = self._server.routing
+        deadline = self._loop.clock.now() + OPEN_TIMEOUT_SECONDS
+        while not routing.knows_deployment():
+            if self._loop.clock.now() > deadline:
+                return Refused(Code.BUSY, "no configuration yet")
+            yield self._loop.sleep_until(
+                self._loop.clock.now() + OPEN_POLL_INTERVAL_SECONDS
+            )
+        route = self._server.catalog.route(self._database)
+        if route is None:
+            return Refused(Code.UNKNOWN_DATABASE, self._database)
+        checks = self._server.caller_checks
+        if checks.needs_keys():
+            # The line as the client sent it holds the key. Without tenants, the field
+            # is a name, and the owner gets the line unchanged.
+            self._first_line = self._server.dialect.encode_relay_open(
+                self._database, self._key_digest
+            )
+        try:
+            caller = checks.identify(route, self._key_digest)
+        except errors.Unauthenticated as error:
+            event_log.event(
+                "caller_refused",
+                database=self._database,
+                relayed=self._is_relayed,
+                cause=error.detail,
+            )
+            return Refused(Code.UNAUTHENTICATED, error.detail)
+        if self._is_relayed:
+            if routing.should_refuse_relayed(route.group):
+                return Refused(Code.BUSY, "the primary is out of reach")
+        elif not routing.serves_group(route.group, caller.tenant):
+            relay = yield from self._open_relay(route, caller.tenant)
+            if relay is not None:
+                return Opened(route, caller, relay)
+            if not routing.fall_back_to_local(route.group, caller.tenant):
+                return Refused(Code.BUSY, "no owner of the group answers")
+        return Opened(route, caller)
+
+    def _open_relay(self, route, tenant):
+        """Return the relay to the first owner that accepts the session, or None."""
+        routing = self._server.routing
+        for member in routing.relay_targets(route.group, tenant):
+            if self._is_closed():
+                return None
+            try:
+                relay = self._connect_relay(
+                    member.relay_address, self._first_line, route.timeout
+                )
+            except errors.CassiahillError as error:
+                event_log.event("relay_failed", owner=member.name, cause=error.detail)
+                continue
+            deadline = self._loop.clock.now() + relays.OPEN_TIMEOUT_SECONDS
+            yield self._loop.first_done(
+                relay.owner_accepted, self._loop.sleep_until(deadline)
+            )
+            if relay.owner_accepted.done() and relay.owner_accepted.result():
+                routing.record_relay_opened(route.group)
+                return relay
+            relay.close()
+            routing.record_owner_failure(route.group, member)
+        return None
--- a/cassiahill/session_owners.py
+++ b/cassiahill/session_owners.py
@@ -109,7 +109,7 @@
         """Return whether the configuration and the fleet's members are known."""
         return self._knows_deployment()
 
-    def serves_group(self, group):
+    def serves_group(self, group, tenant=None):
         """Return whether this process serves a group's sessions itself."""
         if not self.holds_connections(group):
             return False
@@ -124,7 +124,7 @@
             group
         )
 
-    def relay_targets(self, group):
+    def relay_targets(self, group, tenant=None):
         """Return the members to relay a group's session to, preferred ones first."""
         now = self._loop.clock.now()
         owners = self._owners_by_group.get(group)
@@ -158,7 +158,7 @@
         """Record that another proxy accepted a session of a group."""
         self._relayed_at_by_group[group] = self._loop.clock.now()
 
-    def fall_back_to_local(self, group):
+    def fall_back_to_local(self, group, tenant=None):
         """Serve a group's sessions here for a while, if this process is an owner.
 
         Returns
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -5,6 +5,7 @@
 import attrs
 
 from cassiahill import (
+    caller_checks,
     catalog,
     catalog_feed,
     errors,
@@ -114,11 +115,16 @@
             self.catalog,
             source,
             rng,
-            self._update_limits,
+            self._apply_configuration,
             self._apply_server_change,
         )
         # Until the fleet is known, it is not known who reads the store.
         self.catalog_feed.set_resting(True)
+        self.caller_checks = caller_checks.CallerChecks(
+            lambda: self.catalog.configuration,
+            loop.clock,
+            count_refusal=self.metrics.count_refused_caller,
+        )
         self.sessions = session_server.SessionServer(
             loop,
             settings.client_address,
@@ -128,6 +134,7 @@
             self._record_reply,
             settings.relay_address,
             self.owners,
+            self.caller_checks,
         )
         self._readiness_server = http1.Server(
             loop, settings.readiness_address, self._handle_readiness_request
@@ -321,6 +328,11 @@
 
     # Changes of catalog and fleet
 
+    def _apply_configuration(self):
+        """Apply a newer configuration that was installed."""
+        self._update_limits()
+        self.sessions.close_revoked()
+
     def _apply_server_change(self, change):
         self._loop.call_soon(self.fleet.announce_changes)
         match change:
--- a/cassiahill/session_server.py
+++ b/cassiahill/session_server.py
@@ -4,17 +4,20 @@
 
 
 class SessionRouting:
-    """Decides which proxy serves a session."""
+    """Decides which proxy serves a session.
+
+    ``tenant`` is the name of the tenant whose caller opens it, or None.
+    """
 
     def knows_deployment(self):
         """Return whether the configuration and the fleet's members are known."""
         raise NotImplementedError
 
-    def serves_group(self, group):
+    def serves_group(self, group, tenant=None):
         """Return whether this process serves a group's sessions itself."""
         raise NotImplementedError
 
-    def relay_targets(self, group):
+    def relay_targets(self, group, tenant=None):
         """Return the members to relay a group's session to, preferred ones first."""
         raise NotImplementedError
 
@@ -26,7 +29,7 @@
         """Record that another proxy accepted a session of a group."""
         raise NotImplementedError
 
-    def fall_back_to_local(self, group):
+    def fall_back_to_local(self, group, tenant=None):
         """Return whether a session that no other proxy accepted is served here."""
         raise NotImplementedError
 
@@ -51,6 +54,7 @@
     relay_address : tuple of (str, int)
         Where other proxies connect to relay sessions.
     routing : SessionRouting
+    checks : caller_checks.CallerChecks
 
     Attributes
     ----------
@@ -71,6 +75,7 @@
         on_reply,
         relay_address,
         routing,
+        checks,
     ):
         self.loop = loop
         self.dialect = dialect
@@ -78,9 +83,11 @@
         self.get_group = get_group
         self.on_reply = on_reply
         self.routing = routing
+        self.caller_checks = checks
         self.closes_at_rest = False
         self.refuses_statements = False
         self._sessions = set()
+        self._revocation_timer = None
         self._listener = transport.Listener(loop, address, self._accept)
         self._relay_listener = transport.Listener(
             loop, relay_address, self._accept_relayed
@@ -133,17 +140,37 @@
         for session in list(self._sessions):
             if group is not None and not session.is_served_here(group):
                 continue
-            if (
-                session.is_idle
-                and now - session.last_active_at >= sessions.MIN_IDLE_SECONDS
-            ):
-                session.close_while_idle()
+            self._close_if_idle(session, now)
+
+    def close_revoked(self):
+        """End the sessions whose keys are no longer in force.
+
+        Idle ones are closed, and those that were active less than ``MIN_IDLE_SECONDS``
+        ago a little later. A statement that arrives before that is refused and ends its
+        session.
+        """
+        if self._revocation_timer is not None:
+            self._revocation_timer.cancel()
+            self._revocation_timer = None
+        revoked = [session for session in self._sessions if session.is_revoked]
+        now = self.loop.clock.now()
+        for session in revoked:
+            self._close_if_idle(session, now)
+        if revoked:
+            self._revocation_timer = self.loop.call_at(
+                now + sessions.MIN_IDLE_SECONDS, self.close_revoked
+            )
 
     def abort_transactions(self):
         """Abort the transactions that wait for their client's next statement."""
         for session in list(self._sessions):
             session.abort_transaction(sessions.STOPPING)
 
+    def _close_if_idle(self, session, now):
+        idle_seconds = now - session.last_active_at
+        if session.is_idle and idle_seconds >= sessions.MIN_IDLE_SECONDS:
+            session.close_while_idle()
+
     def _accept(self, sock):
         transport.enable_keepalive(sock)
         self._sessions.add(sessions.Session(self, sock))
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -7,6 +7,7 @@
     event_log,
     relays,
     session_executor,
+    session_opening,
     statements,
     transport,
 )
@@ -21,8 +22,6 @@
 # Sessions are closed only after this idle time, which is longer than a client takes to
 # send a statement that it has ready.
 MIN_IDLE_SECONDS = 0.1
-OPEN_POLL_INTERVAL_SECONDS = 0.02
-OPEN_TIMEOUT_SECONDS = 1.5  # Clients give up after 2 s.
 STOPPING = "the proxy stops"  # Detail of the refusals of a process that stops.
 
 _FAILED = TransactionState.FAILED
@@ -53,6 +52,7 @@
         self._transaction = None
         self._executor = None
         self._transaction_idle_timer = None
+        self._caller = None
         self.database = None
         self.group = None
         self.last_active_at = self._loop.clock.now()
@@ -75,6 +75,16 @@
         """Return whether this is a session of the group and is not relayed."""
         return self.group == group and self._relay is None
 
+    @property
+    def is_revoked(self):
+        """Whether the session is open and its key is no longer in force."""
+        route = self._server.catalog.route(self.database)
+        return (
+            self._caller is not None
+            and route is not None
+            and not self._server.caller_checks.is_in_force(self._caller, route)
+        )
+
     def close(self):
         """Close the connection once everything written has been sent."""
         self._stream.close_when_sent()
@@ -110,7 +120,7 @@
     # Received lines
 
     def _on_data(self, data):
-        if self._announced_close:
+        if self._announced_close or self._stream.closing:
             return
         *lines, self._buffer = (self._buffer + data).split(b"\n")
         arrived_at = self.last_active_at = self._loop.clock.now()
@@ -165,7 +175,7 @@
             return
         match message:
             case statements.OpenSession() if self.database is None:
-                self._start_task(self._open_session(message, line), "open")
+                self._start_opening(message, line)
             case statements.Request() if self._relay is not None:
                 self._relay_request(message, line)
             case statements.Request() if self.database is not None:
@@ -192,72 +202,42 @@
 
     # Opening of the session, here or at an owner
 
-    def _open_session(self, message, line):
-        """Open the session here or relay it to an owner; a task."""
-        deadline = self._loop.clock.now() + OPEN_TIMEOUT_SECONDS
-        while not self._server.routing.knows_deployment():
-            if self._loop.clock.now() > deadline:
-                self._refuse_and_close(Code.BUSY, "no configuration yet")
-                return
-            yield self._loop.sleep_until(
-                self._loop.clock.now() + OPEN_POLL_INTERVAL_SECONDS
-            )
-        route = self._server.catalog.route(message.database)
-        if route is None:
-            self._refuse_and_close(Code.UNKNOWN_DATABASE, message.database)
-            return
-        if self._relayed:
-            if self._server.routing.should_refuse_relayed(route.group):
-                self._refuse_and_close(Code.BUSY, "the primary is out of reach")
-                return
-        elif not self._server.routing.serves_group(route.group):
-            accepted = yield from self._open_relay(route, line + LINE_END)
-            if not accepted and not self._server.routing.fall_back_to_local(
-                route.group
-            ):
-                self._refuse_and_close(Code.BUSY, "no owner of the group answers")
-                return
-        self.database = message.database
-        self.group = route.group
-        self._stream.write(self._server.dialect.encode_ready())
-
-    def _open_relay(self, route, first_line):
-        """Relay the session to the first owner that accepts it.
+    def _start_opening(self, message, line):
+        opening = session_opening.SessionOpening(
+            self._server,
+            message,
+            line + LINE_END,
+            self._relayed,
+            self._connect_relay,
+            lambda: self._stream.closed,
+        )
+        self._start_task(self._open_session(opening, message.database), "open")
 
-        Returns
-        -------
-        bool
-            Whether an owner accepted the session.
-        """
-        for member in self._server.routing.relay_targets(route.group):
-            if self._stream.closed:
-                return False
-            try:
-                relay = relays.Relay(
-                    self._loop,
-                    self._server.dialect,
-                    member.relay_address,
-                    first_line,
-                    route.timeout,
-                    self._forward_to_client,
-                    self._on_relay_ended,
-                )
-            except errors.CassiahillError as error:
-                event_log.event("relay_failed", owner=member.name, cause=error.detail)
-                continue
-            deadline = self._loop.clock.now() + relays.OPEN_TIMEOUT_SECONDS
-            yield self._loop.first_done(
-                relay.owner_accepted, self._loop.sleep_until(deadline)
-            )
-            if relay.owner_accepted.done() and relay.owner_accepted.result():
+    def _open_session(self, opening, database):
+        """Open the session here or relay it to an owner; a task."""
+        outcome = yield from opening.run()
+        match outcome:
+            case session_opening.Refused(code=code, detail=detail):
+                self._refuse_and_close(code, detail)
+            case session_opening.Opened(route=route, caller=caller, relay=relay):
+                self.database = database
+                self.group = route.group
+                self._caller = caller
                 self._relay = relay
-                self._server.routing.record_relay_opened(route.group)
-                if self._stream.closed:
+                if relay is not None and self._stream.closed:
                     relay.close()
-                return True
-            relay.close()
-            self._server.routing.record_owner_failure(route.group, member)
-        return False
+                self._stream.write(self._server.dialect.encode_ready())
+
+    def _connect_relay(self, address, first_line, timeout_seconds):
+        return relays.Relay(
+            self._loop,
+            self._server.dialect,
+            address,
+            first_line,
+            timeout_seconds,
+            self._forward_to_client,
+            self._on_relay_ended,
+        )
 
     def _relay_request(self, request, line):
         """Pass a request on to the owner, or refuse it and end the session."""
@@ -308,7 +288,7 @@
                     request, Code.MALFORMED, "the transaction has failed", arrived_at
                 )
             case _ if self._refuses(statement):
-                self._refuse_statement(request, arrived_at)
+                self._refuse_statement(request, Code.BUSY, STOPPING, arrived_at)
             case statements.Begin():
                 self._handle_begin(request, arrived_at)
             case statements.SetValue(name=name, value=value):
@@ -330,13 +310,31 @@
             statements.Begin | statements.Run | statements.Execute | statements.Commit,
         )
 
-    def _refuse_statement(self, request, arrived_at):
+    def _refuse_statement(self, request, code, detail, arrived_at):
         """Reply that nothing of a statement or its transaction is kept."""
-        if self._transaction is None:
-            self._send_error(request, Code.BUSY, STOPPING, arrived_at)
-            return
-        self._roll_back()
-        self._send_error(request, Code.ABORTED, STOPPING, arrived_at)
+        if self._transaction is not None:
+            self._roll_back()
+            if code is Code.BUSY:
+                code = Code.ABORTED
+        self._send_error(request, code, detail, arrived_at)
+
+    def _refuse_caller(self, request, arrived_at):
+        """Refuse a statement that the caller may not run now; return whether it is.
+
+        The session ends if the caller's key has been taken away.
+        """
+        refusal = self._server.caller_checks.refusal(
+            self._caller,
+            self._executor.route,
+            starts_operation=self._transaction is None,
+        )
+        if refusal is None:
+            return False
+        self._refuse_statement(request, refusal.code, refusal.detail, arrived_at)
+        if refusal.code is Code.UNAUTHENTICATED:
+            self._pending_lines.clear()
+            self.close_while_idle()
+        return True
 
     def _handle_begin(self, request, arrived_at):
         if self._transaction is not None:
@@ -345,6 +343,8 @@
         if self._current_route() is None:
             self._send_unknown_database(request, arrived_at)
             return
+        if self._refuse_caller(request, arrived_at):
+            return
         read_only = request.statement.read_only
         if read_only and self._executor.needs_primary_for_reads:
             read_only = False
@@ -375,6 +375,8 @@
         if self._transaction is None and self._current_route() is None:
             self._send_unknown_database(request, arrived_at)
             return
+        if self._refuse_caller(request, arrived_at):
+            return
         deadline = arrived_at + self._executor.route.timeout
         session_request = SessionRequest(
             request.request_id, statement, shape, access, arrived_at, deadline
@@ -399,14 +401,17 @@
         self._send_reply(request, reply, session_request.arrived_at)
 
     def _current_route(self):
-        """Return the database's current route, and use it from now on."""
+        """Return the database's current route; use it and the key's present tenant."""
         route = self._server.catalog.route(self.database)
         if route is None:
             return None
-        if self._executor is None or self._executor.route != route:
+        self._caller = self._server.caller_checks.renew(self._caller, route)
+        tenant = self._caller.tenant
+        executor = self._executor
+        if executor is None or executor.route != route or executor.tenant != tenant:
             group = self._server.get_group(route.group)
             self._executor = SessionExecutor(
-                self._loop, group, route, self._session_state
+                self._loop, group, route, self._session_state, tenant
             )
         return route
 
--- a/tests/session_server.py
+++ b/tests/session_server.py
@@ -5,6 +5,7 @@
 import threading
 
 from cassiahill import clock
+from cassiahill.caller_checks import CallerChecks
 from cassiahill.catalog import Catalog, Configuration, Consistency, GroupLimits
 from cassiahill.heartbeats import Member
 from cassiahill.loop import EventLoop
@@ -31,10 +32,10 @@
     def knows_deployment(self):
         return True
 
-    def serves_group(self, group):
+    def serves_group(self, group, tenant=None):
         return self._serves_groups
 
-    def relay_targets(self, group):
+    def relay_targets(self, group, tenant=None):
         if not self._servers.owner_is_up:
             return []
         address = self._servers.owner_server.relay_address
@@ -46,7 +47,7 @@
     def record_relay_opened(self, group):
         pass
 
-    def fall_back_to_local(self, group):
+    def fall_back_to_local(self, group, tenant=None):
         return False
 
     def should_refuse_relayed(self, group):
@@ -54,12 +55,18 @@
 
 
 class ServerPair:
-    """A session server that owns the group ``orders``, and one that relays to it."""
+    """A session server that owns the group ``orders``, and one that relays to it.
 
-    def __init__(self):
+    Parameters
+    ----------
+    tenants : tenants.TenantDirectory or None
+    """
+
+    def __init__(self, tenants=None):
         self.loop = EventLoop(clock.SystemClock())
         self.backend_group = InMemoryGroup(self.loop)
         self.replies = []
+        self.tenants = tenants
         self.owner_is_up = True
         self.owner_lacks_primary = False
         self.owner_server = self._make_server(serves_groups=True)
@@ -70,9 +77,10 @@
         routes = {
             "shop": make_route(Consistency.OWN_WRITES),
             "till": make_route(Consistency.PRIMARY, database="till"),
+            "market": make_route(database="market", public=True),
         }
         limits = {"orders": GroupLimits("orders", 20, True)}
-        catalog.install(Configuration(1, routes, limits, 3.0, {}))
+        catalog.install(Configuration(1, routes, limits, 3.0, {}, self.tenants))
         server_group = ServerGroup(
             self.loop,
             InMemoryDialect(),
@@ -97,6 +105,7 @@
             lambda *arguments: self.replies.append(arguments),
             ANY_PORT,
             FixedRouting(self, serves_groups),
+            CallerChecks(lambda: catalog.configuration, self.loop.clock),
         )
 
     def run_on_loop(self, function):
@@ -115,9 +124,9 @@
 
 
 @contextlib.contextmanager
-def running_servers():
+def running_servers(tenants=None):
     """Run a ``ServerPair`` in a thread within the ``with`` block."""
-    servers = ServerPair()
+    servers = ServerPair(tenants)
     thread = threading.Thread(target=servers.loop.run, daemon=True)
     thread.start()
     try:
@@ -165,9 +174,9 @@
         self.send_lines(*lines)
         return [self.read_answer() for _ in lines]
 
-    def open_session(self, database=b"shop"):
+    def open_session(self, database=b"shop", caller=b"u1"):
         """Open a session and return the answer."""
-        (answer,) = self.exchange(b"STARTUP " + database + b" u1")
+        (answer,) = self.exchange(b"STARTUP %b %b" % (database, caller))
         return answer
 
     def close(self):
--- a/tests/test_adapter_wire.py
+++ b/tests/test_adapter_wire.py
@@ -77,6 +77,13 @@
         line = DIALECT.encode_statement(None, statements.Rollback())
         self.assertEqual(line, b"QUERY - ROLLBACK\r\n")
 
+    def test_relayed_opening_is_decoded_as_a_client_s(self):
+        """Guards against an owner that does not find the digest where the key is."""
+        line = DIALECT.encode_relay_open("shop", "d1f3")
+        self.assertEqual(line, b"STARTUP shop d1f3\r\n")
+        message = DIALECT.decode_request(line.removesuffix(b"\r\n"))
+        self.assertEqual(message, statements.OpenSession("shop", "d1f3"))
+
     def test_every_code_has_an_error_word(self):
         """Guards against an error code that cannot be sent to the client."""
         self.assertEqual(set(wire.ERROR_WORDS_BY_CODE), set(Code))
