Decode only the members whose entries have changed

Cause: each list or copy of the members decodes all of them; in the start of 300 proxies in memory that were 222,214 decoded entries. Change: the decoded entry is kept with its document and used again while the document is equal.

--- a/cassiahill/member_registry.py
+++ b/cassiahill/member_registry.py
@@ -4,6 +4,8 @@
 that does.
 """
 
+import attrs
+
 from cassiahill import (
     errors,
     event_log,
@@ -26,6 +28,14 @@
 RESTORED_REGISTRATION_SECONDS = 6.0
 
 
+@attrs.frozen
+class _DecodedEntry:
+    """A stored document and the member it describes, None if it is invalid."""
+
+    document: object
+    member: heartbeats.Member | None
+
+
 class MemberRegistry:
     """Members of the fleet by their entries in the store.
 
@@ -62,6 +72,7 @@
         self._closed = False
         self._documents_by_name = {}
         self._lost_documents_by_name = {}
+        self._decoded_by_name = {}
         self._lost_until = float("-inf")
         self._era = 0
         self._fleet_registered_at = (
@@ -216,12 +227,17 @@
             self._replace_members()
 
     def _replace_members(self):
-        """Decode the members anew and report the change."""
+        """Decode the documents that have changed, and report the change.
+
+        In a large fleet every list repeats all members, at the start of all proxies
+        several times.
+        """
         documents_by_name = self._lost_documents_by_name | self._documents_by_name
-        members = (
-            heartbeats.decode_member(name, value)
-            for name, value in documents_by_name.items()
-        )
+        self._decoded_by_name = {
+            name: self._decode_if_changed(name, document)
+            for name, document in documents_by_name.items()
+        }
+        members = [decoded.member for decoded in self._decoded_by_name.values()]
         self.members_by_name = {
             member.name: member for member in members if member is not None
         }
@@ -230,6 +246,13 @@
         self.started_with_fleet |= not self.fleet_known
         self._on_changed()
 
+    def _decode_if_changed(self, name, document):
+        """Return the ``_DecodedEntry`` of a document, the known one if it is equal."""
+        known = self._decoded_by_name.get(name)
+        if known is not None and known.document == document:
+            return known
+        return _DecodedEntry(document, heartbeats.decode_member(name, document))
+
     def _register_if_changed(self, snapshot):
         name = MEMBER_PREFIX + self._own_member.name
         if name in self._documents_by_name:
