Read changes of the shared store without waiting

A proof that nothing has changed needs a read that is not stale. A get or a list returns the whole configuration, and the one watch connection of a kind may be busy with a long watch. `SharedStore.changes_since` is a watch that does not wait and uses the connections of the other calls.

Tested in the contract of all stores, and with a watch that waits.

--- a/cassiahill/shared_store.py
+++ b/cassiahill/shared_store.py
@@ -131,6 +131,14 @@
         """
         raise NotImplementedError
 
+    def changes_since(self, kind, revision):
+        """Return the future of the ``ChangeBatch`` after a revision, without waiting.
+
+        Unlike ``watch`` it can be called while a watch of the kind waits. It fails with
+        ``errors.HistoryLost`` as that does.
+        """
+        raise NotImplementedError
+
     def abandon_watch(self, kind):
         """Let a watch that still waits fail with ``errors.PlatformUnavailable``."""
 
@@ -212,6 +220,10 @@
         )
         return completed_future(ChangeBatch(changes, Revision(self.era, self.revision)))
 
+    def changes_since(self, kind, revision):
+        """Return the future of the changes of a kind after a revision."""
+        return self.watch(kind, revision)
+
     def get(self, kind, name, may_be_stale=False):
         """Return the future of an object or None."""
         if not self.available:
--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -55,6 +55,35 @@
         with self.assertRaises(errors.HistoryLost):
             self.result(self.store.watch("kind", revision))
 
+    def test_changes_since_a_revision(self):
+        """Guards against an answer that hides a change or reports it twice."""
+        revision = self.result(self.store.list("kind")).revision
+        self.assertEqual(
+            self.result(self.store.changes_since("kind", revision)).changes, ()
+        )
+        self.write("kind", "a", {"n": 1})
+        batch = self.result(self.store.changes_since("kind", revision))
+        self.assertEqual([change.stored.name for change in batch.changes], ["a"])
+        batch = self.result(self.store.changes_since("kind", batch.revision))
+        self.assertEqual(batch.changes, ())
+
+    def test_changes_since_a_lost_revision_is_an_error(self):
+        """Guards against a proof that the store cannot give."""
+        revision = self.result(self.store.list("kind")).revision
+        self.write("kind", "a", {})
+        self.drop_history()
+        with self.assertRaises(errors.HistoryLost):
+            self.result(self.store.changes_since("kind", revision))
+
+    def test_changes_since_a_revision_of_an_earlier_era_is_an_error(self):
+        """Guards against no changes from a store that has lost some."""
+        restore = self.prepare_restore()
+        revision = self.result(self.store.list("kind")).revision
+        restore()
+        self.write("kind", "a", {})
+        with self.assertRaises(errors.HistoryLost):
+            self.result(self.store.changes_since("kind", revision))
+
     def test_conditional_write_fails_on_conflict(self):
         """Guards against two proxies that both become the promoter."""
         created = self.result(self.store.create("kind", "a", {"n": 1}))
@@ -159,6 +188,14 @@
         self.loop._run_once()
         self.assertIsInstance(watch.exception(), errors.HistoryLost)
 
+    def test_changes_are_read_while_a_watch_waits(self):
+        """Guards against a proof that waits for the end of a long watch."""
+        revision = self.result(self.store.list("kind")).revision
+        watch = self.store.watch("kind", revision)
+        batch = self.result(self.store.changes_since("kind", revision))
+        self.assertEqual(batch.changes, ())
+        self.assertFalse(watch.done())
+
     def test_unreadable_object_does_not_hide_others(self):
         """Guards against one unreadable entry that makes all servers unavailable."""
         self.write("kind", "a", {"n": 1})
