Prove the age of the configuration

A key that is taken away was accepted for as long as a proxy did not hear of the change: behind a cut, after a freeze, while the store turned it away. Each proxy now keeps the instant at which its configuration was last proved the newest. The promoter asks the store about once a second; the answers to heartbeats state the age of the proof, which the receiver dates from before it asked. A proxy whose proof gets old asks the store and peers itself. Without a young proof it is not ready and closes idle sessions, if the configuration has tenants. Nothing is asked where the settings set no bound.

Tested: decisions; a search of random steps against a plain model of what was acknowledged; real fleets and feeds in memory of 1 to 85 proxies.

--- a/cassiahill/catalog_feed.py
+++ b/cassiahill/catalog_feed.py
@@ -5,6 +5,7 @@
 
 from cassiahill import errors, event_log, store_watcher
 from cassiahill.catalog import ServerAdded
+from cassiahill.configuration_age import ConfigurationAge
 from cassiahill.heartbeats import View
 from cassiahill.shared_store import Revision
 
@@ -37,6 +38,18 @@
     decode_server: object
 
 
+@attrs.frozen
+class _StoredVersion:
+    """Version of the configuration that the store held at a revision.
+
+    It is None if it cannot be read. A restored store may hold a lower version than the
+    installed one.
+    """
+
+    revision: Revision = Revision()
+    version: int | None = None
+
+
 class CatalogFeed:
     """Watches the configuration and the servers, and updates the catalog.
 
@@ -51,9 +64,24 @@
         Called without arguments after a newer configuration was installed.
     on_server : callable
         Called with each ``catalog.ServerAdded`` and ``catalog.ServerRemoved``.
+    age : configuration_age.ConfigurationAge or None
+        Is told what the store proves. None if the deployment does not limit the age.
     """
 
-    def __init__(self, loop, store, catalog, source, rng, on_configuration, on_server):
+    def __init__(
+        self,
+        loop,
+        store,
+        catalog,
+        source,
+        rng,
+        on_configuration,
+        on_server,
+        age=None,
+    ):
+        self._age = age or ConfigurationAge(None, loop.clock.now())
+        self._stored_version = _StoredVersion()
+        self._complete_revision = Revision()
         self._loop = loop
         self._catalog = catalog
         self._source = source
@@ -72,6 +100,7 @@
             rng,
             self._apply_configuration_snapshot,
             self._apply_configuration_changes,
+            on_complete=self._record_proof,
         )
         self._server_watcher = store_watcher.StoreWatcher(
             loop,
@@ -178,13 +207,17 @@
         self._reading_configuration = True
         try:
             for may_be_stale in (True, False):
+                asked_at = self._loop.clock.now()
                 stored = yield self._store.get(
                     self._source.configuration_kind,
                     self._source.configuration_name,
                     may_be_stale,
                 )
-                if stored is not None:
+                if stored is not None and may_be_stale:
+                    self._install_configuration(stored.value, "store")
+                elif stored is not None:
                     self._apply_configuration(stored, "store")
+                    self._record_proof(asked_at, stored.revision)
                 if self.versions[0] >= version:
                     return True
         except errors.CassiahillError as error:
@@ -193,6 +226,36 @@
             self._reading_configuration = False
         return False
 
+    def verify_configuration(self):
+        """Ask the store whether there is a newer configuration; a task.
+
+        The answer is small while nothing has changed. The whole configuration is read
+        only if the store no longer has the history since it was last complete here.
+
+        Returns
+        -------
+        bool
+            Whether the store answered.
+        """
+        kind = self._source.configuration_kind
+        try:
+            try:
+                asked_at = self._loop.clock.now()
+                if not self._complete_revision.number:
+                    raise errors.HistoryLost("the configuration was not read before")
+                batch = yield self._store.changes_since(kind, self._complete_revision)
+                self._apply_configuration_changes(batch.changes)
+                self._record_proof(asked_at, batch.revision)
+            except errors.HistoryLost:
+                asked_at = self._loop.clock.now()
+                snapshot = yield self._store.list(kind)
+                self._apply_configuration_snapshot(snapshot)
+                self._record_proof(asked_at, snapshot.revision)
+        except errors.CassiahillError as error:
+            event_log.event("configuration_unverified", cause=error.detail)
+            return False
+        return True
+
     def set_server_watch_pause(self, short):
         """Set how soon changes of servers are read.
 
@@ -233,15 +296,40 @@
             self._apply_configuration(change.stored, "store")
 
     def _apply_configuration(self, stored, origin):
-        if stored.name == self._source.configuration_name:
-            self._install_configuration(stored.value, origin)
+        """Install what the store held, as an answer that is not stale shows."""
+        if stored.name != self._source.configuration_name:
+            return
+        version = self._install_configuration(stored.value, origin)
+        if stored.revision >= self._stored_version.revision:
+            self._stored_version = _StoredVersion(stored.revision, version)
+
+    def _record_proof(self, asked_at, revision):
+        """Record that all changes up to a revision are applied.
+
+        Parameters
+        ----------
+        asked_at : float
+            Instant before the store was asked.
+        revision : shared_store.Revision
+            Of the answer, which was not stale.
+        """
+        self._complete_revision = max(self._complete_revision, revision)
+        era = self._store.era
+        self._age.record_era(era, self._loop.clock.now())
+        stored_version = self._stored_version
+        if stored_version.version is None:
+            return
+        if revision.era == era and stored_version.revision.era == era:
+            self._age.record_proof(stored_version.version, asked_at)
 
     def _install_configuration(self, document, origin):
+        """Install a document if it is newer; return its version, None if unreadable."""
         configuration = self._source.decode_configuration(document)
         if configuration is None:
             event_log.event("configuration_unreadable", source=origin)
-            return
+            return None
         if self._catalog.install(configuration):
+            self._age.record_installed(configuration.version)
             event_log.event(
                 "configuration_installed",
                 version=configuration.version,
@@ -249,6 +337,7 @@
                 source=origin,
             )
             self._on_configuration()
+        return configuration.version
 
     def _apply_server_snapshot(self, snapshot):
         self._replace_servers(
--- a/cassiahill/heartbeats.py
+++ b/cassiahill/heartbeats.py
@@ -87,6 +87,11 @@
         watches.
     servers_era, members_era : int
         Eras of the two revisions.
+    proved_version : int
+        Version than which the store held no newer one, ``proof_age`` ago.
+    proof_age : float or None
+        Seconds at the instant of the answer. The receiver counts them from the instant
+        at which it sent the heartbeat. None if there is no proof.
     """
 
     version: int
@@ -98,6 +103,8 @@
     total_demand_by_group: dict[str, float] = {}
     servers_era: int = 0
     members_era: int = 0
+    proved_version: int = 0
+    proof_age: float | None = None
 
 
 class StoredPromoter(msgspec.Struct):
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -10,6 +10,8 @@
 import msgspec
 
 from cassiahill import (
+    configuration_age,
+    configuration_prover,
     errors,
     heartbeat_reports,
     heartbeats,
@@ -83,6 +85,10 @@
         """Read an announced version in the store; a task that returns its success."""
         raise NotImplementedError
 
+    def verify_configuration(self):
+        """Ask the store for a newer configuration; a task that returns its success."""
+        raise NotImplementedError
+
     def is_store_unreachable(self):
         """Return whether the store does not answer this process."""
         raise NotImplementedError
@@ -117,6 +123,8 @@
         Proxies to ask for the deployment while the store does not answer.
     member_client : member_client.MemberClient or None
         None for the client that sends over the network.
+    age : configuration_age.ConfigurationAge or None
+        Age of the configuration; None if the deployment does not limit it.
 
     Attributes
     ----------
@@ -138,6 +146,7 @@
         process_state,
         seed_addresses=(),
         member_client=None,
+        age=None,
     ):
         self._loop = loop
         self._own_member = own_member
@@ -148,6 +157,7 @@
         )
         self._client = member_client or MemberClient(loop)
         self._reference_partitioned = False
+        self._age = age or configuration_age.ConfigurationAge(None, loop.clock.now())
         self.peer_contacts = reachability.PeerContacts(
             own_member.failure_domain, loop.clock.now()
         )
@@ -167,6 +177,14 @@
         self.follower = store_follower.StoreFollower(
             loop, store, own_member, self.registry, self._client, process_state, rng
         )
+        self._prover = configuration_prover.ConfigurationProver(
+            loop,
+            self._age,
+            store,
+            self._store_role,
+            process_state.verify_configuration,
+            self._ask_peer_for_proof,
+        )
         # The random delay lets the store answer before the first heartbeat and spreads
         # the heartbeats of proxies that start together.
         self._timer = loop.repeat(
@@ -207,6 +225,7 @@
     def close(self):
         """Stop sending heartbeats and close the connections to members."""
         self.registry.close()
+        self._prover.close()
         self._timer.cancel()
         self._client.close()
 
@@ -224,6 +243,8 @@
         heartbeat = heartbeats.decode_heartbeat(body)
         now = self._loop.clock.now()
         self.reports.record(heartbeat, now)
+        self._age.record_known(heartbeat.version)
+        stated_proof = self._age.state_proof(now)
         version, servers_revision = self._process_state.versions()
         sender = self.members_by_name.get(heartbeat.name)
         if sender is not None:
@@ -239,6 +260,8 @@
                 self._total_demand_for(heartbeat),
                 servers_revision.era,
                 self.registry.revision.era,
+                stated_proof.version,
+                stated_proof.age_seconds,
             )
         )
 
@@ -338,6 +361,24 @@
         ]
         return self._rng.choice(other_members) if other_members else None
 
+    def _store_role(self):
+        """Return how early this process asks the store for a proof."""
+        if self.election.is_promoter:
+            return configuration_age.StoreRole.PROMOTER
+        if self.follower.reads_store:
+            return configuration_age.StoreRole.READER
+        return configuration_age.StoreRole.FOLLOWER
+
+    def _ask_peer_for_proof(self):
+        """Send a heartbeat to a member of a random failure domain."""
+        members_by_domain = {}
+        for member in self.members_by_name.values():
+            if member.name != self._own_member.name:
+                members_by_domain.setdefault(member.failure_domain, []).append(member)
+        if members_by_domain:
+            domain = self._rng.choice(sorted(members_by_domain))
+            self._start_heartbeat(self._rng.choice(members_by_domain[domain]))
+
     def _start_heartbeat(self, member):
         if member is not None and member.name != self._own_member.name:
             self._loop.spawn(self._exchange_heartbeat(member))
@@ -357,7 +398,8 @@
             servers_revision.era,
             self.registry.revision.era,
         )
-        deadline = self._loop.clock.now() + HEARTBEAT_TIMEOUT_SECONDS
+        asked_at = self._loop.clock.now()
+        deadline = asked_at + HEARTBEAT_TIMEOUT_SECONDS
         try:
             response_future = self._client.send_heartbeat(
                 member.address, msgspec.json.encode(heartbeat), deadline
@@ -375,6 +417,10 @@
                 self.reference_failures += 1
             return
         self._record_contact(member, answered=True)
+        self._age.record_known(heartbeat_answer.version)
+        self._age.record_peer_proof(
+            heartbeat_answer.proved_version, heartbeat_answer.proof_age, asked_at
+        )
         reference = self._process_state.reference_member()
         if reference is not None and reference.name == member.name:
             self._reference_partitioned = heartbeat_answer.cut_off
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -3,10 +3,12 @@
 import signal
 
 import attrs
+import xxhash
 
 from cassiahill import (
     catalog,
     catalog_feed,
+    configuration_age,
     errors,
     event_log,
     heartbeats,
@@ -30,6 +32,7 @@
 GROUP_RECENT_USE_SECONDS = 5.0
 METRICS_PATH = "/metrics"
 STATE_PATH = "/v1/state"
+NAME_DIGEST_RANGE = 2**64
 
 
 @attrs.frozen
@@ -52,6 +55,9 @@
         Addresses of proxies to ask for the deployment while the store does not answer.
     grace_seconds : float
         Time between the request to stop and the kill of the process.
+    revocation_seconds : float or None
+        Time after the store's acknowledgement from which on a key that was taken away
+        must not be accepted anywhere; None if the deployment does not limit it.
     """
 
     name: str
@@ -62,6 +68,7 @@
     relay_address: tuple
     seed_addresses: tuple
     grace_seconds: float
+    revocation_seconds: float | None = None
 
 
 class SessionProxy(session_fleet.ProcessState):
@@ -91,6 +98,9 @@
         self._takeovers_by_group = {}
         self.metrics = session_metrics.SessionMetrics()
         self.catalog = catalog.Catalog()
+        self.configuration_age = configuration_age.ConfigurationAge(
+            settings.revocation_seconds, loop.clock.now(), _spread_of(settings.name)
+        )
         own_member = heartbeats.Member(
             settings.name,
             settings.peer_address,
@@ -98,7 +108,13 @@
             settings.failure_domain,
         )
         self.fleet = session_fleet.SessionFleet(
-            loop, store, own_member, rng, self, settings.seed_addresses
+            loop,
+            store,
+            own_member,
+            rng,
+            self,
+            settings.seed_addresses,
+            age=self.configuration_age,
         )
         self.owners = session_owners.GroupOwnerRouting(
             loop,
@@ -116,6 +132,7 @@
             rng,
             self._update_limits,
             self._apply_server_change,
+            self.configuration_age,
         )
         # Until the fleet is known, it is not known who reads the store.
         self.catalog_feed.set_resting(True)
@@ -144,6 +161,16 @@
             self._shutdown_since is None
             and self.knows_deployment()
             and not self._partitioned
+            and not self._refuses_keys()
+        )
+
+    def _refuses_keys(self):
+        """Return whether callers with a key are refused, because a proof is missing."""
+        configuration = self.catalog.configuration
+        return (
+            configuration is not None
+            and configuration.tenants is not None
+            and not self.configuration_age.is_young_enough(self._loop.clock.now())
         )
 
     def knows_deployment(self):
@@ -206,6 +233,9 @@
             "servers_era": revision.era,
             "store_era": self._store.era,
             "store_is_away": self.catalog_feed.is_store_unreachable,
+            "configuration_age": self.configuration_age.state_proof(
+                self._loop.clock.now()
+            ).age_seconds,
             "sessions": len(self.sessions),
             "busy_sessions": self.sessions.busy_count,
             "fleet": self.fleet.dump(),
@@ -240,6 +270,10 @@
         """Read an announced version in the store; a task that returns its success."""
         return self.catalog_feed.read_configuration(version)
 
+    def verify_configuration(self):
+        """Ask the store for a newer configuration; a task that returns its success."""
+        return self.catalog_feed.verify_configuration()
+
     def versions(self):
         """Return the configuration's version and the ``Revision`` of the servers."""
         return self.catalog_feed.versions
@@ -382,7 +416,7 @@
                 # Servers that did not answer during the partition may answer now.
                 group.reset_failure_detection()
                 group.partitioned = partitioned
-        if partitioned:
+        if partitioned or self._refuses_keys():
             self.sessions.close_idle()
         for name, group in self._groups_by_name.items():
             primary_unreachable = group.active and group.is_primary_unreachable(now)
@@ -409,7 +443,7 @@
         raise errors.NotFound(request.path)
 
     def _gauge_values(self):
-        return {
+        values = {
             "open_sessions": len(self.sessions),
             "busy_sessions": self.sessions.busy_count,
             "configuration_version": self.catalog_feed.versions[0],
@@ -420,6 +454,10 @@
             "store_calls_failed": self._store.failed_call_count,
             "log_lines_dropped": event_log.dropped_lines(),
         }
+        if self.configuration_age.is_required:
+            age_seconds = self.configuration_age.age(self._loop.clock.now())
+            values["configuration_age_seconds"] = age_seconds
+        return values
 
     def _record_reply(self, request, database, reply, arrived_at):
         """Count and log the reply to a request."""
@@ -461,3 +499,8 @@
         for group in self._groups_by_name.values():
             group.close()
         self._loop.stop()
+
+
+def _spread_of(name):
+    """Return a number from 0 to 1 that differs among the names of proxies."""
+    return xxhash.xxh3_64_intdigest(name.encode()) / NAME_DIGEST_RANGE
--- a/cassiahill/store_watcher.py
+++ b/cassiahill/store_watcher.py
@@ -52,6 +52,10 @@
         Time between the end of a watch and the next one.
     may_be_stale : bool
         Whether lists may be some seconds old, except after a loss of history.
+    on_complete : callable or None
+        Called after each report, and after each watch without changes, with an instant
+        and a ``Revision``. The objects reported by now are those of the revision, and
+        no older than at the instant. Lists that may be stale are left out.
 
     Attributes
     ----------
@@ -76,6 +80,7 @@
         on_changes,
         pause_seconds=WATCH_PAUSE_SECONDS,
         may_be_stale=False,
+        on_complete=None,
     ):
         self._loop = loop
         self._store = store
@@ -83,6 +88,7 @@
         self._rng = rng
         self._on_snapshot = on_snapshot
         self._on_changes = on_changes
+        self._on_complete = on_complete
         self.pause_seconds = pause_seconds
         self.wait_seconds = MAX_WATCH_SECONDS
         self._watch_began_at = None
@@ -213,6 +219,7 @@
     def _list_objects(self):
         # The history since a stale list may be lost too.
         may_be_stale = self._may_be_stale and not self._needs_current_list
+        asked_at = self._loop.clock.now()
         snapshot = yield self._store.list(self._kind, may_be_stale)
         self._has_objects = True
         self._needs_current_list = False
@@ -233,13 +240,15 @@
             return
         self.revision = self.changed_revision = snapshot.revision
         self._on_snapshot(snapshot)
+        if not may_be_stale:
+            self._report_complete(asked_at, snapshot.revision)
 
     def _watch_changes(self):
         began_at_revision = self.revision
         # After a failure, an answer at once shows that the store is back.
         may_wait = self.reachability.unreachable_since is None
         wait_seconds = self.wait_seconds if may_wait else 0.0
-        self._watch_began_at = self._loop.clock.now()
+        asked_at = self._watch_began_at = self._loop.clock.now()
         try:
             batch = yield self._store.watch(self._kind, began_at_revision, wait_seconds)
         finally:
@@ -250,11 +259,16 @@
         if batch.changes:
             self.changed_revision = self.revision
             self._on_changes(batch.changes)
+        self._report_complete(asked_at, batch.revision)
         self._history_losses = 0
         if not may_wait:
             return
         yield self._pause()
 
+    def _report_complete(self, asked_at, revision):
+        if self._on_complete is not None:
+            self._on_complete(asked_at, revision)
+
     def _pause(self):
         return self._loop.sleep_until(self._loop.clock.now() + self.pause_seconds)
 
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -13,6 +13,7 @@
 from cassiahill import errors, heartbeats, session_fleet, shared_store
 from cassiahill.catalog import Catalog, Configuration
 from cassiahill.catalog_feed import CatalogFeed, CatalogSource
+from cassiahill.configuration_age import ConfigurationAge
 from cassiahill.loop import LoopFuture, failed_future
 from tests.line_group import InMemoryGroup
 from tests.stepped_loop import SteppedLoop
@@ -74,6 +75,9 @@
         self._fleet.loop.when_done(task, lambda done: _copy_result(done, watch))
         return watch
 
+    def changes_since(self, kind, revision):
+        return self._call("changes", lambda: self._fleet.store.watch(kind, revision))
+
     def abandon_watch(self, kind):
         watch = self._watches_by_kind.get(kind)
         if watch is not None and not watch.done():
@@ -148,7 +152,7 @@
     def _reach(self, address, deadline):
         """Wait for a message to arrive; return the receiving process."""
         loop = self._fleet.loop
-        yield loop.sleep_until(loop.clock.now() + MESSAGE_SECONDS)
+        yield loop.sleep_until(loop.clock.now() + self._fleet.message_seconds)
         if not self._fleet.can_exchange(self._name, address[0]):
             yield loop.sleep_until(deadline)
             raise errors.ConnectionLost("no answer before the deadline")
@@ -171,10 +175,22 @@
         rng = random.Random(name)
         store = FleetStore(memory_fleet, name)
         member = heartbeats.Member(name, (name, 1), (name, 2), domain)
+        self.age = ConfigurationAge(
+            memory_fleet.revocation_seconds,
+            loop.clock.now(),
+            random.Random(f"spread of {name}").random(),
+        )
         self.fleet = session_fleet.SessionFleet(
-            loop, store, member, rng, self, (), MemoryClient(memory_fleet, name)
+            loop,
+            store,
+            member,
+            rng,
+            self,
+            memory_fleet.seed_addresses,
+            MemoryClient(memory_fleet, name),
+            self.age,
         )
-        self.feed = CatalogFeed(
+        self.feed = memory_fleet.feed_class(
             loop,
             store,
             self.catalog,
@@ -182,6 +198,7 @@
             rng,
             self._record_configuration,
             self._record_server_change,
+            self.age,
         )
         self.feed.set_resting(True)
 
@@ -237,6 +254,9 @@
     def read_configuration(self, version):
         return self.feed.read_configuration(version)
 
+    def verify_configuration(self):
+        return self.feed.verify_configuration()
+
     def on_members_changed(self):
         pass
 
@@ -256,6 +276,10 @@
     domain_count : int
     connected_share : float
         Fraction of the processes that are connected to servers.
+    revocation_seconds : float or None
+        Bound of the age of the configuration.
+    feed_class : type
+        ``CatalogFeed`` or a broken version of it.
 
     Attributes
     ----------
@@ -270,11 +294,27 @@
         Failure domain whose processes reach none of the others.
     storeless_names : set of str
         Processes that the store does not answer.
+    message_seconds : float
+        Time that a message takes.
+    seed_addresses : tuple
+        Given to the processes that start from now on.
     store_is_silent : bool
         Whether watches that arrive, and those that a change would end, are lost.
     """
 
-    def __init__(self, count, domain_count=5, connected_share=0.3, seed=1):
+    def __init__(
+        self,
+        count,
+        domain_count=5,
+        connected_share=0.3,
+        seed=1,
+        revocation_seconds=None,
+        feed_class=CatalogFeed,
+    ):
+        self.revocation_seconds = revocation_seconds
+        self.feed_class = feed_class
+        self.message_seconds = MESSAGE_SECONDS
+        self.seed_addresses = ()
         self.loop = SteppedLoop()
         self.store = shared_store.MemorySharedStore()
         self.servers = InMemoryGroup(self.loop, servers=("a", "b", "c", "d"))
--- a/tests/test_catalog_feed.py
+++ b/tests/test_catalog_feed.py
@@ -13,6 +13,7 @@
     ServerRemoved,
 )
 from cassiahill.catalog_feed import CatalogFeed, CatalogSource
+from cassiahill.configuration_age import ERA_SETTLE_SECONDS, ConfigurationAge
 from cassiahill.heartbeats import View
 from cassiahill.shared_store import MemorySharedStore
 from tests.line_group import InMemoryGroup
@@ -30,11 +31,12 @@
             "config",
             "main",
             "servers",
-            lambda document: Configuration(document["version"], {}, {}, 3.0, document),
+            self.decode_configuration,
             self.decode_server,
         )
         self.store.write("config", "main", {"version": 3})
         self.store.write("servers", "a", {})
+        self.age = ConfigurationAge(5.0, self.loop.clock.now())
         self.feed = CatalogFeed(
             self.loop,
             self.store,
@@ -43,9 +45,16 @@
             random.Random(1),
             lambda: None,
             self.changes.append,
+            self.age,
         )
         self.loop.advance(1.0)
 
+    def decode_configuration(self, document):
+        """Return a configuration, or None for the invalid document ``None``."""
+        if document is None:
+            return None
+        return Configuration(document["version"], {}, {}, 3.0, document)
+
     def decode_server(self, server_id, document):
         """Return a server, or None for the invalid document ``None``."""
         if document is None:
@@ -172,6 +181,91 @@
         ]
         self.assertEqual(added, ["a", "b"])
 
+    # Proofs of the configuration's age. The watcher rests, so that it gives none.
+
+    def rest_until_settled(self):
+        """Let the watcher rest, until proofs of the store's era count."""
+        self.feed.set_resting(True)
+        self.loop.advance(ERA_SETTLE_SECONDS)
+
+    def verify(self):
+        """Ask the store for a proof; return whether it was asked and gave one."""
+        self.loop.advance(0.1)
+        proved_at = self.age.proved_at
+        answered = self.loop.result(self.feed.verify_configuration())
+        return answered and self.age.proved_at > proved_at
+
+    def test_proof_without_changes_reads_no_list(self):
+        """Guards against reading a large configuration again for each proof."""
+        self.rest_until_settled()
+        lists = []
+        self.store.list = lambda kind, may_be_stale=False: lists.append(kind)
+        self.assertTrue(self.verify())
+        self.assertTrue(self.verify())
+        self.assertEqual(lists, [])
+
+    def test_proof_installs_what_has_changed(self):
+        """Guards against a proof of a version that is not in force."""
+        self.rest_until_settled()
+        self.store.write("config", "main", {"version": 6})
+        self.assertTrue(self.verify())
+        self.assertEqual(self.catalog.configuration.version, 6)
+        self.assertEqual(self.age.proved_version, 6)
+
+    def test_lost_history_is_replaced_by_a_list(self):
+        """Guards against a proxy that gets no proof after the history was dropped."""
+        self.rest_until_settled()
+        self.store.write("config", "main", {"version": 6})
+        self.store.drop_history()
+        self.assertTrue(self.verify())
+        self.assertEqual(self.catalog.configuration.version, 6)
+
+    def test_unreadable_configuration_is_not_proved(self):
+        """Guards against a proof of an old version by a new one that is unreadable."""
+        self.rest_until_settled()
+        self.store.write("config", "main", None)
+        self.assertFalse(self.verify())
+        self.store.write("config", "main", {"version": 6})
+        self.assertTrue(self.verify())
+
+    def test_copy_of_a_peer_is_not_proved(self):
+        """Guards against an age that a peer's copy resets."""
+        proved_at = self.age.proved_at
+        self.rest_until_settled()
+        self.feed.apply_view(View({"version": 8}, 1, {}, servers_era=1), "p2")
+        self.assertEqual(self.age.proved_at, proved_at)
+        self.assertFalse(self.verify(), "the store does not hold version 8")
+
+    def test_read_that_may_be_stale_is_not_proved(self):
+        """Guards against a proof by an answer that is some seconds old."""
+        self.rest_until_settled()
+        proved_at = self.age.proved_at
+        self.loop.result(self.feed.read_configuration(3))
+        self.assertEqual(self.age.proved_at, proved_at)
+        self.store.write("config", "main", {"version": 6})
+        stale = self.store.copy()
+        stale.write("config", "main", {"version": 5})
+        current_get = self.store.get
+        self.store.get = lambda kind, name, may_be_stale=False: (
+            stale.get if may_be_stale else current_get
+        )(kind, name, may_be_stale)
+        self.loop.result(self.feed.read_configuration(6))
+        self.assertGreater(self.age.proved_at, proved_at)
+        self.assertEqual(self.age.proved_version, 6)
+
+    def test_restored_store_proves_only_what_it_holds_again(self):
+        """Guards against a proof by a store that has lost the newest version."""
+        copied = self.store.copy()
+        self.store.write("config", "main", {"version": 6})
+        self.rest_until_settled()
+        self.assertTrue(self.verify())
+        self.store.restore(copied)
+        self.assertFalse(self.verify())
+        self.loop.advance(ERA_SETTLE_SECONDS)
+        self.assertFalse(self.verify())
+        self.store.write("config", "main", {"version": 6})
+        self.assertTrue(self.verify())
+
 
 if __name__ == "__main__":
     unittest.main()
