--- a/tests/test_adapter_documents.py
+++ b/tests/test_adapter_documents.py
@@ -106,6 +106,29 @@
         self.assertEqual(platform_settings.proxy.peer_address, ("10.1.0.8", 7441))
         self.assertEqual(platform_settings.store_address, ("10.200.1.7", 8783))
 
+    def test_bound_of_revocation_applies_only_where_it_is_asked_for(self):
+        """Guards against refusals, and calls to the store, that nobody asked for."""
+        bounds_and_seconds = (
+            ({"graceS": 6}, None),
+            ({"revokeMs": 5000}, None),
+            ({"strictRevoke": False, "revokeMs": 5000}, None),
+            ({"strictRevoke": True, "revokeMs": 5000}, 5.0),
+        )
+        for bounds, seconds in bounds_and_seconds:
+            decoded = settings.decode({**SETTINGS_DOCUMENT, "bounds": bounds})
+            self.assertEqual(decoded.proxy.revocation_seconds, seconds, bounds)
+
+    def test_strict_revocation_without_a_valid_bound_is_reported(self):
+        """Guards against a process that accepts keys for longer than is allowed."""
+        for bounds in (
+            {"strictRevoke": True},
+            {"strictRevoke": True, "revokeMs": True},
+            {"strictRevoke": True, "revokeMs": 0},
+            {"strictRevoke": "yes", "revokeMs": 5000},
+        ):
+            with self.assertRaises(errors.InvalidSettings, msg=bounds):
+                settings.decode({**SETTINGS_DOCUMENT, "bounds": bounds})
+
     def test_all_invalid_values_are_reported(self):
         """Guards against reporting only the first of several invalid values."""
         invalid_document = {
