--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -140,6 +140,7 @@
         self.caller_checks = caller_checks.CallerChecks(
             lambda: self.catalog.configuration,
             loop.clock,
+            is_young_enough=self.configuration_age.is_young_enough,
             count_refusal=self.metrics.count_refused_caller,
         )
         self.sessions = session_server.SessionServer(
