Read the regions of the failure domains

The product knew failure domains and no regions, so it could not tell a server 12 ms away from one 1.4 ms away. Without regions, or with one, all domains are of one region and nothing changes.

--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -52,6 +52,8 @@
         Addresses of proxies to ask for the deployment while the store does not answer.
     grace_seconds : float
         Time between the request to stop and the kill of the process.
+    region_by_domain : dict of str to str
+        Region of each failure domain; empty in a deployment without regions.
     """
 
     name: str
@@ -62,6 +64,7 @@
     relay_address: tuple
     seed_addresses: tuple
     grace_seconds: float
+    region_by_domain: dict = attrs.field(factory=dict, hash=False)
 
 
 class SessionProxy(session_fleet.ProcessState):
