Choose owners and relays by region

With several regions, each owner probes and asks servers across a link of 12 ms, and a session went to any other domain by name once its own domain had no owner.

A session whose reads all need a primary in another region is relayed to an owner there, also by a proxy that is an owner itself: one round trip across for a read in place of three (begin, read, rollback). Reads that a replica may serve stay. When no owner there accepts, the session is served as before.

Tested: tests.test_group_owners, tests.test_session_crossings, tests.test_session_owners, tests.test_sessions.

--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -274,6 +274,12 @@
             and self.primary_unreachable_since is None
         )
 
+    @property
+    def primary_domain(self):
+        """Failure domain of the known primary, or None."""
+        pool = self.pools_by_id.get(self.primary.server_id)
+        return None if pool is None else pool.server.failure_domain
+
     @property
     def can_acknowledge_commits(self):
         """Whether a replica that acknowledges commits may be within reach.
--- a/cassiahill/session_owners.py
+++ b/cassiahill/session_owners.py
@@ -2,9 +2,12 @@
 
 import xxhash
 
-from cassiahill import event_log, group_owners, session_server
+from cassiahill import event_log, group_owners, session_crossings, session_server
+from cassiahill.regions import Regions
 
 MAX_OWNERS_TRIED = 4  # An attempt takes up to 0.3 s; clients wait 2 s.
+# While the link between the regions is cut, each attempt across takes its whole time.
+MAX_OWNERS_TRIED_ACROSS = 2
 AVOID_OWNER_SECONDS = 1.0
 # When no other owner accepts a session, this process serves the group itself for this
 # time before it relays sessions again.
@@ -24,6 +27,10 @@
     is_primary_unreachable : callable
         Returns whether this process has not reached a group's primary for long.
     process_state : session_fleet.ProcessState
+    region_by_domain : dict of str to str, or None
+        Region of each failure domain; None or empty without regions.
+    primary_domain : callable or None
+        Returns the failure domain of a group's known primary, or None.
     """
 
     def __init__(
@@ -34,6 +41,8 @@
         knows_deployment,
         is_primary_unreachable,
         process_state,
+        region_by_domain=None,
+        primary_domain=None,
     ):
         self._loop = loop
         self._own_member = own_member
@@ -41,6 +50,8 @@
         self._knows_deployment = knows_deployment
         self._is_primary_unreachable = is_primary_unreachable
         self._process_state = process_state
+        self._regions = Regions(own_member.failure_domain, region_by_domain or {})
+        self._primary_domain = primary_domain or (lambda _group: None)
         self._owners_by_group = {}
         self._first_rotation = xxhash.xxh3_64_intdigest(own_member.name.encode())
         self._next_rotation_by_group = {}
@@ -60,7 +71,9 @@
         domains_by_name = {self._own_member.name: self._own_member.failure_domain}
         for member in self._fleet.members_by_name.values():
             domains_by_name[member.name] = member.failure_domain
-        owners = group_owners.choose_owners(group, domains_by_name, connection_limit)
+        owners = group_owners.choose_owners(
+            group, domains_by_name, connection_limit, self._regions.region_by_domain
+        )
         self._owners_by_group[group] = owners
         return owners.connected_proxy_count
 
@@ -126,26 +139,71 @@
 
     def relay_targets(self, group):
         """Return the members to relay a group's session to, preferred ones first."""
-        now = self._loop.clock.now()
         owners = self._owners_by_group.get(group)
         if owners is None:
             return []
-        # Sessions take turns, so that all owners of a domain get the same number.
+        members = self._other_members(
+            owners.relay_candidates(
+                self._own_member.failure_domain,
+                self._next_rotation(group),
+                self._regions,
+            )
+        )
+        return (self._not_avoided(group, members) or members)[:MAX_OWNERS_TRIED]
+
+    def relay_targets_near_primary(self, route):
+        """Return the owners to relay a session to that is served in another region.
+
+        Returns
+        -------
+        list of heartbeats.Member
+            Empty when the session is served in this region, also while none of the
+            owners near the primary accepts sessions.
+        """
+        owners = self._owners_by_group.get(route.group)
+        primary_domain = self._primary_domain(route.group)
+        place = session_crossings.choose_place(
+            route.consistency, primary_domain, self._regions
+        )
+        if (
+            owners is None
+            or not place.near_primary
+            or self._process_state.is_partitioned()
+        ):
+            return []
+        members = self._other_members(
+            owners.owners_in_region(
+                self._regions.region_of(primary_domain),
+                self._next_rotation(route.group),
+                self._regions,
+            )
+        )
+        return self._not_avoided(route.group, members)[:MAX_OWNERS_TRIED_ACROSS]
+
+    def _next_rotation(self, group):
+        """Return a number that lets the sessions of a group take turns.
+
+        All owners of a domain then get the same number of sessions.
+        """
         rotation = self._next_rotation_by_group.get(group, self._first_rotation)
         self._next_rotation_by_group[group] = rotation + 1
-        members = [
+        return rotation
+
+    def _other_members(self, names):
+        return [
             self._fleet.members_by_name[name]
-            for name in owners.relay_candidates(
-                self._own_member.failure_domain, rotation
-            )
+            for name in names
             if name in self._fleet.members_by_name and name != self._own_member.name
         ]
-        preferred = [
+
+    def _not_avoided(self, group, members):
+        """Return the members that have not recently failed to accept a session."""
+        now = self._loop.clock.now()
+        return [
             member
             for member in members
             if self._avoid_until_by_owner.get((group, member.name), 0.0) <= now
         ]
-        return (preferred or members)[:MAX_OWNERS_TRIED]
 
     def record_owner_failure(self, group, member):
         """Record that a member did not accept a session; prefer others for a while."""
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -110,6 +110,8 @@
             self.knows_deployment,
             self._is_primary_unreachable,
             self,
+            settings.region_by_domain,
+            self._primary_domain,
         )
         self.catalog_feed = catalog_feed.CatalogFeed(
             loop,
@@ -308,6 +310,11 @@
             self._loop.clock.now()
         )
 
+    def _primary_domain(self, group_name):
+        """Return the failure domain of a group's known primary, or None."""
+        group = self._groups_by_name.get(group_name)
+        return None if group is None else group.primary_domain
+
     def _update_active_groups(self, now):
         """Mark the groups that this process owns, supervises or used recently."""
         # The promoter's successor knows the state of all groups when it takes over.
--- a/cassiahill/session_server.py
+++ b/cassiahill/session_server.py
@@ -18,6 +18,16 @@
         """Return the members to relay a group's session to, preferred ones first."""
         raise NotImplementedError
 
+    def relay_targets_near_primary(self, _route):
+        """Return the members near the primary to relay a session to, if that is better.
+
+        Returns
+        -------
+        list of heartbeats.Member
+            Empty when the session is better served in the own region.
+        """
+        return []
+
     def record_owner_failure(self, group, member):
         """Record that a member did not accept a session of a group."""
         raise NotImplementedError
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -210,26 +210,38 @@
             if self._server.routing.should_refuse_relayed(route.group):
                 self._refuse_and_close(Code.BUSY, "the primary is out of reach")
                 return
-        elif not self._server.routing.serves_group(route.group):
-            accepted = yield from self._open_relay(route, line + LINE_END)
-            if not accepted and not self._server.routing.fall_back_to_local(
-                route.group
-            ):
-                self._refuse_and_close(Code.BUSY, "no owner of the group answers")
-                return
+        elif not (yield from self._open_elsewhere(route, line + LINE_END)):
+            self._refuse_and_close(Code.BUSY, "no owner of the group answers")
+            return
         self.database = message.database
         self.group = route.group
         self._stream.write(self._server.dialect.encode_ready())
 
-    def _open_relay(self, route, first_line):
-        """Relay the session to the first owner that accepts it.
+    def _open_elsewhere(self, route, first_line):
+        """Relay the session unless it is served here; return whether it is served.
+
+        A task.
+        """
+        routing = self._server.routing
+        near_primary = routing.relay_targets_near_primary(route)
+        if (yield from self._open_relay(route, near_primary, first_line)):
+            return True
+        if routing.serves_group(route.group):
+            return True
+        targets = routing.relay_targets(route.group)
+        if (yield from self._open_relay(route, targets, first_line)):
+            return True
+        return routing.fall_back_to_local(route.group)
+
+    def _open_relay(self, route, members, first_line):
+        """Relay the session to the first of some members that accepts it.
 
         Returns
         -------
         bool
             Whether an owner accepted the session.
         """
-        for member in self._server.routing.relay_targets(route.group):
+        for member in members:
             if self._stream.closed:
                 return False
             try:
--- a/tests/test_group_owners.py
+++ b/tests/test_group_owners.py
@@ -3,6 +3,7 @@
 import unittest
 
 from cassiahill.group_owners import choose_owners
+from tests import region_builders
 
 
 def domains_of_fleet(count):
@@ -83,5 +84,67 @@
             self.assertEqual([name for name in old if name != "proxy-3"], new)
 
 
+class OwnersOfRegionsTest(unittest.TestCase):
+    def choose(self, count=66, limit=200):
+        """Return the owners of a group in two regions with three domains each."""
+        return choose_owners(
+            "orders",
+            region_builders.domains_of_fleet(count),
+            limit,
+            region_builders.REGION_BY_DOMAIN,
+        )
+
+    def test_fewer_owners_probe_across_the_regions(self):
+        """Guards against a link between regions that is full of probes."""
+        without_regions = choose_owners(
+            "orders", region_builders.domains_of_fleet(66), 200
+        )
+        self.assertEqual(without_regions.connected_proxy_count, 12)
+        self.assertEqual(self.choose().connected_proxy_count, 6)
+
+    def test_each_domain_keeps_an_owner(self):
+        """Guards against a region that cannot serve after the loss of one domain."""
+        owners = self.choose()
+        for domain, names in owners.proxy_names_by_domain.items():
+            self.assertTrue(owners.includes_proxy(names[0], domain))
+
+    def test_region_with_a_single_domain_keeps_two_owners(self):
+        """Guards against a region without an owner while its only one restarts."""
+        domains_by_name = {f"proxy-{number}": "ab"[number % 2] for number in range(66)}
+        owners = choose_owners(
+            "orders", domains_by_name, 200, {"a": "north", "b": "south"}
+        )
+        self.assertEqual(owners.owners_per_domain, 2)
+
+    def test_domain_without_a_region_changes_nothing(self):
+        """Guards against proxies that disagree about the owners."""
+        region_by_domain = dict(region_builders.REGION_BY_DOMAIN)
+        del region_by_domain["south-c"]
+        owners = choose_owners(
+            "orders", region_builders.domains_of_fleet(66), 200, region_by_domain
+        )
+        self.assertEqual(owners.owners_per_domain, 2)
+
+    def test_own_region_before_the_other(self):
+        """Guards against relays across while the own region has an owner."""
+        domains_by_name = region_builders.domains_of_fleet(66)
+        names = self.choose().relay_candidates(
+            "south-b", 0, region_builders.regions_seen_from("south-b")
+        )
+        domains = [domains_by_name[name] for name in names]
+        self.assertEqual(domains[0], "south-b")
+        self.assertEqual(set(domains[:6]), {"south-a", "south-b", "south-c"})
+        self.assertEqual(set(domains[6:]), {"north-a", "north-b", "north-c"})
+
+    def test_sessions_spread_over_the_owners_of_the_other_region(self):
+        """Guards against one owner that gets all sessions which need the primary."""
+        regions = region_builders.regions_seen_from("south-b")
+        owners = self.choose()
+        first_names = {
+            owners.owners_in_region("north", number, regions)[0] for number in range(30)
+        }
+        self.assertEqual(len(first_names), 3)
+
+
 if __name__ == "__main__":
     unittest.main()
