Weigh the way to another region when a read chooses its server

placement knew own domain or not, with 2 ms for all others, so a read went 12 ms each way to a replica that was a little less busy. The network delay to a candidate is now 0 in the own domain, 2 ms in the own region as before, and the round trip that probes measure to another region (20 ms until then). A full link shows as a longer round trip, so reads leave it; metrics show its round trip, its queue and what crosses.

ServerCandidate.same_domain became network_seconds; test_placement says the same with the former constant's value. GroupFixture takes regions.

Tested: tests.test_placement, test_network_delays, test_reads_across_regions, test_session_executor, test_server_pool.

--- a/cassiahill/placement.py
+++ b/cassiahill/placement.py
@@ -1,14 +1,14 @@
 """Chooses the backend server that a statement goes to; does no I/O.
 
 The choice is meant for heavy load: servers have few free slots, replicas lag, a server
-is unreachable, or one kind of request arrives at several times its usual rate.
+is unreachable, or one kind of request arrives at several times its usual rate. A server
+in another region is chosen only if the nearer ones are so much busier.
 """
 
 import attrs
 
 from cassiahill.positions import LogPosition
 
-CROSS_DOMAIN_SECONDS = 0.002  # Extra round-trip time to another failure domain.
 # Writes and reads of the newest state can only run on the primary, so other reads use
 # it last.
 PRIMARY_COST_FACTOR = 2.0
@@ -50,8 +50,8 @@
         Moving average of a statement's duration, with the wait in the server's queue.
     running_statements : int
         Statements of this process that run there.
-    same_domain : bool
-        Whether it is in the failure domain of this process.
+    network_seconds : float
+        Extra round-trip time; see ``network_delays.network_seconds``.
     may_be_unreachable : bool
         Whether it has left statements unanswered.
     """
@@ -63,7 +63,7 @@
     may_have_position: bool
     latency_seconds: float
     running_statements: int
-    same_domain: bool
+    network_seconds: float
     may_be_unreachable: bool
 
 
@@ -72,8 +72,9 @@
     seconds = candidate.latency_seconds * (1 + candidate.running_statements)
     if candidate.is_primary:
         seconds *= PRIMARY_COST_FACTOR
-    if not candidate.same_domain:
-        seconds += CROSS_DOMAIN_SECONDS
+    # The duration of statements already contains the way, so that crossing to another
+    # region counts twice: it also takes room on the link.
+    seconds += candidate.network_seconds
     if candidate.may_be_unreachable:
         seconds += UNREACHABLE_PENALTY_SECONDS
     return seconds
--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -11,6 +11,7 @@
     event_log,
     known_primary,
     line_connections,
+    network_delays,
     outstanding_writes,
     placement,
     position_samples,
@@ -25,6 +26,7 @@
     takeover,
 )
 from cassiahill.loop import LoopFuture
+from cassiahill.regions import Distance, Regions
 from cassiahill.statements import Code
 
 TICK_INTERVAL_SECONDS = 0.02
@@ -62,6 +64,8 @@
         drain, or None.
     connect : callable
         Opens a connection to a server; see ``server_pool.ServerPool``.
+    regions : regions.Regions or None
+        None in a deployment without regions.
 
     Attributes
     ----------
@@ -97,6 +101,7 @@
         own_domain,
         draining_since,
         connect=line_connections.LineConnection,
+        regions=None,
     ):
         self._loop = loop
         self._dialect = dialect
@@ -104,6 +109,8 @@
         self._own_domain = own_domain
         self._draining_since = draining_since
         self._connect = connect
+        self._regions = regions or Regions(own_domain)
+        self._former_crossing_statements = 0
         self._queue = request_queue.RequestQueue()
         self._connection_limit = 1
         self._proxy_count = 1
@@ -150,7 +157,7 @@
             or previous.started_at_ms != server.started_at_ms
         )
         if pool is not None and restarted:
-            pool.close()
+            self._close_pool(pool)
             pool = None
             self.sole_copies.record_lost_log(now)
         if pool is None:
@@ -176,7 +183,7 @@
         self.progress_by_id.pop(server_id, None)
         now = self._loop.clock.now()
         if pool is not None:
-            pool.close()
+            self._close_pool(pool)
             self.sole_copies.record_lost_log(now)
             if not pool.server.registered_as_primary:
                 self.removed_replicas.record_removal(server_id, now)
@@ -223,6 +230,7 @@
                     "latency": pool.latency_seconds,
                     "position": str(self.progress_by_id[server_id].position),
                     "draining": pool.server.draining,
+                    "round_trip": pool.round_trip.seconds,
                 }
                 for server_id, pool in self.pools_by_id.items()
             },
@@ -460,6 +468,29 @@
             for pool in self.pools_by_id.values()
         ]
 
+    def _is_in_other_region(self, pool):
+        return (
+            self._regions.distance(pool.server.failure_domain) is Distance.OTHER_REGION
+        )
+
+    def crossings(self):
+        """Return the ``network_delays.Crossings`` of this process and group."""
+        pools = [
+            pool for pool in self.pools_by_id.values() if self._is_in_other_region(pool)
+        ]
+        return network_delays.Crossings(
+            self._former_crossing_statements
+            + sum(pool.statement_count for pool in pools),
+            max((pool.round_trip.seconds or 0.0 for pool in pools), default=0.0),
+            max((pool.round_trip.queue_seconds for pool in pools), default=0.0),
+        )
+
+    def _close_pool(self, pool):
+        """Close the pool of a server that left or restarted; keep its count."""
+        if self._is_in_other_region(pool):
+            self._former_crossing_statements += pool.statement_count
+        pool.close()
+
     def primary_symptoms(self, now, reported_unreachable_since=None):
         """Return the ``takeover.PrimarySymptoms`` that this process observes.
 
@@ -528,7 +559,10 @@
                 or self.progress_by_id[server_id].may_have_position(position, now),
                 latency_seconds=pool.latency_seconds,
                 running_statements=pool.running_statements,
-                same_domain=same_domain,
+                network_seconds=network_delays.network_seconds(
+                    self._regions.distance(pool.server.failure_domain),
+                    pool.round_trip.seconds,
+                ),
                 may_be_unreachable=server_id in request.failed_server_ids
                 or pool.may_be_unreachable(now),
             )
--- a/cassiahill/server_pool.py
+++ b/cassiahill/server_pool.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from cassiahill import errors, event_log, line_connections
+from cassiahill import errors, event_log, line_connections, network_delays
 from cassiahill.statements import Code, TransactionState
 
 MAX_OPENING_CONNECTIONS = 2  # Opening a connection occupies a slot of the server.
@@ -98,6 +98,10 @@
         Instant at which an answer or a connection was last found to be lost.
     refuses_connections : bool
         Whether the server refuses new connections instead of not answering.
+    round_trip : network_delays.RoundTrip
+        Round trips of probes.
+    statement_count : int
+        Number of statements and probes for which a connection was used.
     """
 
     def __init__(
@@ -123,6 +127,8 @@
         self.answered_at = float("-inf")
         self.answer_lost_at = float("-inf")
         self.refuses_connections = False
+        self.round_trip = network_delays.RoundTrip()
+        self.statement_count = 0
         self.closed = False
         self._idle = []
         self._connections = set()
@@ -181,6 +187,7 @@
                 break
         self._idle.remove(connection)
         self.running_statements += 1
+        self.statement_count += 1
         self._unanswered_since = self._unanswered_since or now
         return connection
 
@@ -203,6 +210,7 @@
     def record_statement_start(self, now):
         """Count a further statement on an acquired connection."""
         self.running_statements += 1
+        self.statement_count += 1
         self._unanswered_since = self._unanswered_since or now
 
     def record_statement_end(self, now, seconds=None):
--- a/cassiahill/server_probes.py
+++ b/cassiahill/server_probes.py
@@ -71,11 +71,13 @@
             )
         except errors.CassiahillError:
             connection.close()
+            pool.round_trip.record(PROBE_TIMEOUT_SECONDS)
             pool.record_lost_answer(loop.clock.now())
             pool.record_statement_end(loop.clock.now())
             self._probed_server_ids.discard(server_id)
             group.record_unanswered_probe(server_id, asked_at)
             return
+        pool.round_trip.record(loop.clock.now() - asked_at)
         pool.record_contact(loop.clock.now())
         pool.record_statement_end(loop.clock.now())
         group.record_position(connection, reply)
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -12,6 +12,7 @@
     heartbeats,
     http1,
     reachability,
+    regions,
     server_group,
     session_fleet,
     session_metrics,
@@ -87,6 +88,9 @@
         self._dialect = dialect
         self._promotion_orders = orders
         self._store = store
+        self._regions = regions.Regions(
+            settings.failure_domain, settings.region_by_domain
+        )
         self._shutdown_since = None
         self._partitioned = False
         self._partitioned_since = None
@@ -166,6 +170,7 @@
                 self._settings.name,
                 self._settings.failure_domain,
                 self.catalog.draining_since_by_id.get,
+                regions=self._regions,
             )
             group.partitioned = self._partitioned
             self._groups_by_name[name] = group
@@ -419,6 +424,7 @@
         raise errors.NotFound(request.path)
 
     def _gauge_values(self):
+        crossings = [group.crossings() for group in self._groups_by_name.values()]
         return {
             "open_sessions": len(self.sessions),
             "busy_sessions": self.sessions.busy_count,
@@ -429,6 +435,15 @@
             "store_calls": self._store.call_count,
             "store_calls_failed": self._store.failed_call_count,
             "log_lines_dropped": event_log.dropped_lines(),
+            "statements_to_other_regions": sum(
+                crossing.statement_count for crossing in crossings
+            ),
+            "other_region_round_trip_seconds": max(
+                (crossing.round_trip_seconds for crossing in crossings), default=0.0
+            ),
+            "other_region_queue_seconds": max(
+                (crossing.queue_seconds for crossing in crossings), default=0.0
+            ),
         }
 
     def _record_reply(self, request, database, reply, arrived_at):
--- a/tests/session_builders.py
+++ b/tests/session_builders.py
@@ -1,6 +1,7 @@
 """Fixtures for the tests of sessions and their groups."""
 
 from cassiahill.catalog import Consistency, GroupLimits, Route
+from cassiahill.regions import Regions
 from cassiahill.server_group import ServerGroup
 from cassiahill.session_executor import SessionExecutor, Transaction
 from cassiahill.statement_sender import SessionRequest, SessionState
@@ -36,10 +37,16 @@
         Ids of the group's servers; the first one is the primary.
     synchronous : bool
         Whether a commit is acknowledged only after a replica has received it.
+    region_by_domain : dict of str to str, or None
+        Region of each failure domain; None without regions.
     """
 
     def __init__(
-        self, own_domain="domain-a", servers=("a", "b", "c"), synchronous=True
+        self,
+        own_domain="domain-a",
+        servers=("a", "b", "c"),
+        synchronous=True,
+        region_by_domain=None,
     ):
         self.loop = SteppedLoop()
         self.servers = InMemoryGroup(
@@ -54,6 +61,7 @@
             own_domain,
             self.draining_since_by_id.get,
             self.servers.connect,
+            Regions(own_domain, region_by_domain or {}),
         )
         self.group.active = True
         self.group.set_limits(GroupLimits("orders", 20, synchronous), 1)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -26,7 +26,7 @@
         may_have_position=True,
         latency_seconds=0.02,
         running_statements=0,
-        same_domain=True,
+        network_seconds=0.0,
         may_be_unreachable=False,
     )
     return attrs.evolve(base, **changes)
@@ -59,7 +59,7 @@
             AT_POSITION,
             [
                 candidate("b", may_be_unreachable=True),
-                candidate("c", latency_seconds=0.2, same_domain=False),
+                candidate("c", latency_seconds=0.2, network_seconds=0.002),
             ],
         )
         self.assertEqual(choice.server_id, "c")
@@ -94,6 +94,26 @@
             running_by_id[choice.server_id] += 1
         self.assertEqual(set(running_by_id.values()), {10})
 
+    def test_read_stays_in_the_region_while_its_replica_is_little_busier(self):
+        """Guards against reads that cross between regions for a few milliseconds."""
+        far = candidate("far", network_seconds=0.025)
+        for running_statements, expected in ((1, "near"), (2, "far")):
+            near = candidate("near", running_statements=running_statements)
+            choice = choose_server(AT_POSITION, [near, far])
+            self.assertEqual(choice.server_id, expected)
+
+    def test_full_link_keeps_reads_in_the_region(self):
+        """Guards against reads that wait before a full link for an idle replica."""
+        near = candidate("near", running_statements=5)
+        far = candidate("far", network_seconds=0.2)
+        self.assertEqual(choose_server(AT_POSITION, [near, far]).server_id, "near")
+
+    def test_near_primary_before_a_far_replica(self):
+        """Guards against reads across while the primary in the region is idle."""
+        near = candidate("near", is_primary=True)
+        far = candidate("far", latency_seconds=0.045, network_seconds=0.025)
+        self.assertEqual(choose_server(AT_POSITION, [near, far]).server_id, "near")
+
 
 if __name__ == "__main__":
     unittest.main()
