Probe a primary across regions as often as its reads need

Each owner asked the primary for a position sample each 0.2 s without a newer one, also across the link between regions and for groups that nobody read. An owner in another region now renews samples at a third of the shortest freshness bound of reads in the last 5 s, between 0.2 and 0.4 s. The promoter, its successor and the owners in the primary's region probe as before, so a failed primary is noticed as quickly; far owners report it up to 0.2 s later.

--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -19,6 +19,7 @@
     read_durations,
     removed_replicas,
     request_queue,
+    sample_demand,
     server_pool,
     server_probes,
     slot_shares,
@@ -71,6 +72,8 @@
     ----------
     active : bool
         Whether this process keeps connections to the servers.
+    supervised : bool
+        Whether this process is the promoter or its successor.
     synchronous : bool
         Whether a commit is acknowledged only after a replica has received it.
     partitioned : bool
@@ -79,6 +82,7 @@
         Instant of the last request for the group.
     primary : known_primary.KnownPrimary
     primary_positions : position_samples.PrimaryPositions
+    sample_demand : sample_demand.SampleDemand
     pools_by_id : dict
         ``server_pool.ServerPool`` by server id.
     progress_by_id : dict
@@ -122,11 +126,13 @@
         # Only group owners connect. If all proxies did so when they start together,
         # they would use up the servers' connection limits.
         self.active = False
+        self.supervised = False
         self.synchronous = True
         self.partitioned = False
         self.last_request_at = float("-inf")
         self.primary = known_primary.KnownPrimary()
         self.primary_positions = position_samples.PrimaryPositions()
+        self.sample_demand = sample_demand.SampleDemand()
         self.pools_by_id = {}
         self.progress_by_id = {}
         self.removed_replicas = removed_replicas.RemovedReplicas()
@@ -288,6 +294,12 @@
         pool = self.pools_by_id.get(self.primary.server_id)
         return None if pool is None else pool.server.failure_domain
 
+    @property
+    def is_primary_in_other_region(self):
+        """Whether the primary is known and in another region."""
+        pool = self.pools_by_id.get(self.primary.server_id)
+        return pool is not None and self._is_in_other_region(pool)
+
     @property
     def can_acknowledge_commits(self):
         """Whether a replica that acknowledges commits may be within reach.
@@ -319,6 +331,8 @@
         -------
         placement.AtPosition or placement.NotProvable
         """
+        now = self._loop.clock.now()
+        self.sample_demand.record_read(now - fresh_since, now)
         position = self.primary_positions.required_position(fresh_since, own_commit)
         if position is None:
             return placement.NotProvable()
--- a/cassiahill/server_probes.py
+++ b/cassiahill/server_probes.py
@@ -2,6 +2,7 @@
 
 The answers to clients' requests tell both, so a server is probed only when it has not
 answered anything for a while, and the primary when its newest position sample gets old.
+A primary in another region is asked for samples as often as recent reads need them.
 """
 
 from cassiahill import errors, event_log, statements
@@ -34,7 +35,7 @@
         primary_id = group.primary.server_id
         latest = group.primary_positions.latest_sample
         if primary_id is not None and (
-            latest is None or now - latest.asked_at > PRIMARY_PROBE_INTERVAL_SECONDS
+            latest is None or now - latest.asked_at > self._sample_interval(now)
         ):
             self._probe_server(primary_id, now)
         for server_id, pool in group.pools_by_id.items():
@@ -44,6 +45,19 @@
             ):
                 self._probe_server(server_id, now)
 
+    def _sample_interval(self, now):
+        """Return the time after which the primary's newest sample is renewed.
+
+        The promoter, its successor and the owners in the primary's region notice its
+        failure, so they probe it as often as without regions.
+        """
+        group = self._group
+        if group.supervised or not group.is_primary_in_other_region:
+            return PRIMARY_PROBE_INTERVAL_SECONDS
+        return group.sample_demand.sample_interval(
+            PRIMARY_PROBE_INTERVAL_SECONDS, SERVER_PROBE_INTERVAL_SECONDS, now
+        )
+
     def _probe_server(self, server_id, now):
         """Probe a server unless a probe is under way or no connection is idle."""
         pool = self._group.pools_by_id.get(server_id)
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -328,6 +328,7 @@
         )
         for name, group in self._groups_by_name.items():
             used_recently = now - group.last_request_at < GROUP_RECENT_USE_SECONDS
+            group.supervised = watches_all
             group.active = (
                 self.owners.holds_connections(name) or watches_all or used_recently
             )
