Keep heartbeats in their region; a cut between regions is no partition

Each proxy asked a random member of any other failure domain, so with two regions most of these heartbeats crossed, and one unanswered heartbeat drew two to every domain across. Now a proxy asks its own region; the first reader of each domain also asks another one, and one peer across confirms a partition. Followers and proxies without the store ask their region first.

An owner whose four or more servers elsewhere all lie in the other region took a cut between the regions for its own partition, although its region answered. Its servers decide alone only if two of them are near.

SessionRouting.record_relay_opened takes the member, to count relays across; the stub of tests.session_server follows. MemoryFleet takes regions.

--- a/cassiahill/reachability.py
+++ b/cassiahill/reachability.py
@@ -4,10 +4,15 @@
 process, but it can serve few of their requests. It then asks the load balancer for no
 more clients and closes idle sessions, so that their clients reconnect through another
 failure domain.
+
+A cut between two regions is no partition: a process that reaches other domains of its
+own region serves what the servers there allow.
 """
 
 import attrs
 
+from cassiahill.regions import Regions
+
 # An idle server is probed every 0.4 s, so a probe can be answered within this time.
 DOMAIN_UNREACHABLE_SECONDS = 0.7
 PEERS_UNREACHABLE_SECONDS = 1.2  # Three heartbeat intervals.
@@ -37,9 +42,12 @@
 # Fewer servers than this may all be unreachable because of a fault in their group. Then
 # the peers in other failure domains must be unreachable too.
 MIN_SERVERS_ELSEWHERE = 4
+# At least these many of them must be in the own region, because a cut between regions
+# makes all others unreachable together.
+MIN_SERVERS_IN_OWN_REGION = 2
 
 
-def relevant_contacts(own_domain, servers, peers):
+def relevant_contacts(own_domain, servers, peers, regions=None):
     """Return the contacts that tell whether this process is partitioned.
 
     Parameters
@@ -47,13 +55,25 @@
     own_domain : str
         Failure domain of this process.
     servers, peers : list of Contact
+    regions : regions.Regions or None
+        None in a deployment without regions.
 
     Returns
     -------
     list of Contact
     """
-    servers_elsewhere = sum(contact.failure_domain != own_domain for contact in servers)
-    return servers if servers_elsewhere >= MIN_SERVERS_ELSEWHERE else servers + peers
+    regions = regions or Regions(own_domain)
+    domains_elsewhere = [
+        contact.failure_domain
+        for contact in servers
+        if contact.failure_domain != own_domain
+    ]
+    near_count = sum(map(regions.is_same_region, domains_elsewhere))
+    suffice = (
+        len(domains_elsewhere) >= MIN_SERVERS_ELSEWHERE
+        and near_count >= MIN_SERVERS_IN_OWN_REGION
+    )
+    return servers if suffice else servers + peers
 
 
 def is_partitioned(own_domain, contacts, now):
@@ -114,19 +134,24 @@
 
     One peer that does not answer says little. When that happens, one or more peers of
     every other domain are asked at once, because a random one of them is asked rarely
-    in a fleet with many domains.
+    in a fleet with many domains. Another region counts as one domain, because few of
+    its peers are asked.
 
     Parameters
     ----------
     own_domain : str
     now : float
+    regions : regions.Regions or None
+        None in a deployment without regions.
     """
 
-    def __init__(self, own_domain, now):
+    def __init__(self, own_domain, now, regions=None):
         self._own_domain = own_domain
+        self._regions = regions or Regions(own_domain)
         self._contacts_by_domain = {}
         self._confirmed_at = float("-inf")
         self._any_answered_at = now
+        self._restarted_at = now
 
     def record(self, domain, answered, now):
         """Record whether a peer of a failure domain answered a heartbeat.
@@ -136,7 +161,15 @@
         bool
             Whether peers of all other domains should be asked now.
         """
-        previous = self._contacts_by_domain.get(domain, Contact(domain, now, False))
+        unknown_since = now
+        if not self._regions.is_same_region(domain):
+            domain = f"region {self._regions.region_of(domain)}"
+            # Most proxies ask another region only once something does not answer. That
+            # it was not asked before must not delay the decision.
+            unknown_since = self._restarted_at
+        previous = self._contacts_by_domain.get(
+            domain, Contact(domain, unknown_since, False)
+        )
         answered_at = now if answered else previous.answered_at
         self._contacts_by_domain[domain] = Contact(domain, answered_at, not answered)
         if answered:
@@ -152,6 +185,7 @@
         """Forget the contacts after a time in which no answer could arrive."""
         self._contacts_by_domain.clear()
         self._any_answered_at = now
+        self._restarted_at = now
 
     def contacts(self):
         """Return one ``Contact`` for each failure domain contacted."""
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -3,14 +3,15 @@
 A proxy that is connected to servers or reads the shared store sends heartbeats to the
 promoter, to detect its failure and to report unreachable primaries. Each proxy sends
 them to the reader of the store that it follows, and to other members, to detect a
-network partition. The answers announce newer configurations, servers and members, which
-the proxy then fetches.
+network partition; ``heartbeat_peers`` chooses these. The answers announce newer
+configurations, servers and members, which the proxy then fetches.
 """
 
 import msgspec
 
 from cassiahill import (
     errors,
+    heartbeat_peers,
     heartbeat_reports,
     heartbeats,
     http1,
@@ -20,6 +21,7 @@
     store_follower,
 )
 from cassiahill.member_client import MemberClient
+from cassiahill.regions import Regions
 from cassiahill.shared_store import Revision
 
 HEARTBEAT_INTERVAL_SECONDS = 0.4
@@ -117,6 +119,8 @@
         Proxies to ask for the deployment while the store does not answer.
     member_client : member_client.MemberClient or None
         None for the client that sends over the network.
+    region_by_domain : dict of str to str, or None
+        Region of each failure domain; None or empty without regions.
 
     Attributes
     ----------
@@ -127,6 +131,8 @@
     peer_contacts : reachability.PeerContacts
     reference_failures : int
         Heartbeats that reference members did not answer; selects the next member.
+    heartbeats_to_other_regions : int
+        Number of heartbeats sent to other regions.
     """
 
     def __init__(
@@ -138,6 +144,7 @@
         process_state,
         seed_addresses=(),
         member_client=None,
+        region_by_domain=None,
     ):
         self._loop = loop
         self._own_member = own_member
@@ -148,8 +155,10 @@
         )
         self._client = member_client or MemberClient(loop)
         self._reference_partitioned = False
+        self._regions = Regions(own_member.failure_domain, region_by_domain or {})
+        self.heartbeats_to_other_regions = 0
         self.peer_contacts = reachability.PeerContacts(
-            own_member.failure_domain, loop.clock.now()
+            own_member.failure_domain, loop.clock.now(), self._regions
         )
         self._last_tick_at = loop.clock.now()
         self.reference_failures = 0
@@ -165,7 +174,14 @@
             loop, store, own_member, self.election, rng, self._on_members_changed
         )
         self.follower = store_follower.StoreFollower(
-            loop, store, own_member, self.registry, self._client, process_state, rng
+            loop,
+            store,
+            own_member,
+            self.registry,
+            self._client,
+            process_state,
+            rng,
+            self._regions,
         )
         # The random delay lets the store answer before the first heartbeat and spreads
         # the heartbeats of proxies that start together.
@@ -294,16 +310,18 @@
         if not self.follower.following.is_reader():
             self._start_heartbeat(self._followed_member())
         self._start_heartbeat(self._process_state.reference_member())
-        self._start_heartbeat(self._random_member_of_other_domain())
+        members = self.members_by_name.values()
+        for choice in heartbeat_peers.usual_choices(
+            members, self._regions, self._asks_other_regions()
+        ):
+            self._start_heartbeat(self._rng.choice(choice.members))
         if not self.members_known and self._seed_addresses:
             seed = self._rng.choice(self._seed_addresses)
             self._loop.spawn(self.follower.fetch_view(f"{seed[0]}:{seed[1]}", seed))
         if self._process_state.is_store_unreachable():
-            other_members = [
-                member
-                for member in self.members_by_name.values()
-                if member != self._own_member
-            ]
+            other_members = heartbeat_peers.members_with_news(
+                members, self._own_member, self._regions, self._asks_other_regions()
+            )
             if other_members:
                 self._start_heartbeat(self._rng.choice(other_members))
         jitter = 0.9 + 0.2 * self._rng.random()
@@ -329,17 +347,18 @@
         promoter = self.election.promoter
         return None if promoter is None else self.members_by_name.get(promoter.name)
 
-    def _random_member_of_other_domain(self):
-        """Return a random member of another failure domain, or None."""
-        other_members = [
-            member
-            for member in self.members_by_name.values()
-            if member.failure_domain != self._own_member.failure_domain
-        ]
-        return self._rng.choice(other_members) if other_members else None
+    def _asks_other_regions(self):
+        """Return whether this process sends heartbeats to other regions."""
+        return heartbeat_peers.asks_other_regions(
+            self.follower.following.readers,
+            self._own_member.name,
+            self._own_member.failure_domain,
+        )
 
     def _start_heartbeat(self, member):
         if member is not None and member.name != self._own_member.name:
+            if not self._regions.is_same_region(member.failure_domain):
+                self.heartbeats_to_other_regions += 1
             self._loop.spawn(self._exchange_heartbeat(member))
 
     def _exchange_heartbeat(self, member):
@@ -400,11 +419,8 @@
         )
         if not asks_others:
             return
-        members_by_domain = {}
-        for other in self.members_by_name.values():
-            members_by_domain.setdefault(other.failure_domain, []).append(other)
-        members_by_domain.pop(self._own_member.failure_domain, None)
-        for members in members_by_domain.values():
-            count = min(len(members), reachability.CONFIRMATION_PEERS)
-            for other in self._rng.sample(members, count):
+        for choice in heartbeat_peers.confirmation_choices(
+            self.members_by_name.values(), self._regions
+        ):
+            for other in self._rng.sample(choice.members, choice.count):
                 self._start_heartbeat(other)
--- a/cassiahill/session_owners.py
+++ b/cassiahill/session_owners.py
@@ -31,6 +31,11 @@
         Region of each failure domain; None or empty without regions.
     primary_domain : callable or None
         Returns the failure domain of a group's known primary, or None.
+
+    Attributes
+    ----------
+    relays_to_other_regions : int
+        Number of sessions that an owner in another region accepted.
     """
 
     def __init__(
@@ -52,6 +57,7 @@
         self._process_state = process_state
         self._regions = Regions(own_member.failure_domain, region_by_domain or {})
         self._primary_domain = primary_domain or (lambda _group: None)
+        self.relays_to_other_regions = 0
         self._owners_by_group = {}
         self._first_rotation = xxhash.xxh3_64_intdigest(own_member.name.encode())
         self._next_rotation_by_group = {}
@@ -212,9 +218,11 @@
             event_log.event("owner_failed", group=group, owner=member.name)
         self._avoid_until_by_owner[group, member.name] = now + AVOID_OWNER_SECONDS
 
-    def record_relay_opened(self, group):
+    def record_relay_opened(self, group, member):
         """Record that another proxy accepted a session of a group."""
         self._relayed_at_by_group[group] = self._loop.clock.now()
+        if not self._regions.is_same_region(member.failure_domain):
+            self.relays_to_other_regions += 1
 
     def fall_back_to_local(self, group):
         """Serve a group's sessions here for a while, if this process is an owner.
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -105,7 +105,13 @@
             settings.failure_domain,
         )
         self.fleet = session_fleet.SessionFleet(
-            loop, store, own_member, rng, self, settings.seed_addresses
+            loop,
+            store,
+            own_member,
+            rng,
+            self,
+            settings.seed_addresses,
+            region_by_domain=settings.region_by_domain,
         )
         self.owners = session_owners.GroupOwnerRouting(
             loop,
@@ -382,7 +388,10 @@
         if contacts:
             own_domain = self._settings.failure_domain
             relevant_contacts = reachability.relevant_contacts(
-                own_domain, contacts, self.fleet.peer_contacts.contacts()
+                own_domain,
+                contacts,
+                self.fleet.peer_contacts.contacts(),
+                self._regions,
             )
             self._partitioned_since = reachability.partitioned_since(
                 self._partitioned_since, own_domain, relevant_contacts, now
@@ -436,6 +445,8 @@
             "store_calls": self._store.call_count,
             "store_calls_failed": self._store.failed_call_count,
             "log_lines_dropped": event_log.dropped_lines(),
+            "heartbeats_to_other_regions": self.fleet.heartbeats_to_other_regions,
+            "sessions_relayed_to_other_regions": self.owners.relays_to_other_regions,
             "statements_to_other_regions": sum(
                 crossing.statement_count for crossing in crossings
             ),
--- a/cassiahill/session_server.py
+++ b/cassiahill/session_server.py
@@ -32,8 +32,8 @@
         """Record that a member did not accept a session of a group."""
         raise NotImplementedError
 
-    def record_relay_opened(self, group):
-        """Record that another proxy accepted a session of a group."""
+    def record_relay_opened(self, group, member):
+        """Record that a member accepted a session of a group."""
         raise NotImplementedError
 
     def fall_back_to_local(self, group):
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -263,7 +263,7 @@
             )
             if relay.owner_accepted.done() and relay.owner_accepted.result():
                 self._relay = relay
-                self._server.routing.record_relay_opened(route.group)
+                self._server.routing.record_relay_opened(route.group, member)
                 if self._stream.closed:
                     relay.close()
                 return True
--- a/cassiahill/store_follower.py
+++ b/cassiahill/store_follower.py
@@ -32,6 +32,7 @@
     client : member_client.MemberClient
     process_state : session_fleet.ProcessState
     rng : random.Random
+    regions : regions.Regions
 
     Attributes
     ----------
@@ -40,7 +41,9 @@
         Whether this process watches the store itself.
     """
 
-    def __init__(self, loop, store, own_member, registry, client, process_state, rng):
+    def __init__(
+        self, loop, store, own_member, registry, client, process_state, rng, regions
+    ):
         self._loop = loop
         self._store = store
         self._own_member = own_member
@@ -52,7 +55,7 @@
         self._asking_store = False
         self._announced_versions = None
         self.following = store_readers.ReaderFollowing(
-            own_member.name, own_member.failure_domain, rng, loop.clock.now()
+            own_member.name, own_member.failure_domain, rng, loop.clock.now(), regions
         )
         self.reads_store = False
 
--- a/cassiahill/store_readers.py
+++ b/cassiahill/store_readers.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from cassiahill import rendezvous
+from cassiahill.regions import Regions
 from cassiahill.shared_store import MAX_WATCH_SECONDS
 
 READERS_PER_DOMAIN = 2  # One reads while the other restarts.
@@ -60,9 +61,22 @@
         names = self.names_by_domain.get(domain, ())
         return not self.every_proxy_reads and names[:1] == [name]
 
-    def candidates(self, domain):
-        """Return the readers of a failure domain, and those of all others."""
-        other_domains = sorted(set(self.names_by_domain) - {domain})
+    def candidates(self, domain, regions=None):
+        """Return the readers of a failure domain, and those of all others.
+
+        Parameters
+        ----------
+        domain : str
+        regions : regions.Regions or None
+            The other domains of the own region come before those of other regions.
+            None in a deployment without regions.
+
+        Returns
+        -------
+        tuple of (list of str, list of str)
+        """
+        regions = regions or Regions(domain)
+        other_domains = regions.nearest_first(set(self.names_by_domain) - {domain})
         return list(self.names_by_domain.get(domain, ())), [
             name for other in other_domains for name in self.names_by_domain[other]
         ]
@@ -97,6 +111,8 @@
     own_name, own_domain : str
     rng : random.Random
     now : float
+    regions : regions.Regions or None
+        None in a deployment without regions.
 
     Attributes
     ----------
@@ -106,7 +122,8 @@
         starts with all others does not know them at first.
     """
 
-    def __init__(self, own_name, own_domain, rng, now):
+    def __init__(self, own_name, own_domain, rng, now, regions=None):
+        self._regions = regions or Regions(own_domain)
         self._own_name = own_name
         self._own_domain = own_domain
         self._timeout_seconds = FOLLOWING_TIMEOUT_SECONDS * (
@@ -155,7 +172,9 @@
 
         The proxies of a failure domain spread over its readers.
         """
-        own_readers, other_readers = self.readers.candidates(self._own_domain)
+        own_readers, other_readers = self.readers.candidates(
+            self._own_domain, self._regions
+        )
         rotation = self._rotation % max(1, len(own_readers))
         names = own_readers[rotation:] + own_readers[:rotation] + other_readers
         names = [name for name in names if name != self._own_name]
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -134,6 +134,9 @@
     def _exchange(self, address, body, deadline):
         receiver = yield from self._reach(address, deadline)
         self._fleet.heartbeat_counts[address[0]] += 1
+        self._fleet.crossing_count += self._fleet.are_in_different_regions(
+            self._name, address[0]
+        )
         response = receiver.fleet.handle_heartbeat(body)
         yield from self._reach(address, deadline)
         return response
@@ -172,7 +175,14 @@
         store = FleetStore(memory_fleet, name)
         member = heartbeats.Member(name, (name, 1), (name, 2), domain)
         self.fleet = session_fleet.SessionFleet(
-            loop, store, member, rng, self, (), MemoryClient(memory_fleet, name)
+            loop,
+            store,
+            member,
+            rng,
+            self,
+            (),
+            MemoryClient(memory_fleet, name),
+            memory_fleet.region_by_domain,
         )
         self.feed = CatalogFeed(
             loop,
@@ -256,6 +266,8 @@
     domain_count : int
     connected_share : float
         Fraction of the processes that are connected to servers.
+    region_by_domain : dict of str to str, or None
+        Region of each failure domain; None without regions.
 
     Attributes
     ----------
@@ -268,13 +280,25 @@
         Processes that exchange nothing with anybody.
     cut_domain : str or None
         Failure domain whose processes reach none of the others.
+    regions_are_cut : bool
+        Whether processes reach none of the other regions.
+    crossing_count : int
+        Number of heartbeats received from another region.
     storeless_names : set of str
         Processes that the store does not answer.
     store_is_silent : bool
         Whether watches that arrive, and those that a change would end, are lost.
     """
 
-    def __init__(self, count, domain_count=5, connected_share=0.3, seed=1):
+    def __init__(
+        self,
+        count,
+        domain_count=5,
+        connected_share=0.3,
+        seed=1,
+        region_by_domain=None,
+    ):
+        self.region_by_domain = region_by_domain
         self.loop = SteppedLoop()
         self.store = shared_store.MemorySharedStore()
         self.servers = InMemoryGroup(self.loop, servers=("a", "b", "c", "d"))
@@ -289,6 +313,8 @@
         self.heartbeat_counts = collections.Counter()
         self.silent_names = set()
         self.cut_domain = None
+        self.regions_are_cut = False
+        self.crossing_count = 0
         self.storeless_names = set()
         self.store_is_silent = False
         self.processes_by_name = {}
@@ -380,12 +406,24 @@
         """Return whether two processes reach each other."""
         if {first_name, second_name} & self.silent_names:
             return False
-        domains = {
-            self.processes_by_name[name].fleet._own_member.failure_domain
-            for name in (first_name, second_name)
-        }
+        if self.regions_are_cut and self.are_in_different_regions(
+            first_name, second_name
+        ):
+            return False
+        domains = {self.domain_of(first_name), self.domain_of(second_name)}
         return len(domains) == 1 or self.cut_domain not in domains
 
+    def domain_of(self, name):
+        """Return the failure domain of a process."""
+        return self.processes_by_name[name].fleet._own_member.failure_domain
+
+    def are_in_different_regions(self, first_name, second_name):
+        """Return whether two processes are in different regions."""
+        region_by_domain = self.region_by_domain or {}
+        return region_by_domain.get(self.domain_of(first_name)) != region_by_domain.get(
+            self.domain_of(second_name)
+        )
+
     def call_count(self):
         """Return the number of store calls of all processes, by kind of call."""
         return sum(self.calls_by_name.values(), collections.Counter())
--- a/tests/session_server.py
+++ b/tests/session_server.py
@@ -43,7 +43,7 @@
     def record_owner_failure(self, group, member):
         pass
 
-    def record_relay_opened(self, group):
+    def record_relay_opened(self, group, member):
         pass
 
     def fall_back_to_local(self, group):
--- a/tests/test_store_readers.py
+++ b/tests/test_store_readers.py
@@ -10,6 +10,7 @@
     ReaderFollowing,
     choose_readers,
 )
+from tests import region_builders
 from tests.memory_fleet import WATCH_SECONDS, MemoryFleet
 
 CONFIGURATION_BOUND_SECONDS = 6.0  # Of the users' large deployment.
@@ -50,6 +51,19 @@
         ]
         self.assertEqual(sorted(announcing), sorted(set(domains_by_name.values())))
 
+    def test_readers_of_the_own_region_come_first(self):
+        """Guards against lists fetched across while the region has a reader."""
+        readers = choose_readers(region_builders.domains_of_fleet(66))
+        own_names, other_names = readers.candidates(
+            "south-b", region_builders.regions_seen_from("south-b")
+        )
+        domains = [readers.domains_by_name[name] for name in other_names]
+        self.assertEqual(
+            {readers.domains_by_name[name] for name in own_names}, {"south-b"}
+        )
+        self.assertEqual(set(domains[:4]), {"south-a", "south-c"})
+        self.assertEqual(set(domains[4:]), {"north-a", "north-b", "north-c"})
+
 
 class ReaderFollowingTest(unittest.TestCase):
     def setUp(self):
