Promote the replica nearest to the demand among equal logs

Replicas with the same log were told apart by their names, so a primary could come to lie in a region that hardly uses its group. Among replicas that safety allows and that received the same, the one in the region with the most demand is now promoted, by the demand that heartbeats bring; regions alike to a tenth keep the former primary's region. A longer log and a replica that does not drain come first, as before.

Tested: tests.test_successor_nearness, test_takeover (the group's takeover there gets a nearness, equal for all unless a test sets it), test_heartbeat_reports.

--- a/cassiahill/heartbeat_reports.py
+++ b/cassiahill/heartbeat_reports.py
@@ -46,6 +46,14 @@
             totals.update(heartbeat.demand_by_group)
         self.total_demand_by_group = dict(totals)
 
+    def demand_by_member(self, group):
+        """Return the demand that each proxy has reported for a group, by its name."""
+        return {
+            name: heartbeat.demand_by_group[group]
+            for name, (_, heartbeat) in self._heartbeats_by_member.items()
+            if group in heartbeat.demand_by_group
+        }
+
     def primary_unreachable_since(self, group):
         """Return the instant since which many proxies do not reach a group's primary.
 
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -7,6 +7,8 @@
 configurations, servers and members, which the proxy then fetches.
 """
 
+import collections
+
 import msgspec
 
 from cassiahill import (
@@ -258,6 +260,20 @@
             )
         )
 
+    def demand_by_domain(self, group):
+        """Return the demand for a group by the failure domain of the proxies.
+
+        It is known to the promoter only.
+        """
+        demand_by_domain = collections.Counter()
+        for name, demand in self.reports.demand_by_member(group).items():
+            member = self.members_by_name.get(name)
+            if member is not None:
+                demand_by_domain[member.failure_domain] += demand
+        own_demand = self._process_state.demand_by_group().get(group, 0.0)
+        demand_by_domain[self._own_member.failure_domain] += own_demand
+        return dict(demand_by_domain)
+
     def _total_demand_for(self, heartbeat):
         """Return the demand of all proxies for the groups that a member watches."""
         if not self.election.is_promoter:
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -18,6 +18,7 @@
     session_metrics,
     session_owners,
     session_server,
+    successor_nearness,
     takeover,
 )
 
@@ -187,6 +188,12 @@
                 self.fleet.election.next_token,
                 self.fleet.election.confirm_promoter,
                 self.fleet.election.resign,
+                lambda domain, former_domain: successor_nearness.nearness_of(
+                    domain,
+                    self.fleet.demand_by_domain(name),
+                    former_domain,
+                    self._regions,
+                ),
             )
             self._update_limits()
         return group
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -13,6 +13,7 @@
 
 from cassiahill import event_log, replica_statuses, statements
 from cassiahill.replica_statuses import POLL_INTERVAL_SECONDS, ReplicaStatus
+from cassiahill.successor_nearness import Nearness
 
 # The next constants tell how long a symptom must last before the primary is replaced.
 PRIMARY_UNREACHABLE_SECONDS = 0.5  # The primary's status is then read once more.
@@ -151,7 +152,7 @@
     return None
 
 
-def choose_successor(statuses, synchronous=True):
+def choose_successor(statuses, synchronous=True, nearness_by_id=None):
     """Return the id of the replica to promote, or None while that is not safe.
 
     With synchronous replication, a replica that does not answer may be the only one
@@ -165,17 +166,25 @@
         All registered servers of the group but the primary.
     synchronous : bool
         Whether the group acknowledges a commit only after a replica has received it.
+    nearness_by_id : dict of str to successor_nearness.Nearness, or None
+        Decides among replicas that have received the same log.
 
     Returns
     -------
     str or None
     """
+    nearness_by_id = nearness_by_id or {}
     answered = [status for status in statuses if status.received is not None]
     if not answered or (synchronous and len(answered) < len(statuses)):
         return None
     preferred = [status for status in answered if not status.draining] or answered
     return max(
-        preferred, key=lambda status: (status.received, status.server_id)
+        preferred,
+        key=lambda status: (
+            status.received,
+            nearness_by_id.get(status.server_id, Nearness()),
+            status.server_id,
+        ),
     ).server_id
 
 
@@ -207,15 +216,29 @@
         Returns the future of whether this process is still the promoter.
     resign : callable
         Lets another proxy become the promoter.
+    nearness : callable or None
+        Takes the failure domains of a replica and of the former primary, which may be
+        None, and returns the replica's ``successor_nearness.Nearness``.
     """
 
-    def __init__(self, loop, group, orders, next_token, confirm_promoter, resign):
+    def __init__(
+        self,
+        loop,
+        group,
+        orders,
+        next_token,
+        confirm_promoter,
+        resign,
+        nearness=None,
+    ):
         self._loop = loop
         self._group = group
         self._promotion_orders = orders
         self._next_token = next_token
         self._confirm_promoter = confirm_promoter
         self._resign = resign
+        self._nearness = nearness or (lambda _domain, _former_domain: Nearness())
+        self._former_domain = None
         self._statuses = replica_statuses.ReplicaStatuses(loop, group)
         self._blocked_attempts = 0
         self._in_progress = False
@@ -236,6 +259,7 @@
         symptoms : PrimarySymptoms
         """
         now = self._loop.clock.now()
+        self._former_domain = self._group.primary_domain or self._former_domain
         if self._in_progress or now < self._next_attempt_at:
             return
         if self._check_pauses_at is None:
@@ -289,7 +313,9 @@
         ):
             self._log_decision("takeover_needless", reason, primary, statuses)
             return False
-        successor = choose_successor(statuses, self._group.synchronous)
+        successor = choose_successor(
+            statuses, self._group.synchronous, self._nearness_by_id()
+        )
         if successor is None:
             self._log_decision("takeover_waits", reason, primary, statuses)
             self._blocked_attempts += 1
@@ -319,6 +345,13 @@
         yield from self._end_own_pauses(replicas, term)
         return promoted.result()
 
+    def _nearness_by_id(self):
+        """Return the nearness of each server to those who use the group."""
+        return {
+            server_id: self._nearness(pool.server.failure_domain, self._former_domain)
+            for server_id, pool in self._group.pools_by_id.items()
+        }
+
     def _promote_safely(self, primary, successor, statuses, term, reason, token):
         """Pause the other replicas and promote the successor; a task.
 
--- a/tests/test_heartbeat_reports.py
+++ b/tests/test_heartbeat_reports.py
@@ -43,6 +43,14 @@
         self.reports.update({}, 10.1)
         self.assertIsNone(self.reports.primary_unreachable_since("orders"))
 
+    def test_demand_of_each_member(self):
+        """Guards against a promotion by the demand of proxies that have gone."""
+        self.reports.record(heartbeat("p2", demand=2.0), 10.0)
+        self.reports.record(heartbeat("p3", demand=0.5), 10.0 + REPORT_MAX_AGE_SECONDS)
+        self.reports.update({}, 10.1 + REPORT_MAX_AGE_SECONDS)
+        self.assertEqual(self.reports.demand_by_member("orders"), {"p3": 0.5})
+        self.assertEqual(self.reports.demand_by_member("other"), {})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -7,6 +7,7 @@
 from cassiahill.loop import completed_future
 from cassiahill.positions import LogPosition
 from cassiahill.statements import Access, Run
+from cassiahill.successor_nearness import Nearness
 from cassiahill.takeover import OrderResult, PrimarySymptoms, ReplicaStatus
 from tests.line_group import InMemoryServer
 from tests.session_builders import GroupFixture
@@ -128,7 +129,15 @@
             lambda: next(self.tokens),
             lambda: completed_future(self.is_promoter),
             lambda: self.resigned_at.append(self.fixture.loop.clock.now()),
+            self.nearness,
         )
+        self.near_domain = None
+        self.former_domains = set()
+
+    def nearness(self, domain, former_domain):
+        """Return the nearness of a replica; one domain may be used the most."""
+        self.former_domains.add(former_domain)
+        return Nearness(region_demand_steps=int(domain == self.near_domain))
 
     def run_for(self, seconds):
         """Advance the time; the promoter looks at the symptoms every 50 ms."""
@@ -137,6 +146,25 @@
             self.takeover.start_if_needed(self.fixture.group.primary_symptoms(now))
             self.fixture.loop.advance(0.05)
 
+    def test_nearest_of_equal_replicas_is_promoted(self):
+        """Guards against a primary far from those who write, for no reason."""
+        self.set_up_group()
+        self.near_domain = "domain-b"
+        self.fixture.servers.by_id["a"].unreachable = True
+        self.run_for(2.0)
+        self.assertEqual(self.orders.promotions[0][0], "b")
+        self.assertEqual(self.former_domains, {"domain-a"})
+
+    def test_longer_log_comes_before_nearness(self):
+        """Guards against a lost commit because a nearer replica was promoted."""
+        self.set_up_group()
+        self.near_domain = "domain-b"
+        self.fixture.servers.by_id["b"].not_receiving = True
+        self.fixture.write(self.fixture.session())
+        self.fixture.servers.by_id["a"].unreachable = True
+        self.run_for(2.0)
+        self.assertEqual(self.orders.promotions[0][0], "c")
+
     def test_unreachable_primary_is_replaced_by_the_longest_log(self):
         """Guards against a group without a primary, and against a lost commit."""
         self.set_up_group()
