Close idle sessions relayed to a region that the primary has left

After a promotion in the other region, each statement of such a session crossed to its owner and from there to the primary. Sessions served in the own region stay, also when the owners near the primary would serve them better: these may have just refused them, and they would be closed again and again during a cut.

Tested: tests.test_session_owners, test_sessions.

--- a/cassiahill/session_owners.py
+++ b/cassiahill/session_owners.py
@@ -186,6 +186,21 @@
         )
         return self._not_avoided(route.group, members)[:MAX_OWNERS_TRIED_ACROSS]
 
+    def is_misplaced(self, group, owner_domain):
+        """Return whether a session is relayed to a region that the primary has left.
+
+        Each statement would cross to the owner, and from there to the primary. A
+        session in the own region is never misplaced, because the owners near the
+        primary may have refused it.
+        """
+        primary_domain = self._primary_domain(group)
+        return (
+            primary_domain is not None
+            and not self._regions.is_same_region(owner_domain)
+            and self._regions.region_of(owner_domain)
+            != self._regions.region_of(primary_domain)
+        )
+
     def _next_rotation(self, group):
         """Return a number that lets the sessions of a group take turns.
 
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -374,6 +374,8 @@
         now = self._loop.clock.now()
         self._update_active_groups(now)
         self._check_reachability(now)
+        if self._regions.are_several:
+            self.sessions.close_misplaced()
         if self.fleet.election.is_promoter and not self._partitioned:
             for name, group in self._groups_by_name.items():
                 reported_since = self.fleet.reports.primary_unreachable_since(name)
--- a/cassiahill/session_server.py
+++ b/cassiahill/session_server.py
@@ -28,6 +28,10 @@
         """
         return []
 
+    def is_misplaced(self, _group, _owner_domain):
+        """Return whether a relayed session would be better served elsewhere."""
+        return False
+
     def record_owner_failure(self, group, member):
         """Record that a member did not accept a session of a group."""
         raise NotImplementedError
@@ -149,6 +153,21 @@
             ):
                 session.close_while_idle()
 
+    def close_misplaced(self):
+        """Close one idle session that would be better served elsewhere.
+
+        One at a time, so that the clients do not all reconnect at the same moment.
+        """
+        now = self.loop.clock.now()
+        for session in self._sessions:
+            if (
+                session.is_idle
+                and now - session.last_active_at >= sessions.MIN_IDLE_SECONDS
+                and session.is_misplaced()
+            ):
+                session.close_while_idle()
+                return
+
     def abort_transactions(self):
         """Abort the transactions that wait for their client's next statement."""
         for session in list(self._sessions):
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -45,6 +45,7 @@
         self._relayed = relayed
         self._announced_close = False
         self._relay = None
+        self._owner_domain = None
         self._loop = server.loop
         self._buffer = b""
         self._pending_lines = collections.deque()
@@ -75,6 +76,14 @@
         """Return whether this is a session of the group and is not relayed."""
         return self.group == group and self._relay is None
 
+    def is_misplaced(self):
+        """Return whether it is relayed to a region that the primary has left."""
+        return (
+            self._owner_domain is not None
+            and self.group is not None
+            and self._server.routing.is_misplaced(self.group, self._owner_domain)
+        )
+
     def close(self):
         """Close the connection once everything written has been sent."""
         self._stream.close_when_sent()
@@ -263,6 +272,7 @@
             )
             if relay.owner_accepted.done() and relay.owner_accepted.result():
                 self._relay = relay
+                self._owner_domain = member.failure_domain
                 self._server.routing.record_relay_opened(route.group, member)
                 if self._stream.closed:
                     relay.close()
--- a/tests/test_session_owners.py
+++ b/tests/test_session_owners.py
@@ -3,6 +3,7 @@
 import types
 import unittest
 
+from cassiahill import sessions
 from cassiahill.catalog import Consistency
 from cassiahill.heartbeats import Member
 from cassiahill.session_owners import AVOID_OWNER_SECONDS, GroupOwnerRouting
@@ -67,6 +68,18 @@
         self.loop.advance(2 * AVOID_OWNER_SECONDS)
         self.assertEqual(len(self.targets_near_primary()), 2)
 
+    def test_session_is_misplaced_when_the_primary_leaves_its_region(self):
+        """Guards against statements that cross twice after a promotion."""
+        self.assertFalse(self.routing.is_misplaced("orders", "south-b"))
+        self.primary_domain = None
+        self.assertFalse(self.routing.is_misplaced("orders", "south-b"))
+        self.primary_domain = "north-b"
+        self.assertTrue(self.routing.is_misplaced("orders", "south-b"))
+
+    def test_session_in_the_own_region_is_not_misplaced(self):
+        """Guards against sessions closed again and again while the link is cut."""
+        self.assertFalse(self.routing.is_misplaced("orders", "north-b"))
+
     def test_partitioned_process_asks_nobody_across(self):
         """Guards against attempts across in a process that reaches no other domain."""
         self.partitioned = True
@@ -76,12 +89,24 @@
 class NearPrimaryRouting(FixedRouting):
     """Serves every group, but prefers the owner near the primary."""
 
+    primary_has_moved = False
+
+    def is_misplaced(self, group, owner_domain):
+        return self.primary_has_moved
+
     def relay_targets_near_primary(self, route):
         if route.consistency is Consistency.PRIMARY:
             return super().relay_targets(route.group)
         return []
 
 
+def close_misplaced_after_idle_time(server):
+    """Let the only session of a server be idle for long, and close it if misplaced."""
+    (session,) = server._sessions
+    session.last_active_at -= sessions.MIN_IDLE_SECONDS
+    server.close_misplaced()
+
+
 class RelayNearPrimaryTest(unittest.TestCase):
     def open_session(self, servers, database):
         """Open a session at the proxy that is itself an owner but far away."""
@@ -91,6 +116,7 @@
         client = LineClient(servers.relaying_server.address)
         self.addCleanup(client.close)
         self.assertEqual(client.open_session(database), [b"READY I -"])
+        return client
 
     def test_owner_relays_sessions_that_need_a_far_primary(self):
         """Guards against an owner that serves them itself over the slow link."""
@@ -98,6 +124,28 @@
             self.open_session(servers, b"till")
             self.assertEqual(len(servers.owner_server), 1)
 
+    def test_idle_session_is_closed_when_the_primary_moves(self):
+        """Guards against sessions that stay far from their primary for good."""
+        with running_servers() as servers:
+            client = self.open_session(servers, b"till")
+            server = servers.relaying_server
+            servers.run_on_loop(server.close_misplaced)
+            self.assertEqual(len(server), 1)
+            server.routing.primary_has_moved = True
+            servers.run_on_loop(lambda: close_misplaced_after_idle_time(server))
+            self.assertEqual(client.read_line(), b"")
+
+    def test_session_in_a_transaction_is_not_closed(self):
+        """Guards against a transaction lost because the primary's region changed."""
+        with running_servers() as servers:
+            client = self.open_session(servers, b"till")
+            server = servers.relaying_server
+            client.exchange(b"QUERY 1 BEGIN", b"QUERY 2 WRITE a x")
+            server.routing.primary_has_moved = True
+            servers.run_on_loop(lambda: close_misplaced_after_idle_time(server))
+            (answer,) = client.exchange(b"QUERY 3 COMMIT")
+            self.assertEqual(answer[0], b"COMPLETE signature")
+
     def test_other_sessions_are_served_here(self):
         """Guards against relays of sessions whose reads replicas here may serve."""
         with running_servers() as servers:
