Let domains stay apart as peers in regions of one or two domains

In a region with one other domain, one heartbeat that a stopped process did not answer left no other witness, and proxies took themselves for partitioned. Regions.are_several is computed once.

Tested: tests.test_heartbeat_peers, test_reachability, test_regions.

--- a/cassiahill/heartbeat_peers.py
+++ b/cassiahill/heartbeat_peers.py
@@ -3,14 +3,17 @@
 Heartbeats to other failure domains show a partition, and carry news. Inside a region
 they cost little. Between regions they share a narrow link with the requests, so only
 the first reader of the store in each failure domain asks another region, and its region
-learns from it. The choice is meant for large fleets, and for a cut or full link, which
-must not draw more heartbeats than the usual ones.
+learns from it. In a region with too few domains to tell whether one of them is cut off,
+all other domains are alike, as without regions.
+
+The choice is meant for large fleets, and for a cut or full link, which must not draw
+more heartbeats than the usual ones.
 """
 
 import attrs
 
 from cassiahill.reachability import CONFIRMATION_PEERS
-from cassiahill.regions import Distance
+from cassiahill.regions import Distance, Regions
 
 # Peers of each other region that are asked to confirm a partition. In the own region
 # ``CONFIRMATION_PEERS`` of each domain are asked, so that one which restarts does not
@@ -59,32 +62,34 @@
     -------
     list of PeerChoice
     """
+    peer_regions = _regions_of_peers(regions)
     near_members = [
         member
         for member in members
-        if regions.distance(member.failure_domain) is Distance.OWN_REGION
+        if peer_regions.distance(member.failure_domain) is Distance.OWN_REGION
     ]
     choices = [PeerChoice(near_members, 1)] if near_members else []
     if asks_across or not near_members:
         choices += [
             PeerChoice(far_members, 1)
-            for far_members in _members_by_other_region(members, regions).values()
+            for far_members in _members_by_other_region(members, peer_regions).values()
         ]
     return choices
 
 
 def confirmation_choices(members, regions):
     """Return the choices that confirm or refute a partition; see ``usual_choices``."""
+    peer_regions = _regions_of_peers(regions)
     members_by_domain = {}
     for member in members:
-        if regions.distance(member.failure_domain) is Distance.OWN_REGION:
+        if peer_regions.distance(member.failure_domain) is Distance.OWN_REGION:
             members_by_domain.setdefault(member.failure_domain, []).append(member)
     return [
         PeerChoice(domain_members, min(len(domain_members), CONFIRMATION_PEERS))
         for domain_members in members_by_domain.values()
     ] + [
         PeerChoice(far_members, CONFIRMATION_PEERS_ACROSS)
-        for far_members in _members_by_other_region(members, regions).values()
+        for far_members in _members_by_other_region(members, peer_regions).values()
     ]
 
 
@@ -111,6 +116,11 @@
     return other_members if asks_across else near_members or other_members
 
 
+def _regions_of_peers(regions):
+    """Return regions that hold only if the own region has witnesses of a partition."""
+    return regions if regions.own_region_has_witnesses else Regions(regions.own_domain)
+
+
 def _members_by_other_region(members, regions):
     members_by_region = {}
     for member in members:
--- a/cassiahill/reachability.py
+++ b/cassiahill/reachability.py
@@ -162,7 +162,9 @@
             Whether peers of all other domains should be asked now.
         """
         unknown_since = now
-        if not self._regions.is_same_region(domain):
+        if self._regions.own_region_has_witnesses and not self._regions.is_same_region(
+            domain
+        ):
             domain = f"region {self._regions.region_of(domain)}"
             # Most proxies ask another region only once something does not answer. That
             # it was not asked before must not delay the decision.
--- a/cassiahill/regions.py
+++ b/cassiahill/regions.py
@@ -9,6 +9,10 @@
 
 import attrs
 
+# Other domains of a region that suffice to tell whether one of its domains is cut off.
+# With one, the failure of a single process there would look like a partition.
+MIN_DOMAINS_OF_WITNESSES = 2
+
 
 class Distance(enum.IntEnum):
     """Distance of a failure domain; a greater one is farther away."""
@@ -31,19 +35,32 @@
         Failure domain of this process.
     region_by_domain : dict of str to str
         Region of each failure domain; empty in a deployment without regions.
+    are_several : bool
+        Whether the deployment has several regions.
     """
 
     own_domain: str
     region_by_domain: dict = attrs.field(factory=dict, hash=False)
+    # Kept, because it is read for each candidate of each statement.
+    are_several: bool = attrs.field(init=False)
 
-    @property
-    def are_several(self):
-        """Whether the deployment has several regions."""
+    @are_several.default
+    def _names_several(self):
         return (
             self.own_domain in self.region_by_domain
             and len(set(self.region_by_domain.values())) > 1
         )
 
+    @property
+    def own_region_has_witnesses(self):
+        """Whether the own region alone tells if the own domain is cut off."""
+        near_domains = [
+            domain
+            for domain in self.region_by_domain
+            if self.distance(domain) is Distance.OWN_REGION
+        ]
+        return self.are_several and len(near_domains) >= MIN_DOMAINS_OF_WITNESSES
+
     def region_of(self, domain):
         """Return the name of a failure domain's region; None without regions."""
         if not self.are_several:
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -9,6 +9,7 @@
     partitioned_since,
     relevant_contacts,
 )
+from cassiahill.regions import Regions
 from tests.region_builders import regions_seen_from
 
 
@@ -98,6 +99,16 @@
         self.assertFalse(peers.is_partitioned(9.1))
         self.assertTrue(peers.is_partitioned(10.0))
 
+    def test_region_of_few_domains_keeps_the_domains_apart(self):
+        """Guards against a partition seen where one process elsewhere failed."""
+        regions = Regions("a", {"a": "north", "b": "south", "c": "south"})
+        peers = PeerContacts("a", 0.0, regions)
+        for domain in ("a", "c"):
+            peers.record(domain, True, 9.0)
+        peers.record("b", True, 8.0)
+        peers.record("b", False, 9.0)
+        self.assertFalse(peers.is_partitioned(9.1))
+
     def test_region_asked_for_the_first_time_does_not_delay(self):
         """Guards against a partition noticed later, as few proxies ask across."""
         peers = PeerContacts("north-a", 0.0, self.regions)
