--- a/cassiahill/session_opening.py
+++ b/cassiahill/session_opening.py
@@ -19,11 +19,14 @@
     caller : caller_checks.Caller
     relay : relays.Relay or None
         None if this process serves the session.
+    owner_domain : str or None
+        Failure domain of the owner to which the session is relayed.
     """
 
     route: object
     caller: object
     relay: object = None
+    owner_domain: str | None = None
 
 
 @attrs.frozen
@@ -107,18 +110,40 @@
         if self._is_relayed:
             if routing.should_refuse_relayed(route.group):
                 return Refused(Code.BUSY, "the primary is out of reach")
-        elif not routing.serves_group(route.group, caller.tenant):
-            relay = yield from self._open_relay(route, caller.tenant)
-            if relay is not None:
-                return Opened(route, caller, relay)
-            if not routing.fall_back_to_local(route.group, caller.tenant):
-                return Refused(Code.BUSY, "no owner of the group answers")
-        return Opened(route, caller)
-
-    def _open_relay(self, route, tenant):
-        """Return the relay to the first owner that accepts the session, or None."""
+            return Opened(route, caller)
+        return (yield from self._place(route, caller))
+
+    def _place(self, route, caller):
+        """Open the session at the best owner that accepts it; a task.
+
+        Returns
+        -------
+        Opened or Refused
+        """
+        routing = self._server.routing
+        near_primary = routing.relay_targets_near_primary(route)
+        opened = yield from self._open_relay(route, caller, near_primary)
+        if opened is not None:
+            return opened
+        if routing.serves_group(route.group, caller.tenant):
+            return Opened(route, caller)
+        targets = routing.relay_targets(route.group, caller.tenant)
+        opened = yield from self._open_relay(route, caller, targets)
+        if opened is not None:
+            return opened
+        if routing.fall_back_to_local(route.group, caller.tenant):
+            return Opened(route, caller)
+        return Refused(Code.BUSY, "no owner of the group answers")
+
+    def _open_relay(self, route, caller, members):
+        """Relay the session to the first of some members that accepts it; a task.
+
+        Returns
+        -------
+        Opened or None
+        """
         routing = self._server.routing
-        for member in routing.relay_targets(route.group, tenant):
+        for member in members:
             if self._is_closed():
                 return None
             try:
@@ -133,8 +158,8 @@
                 relay.owner_accepted, self._loop.sleep_until(deadline)
             )
             if relay.owner_accepted.done() and relay.owner_accepted.result():
-                routing.record_relay_opened(route.group)
-                return relay
+                routing.record_relay_opened(route.group, member)
+                return Opened(route, caller, relay, member.failure_domain)
             relay.close()
             routing.record_owner_failure(route.group, member)
         return None
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -15,11 +15,13 @@
     heartbeats,
     http1,
     reachability,
+    regions,
     server_group,
     session_fleet,
     session_metrics,
     session_owners,
     session_server,
+    successor_nearness,
     takeover,
 )
 
@@ -59,6 +61,8 @@
     revocation_seconds : float or None
         Time after the store's acknowledgement from which on a key that was taken away
         must not be accepted anywhere; None if the deployment does not limit it.
+    region_by_domain : dict of str to str
+        Region of each failure domain; empty in a deployment without regions.
     """
 
     name: str
@@ -70,6 +74,7 @@
     seed_addresses: tuple
     grace_seconds: float
     revocation_seconds: float | None = None
+    region_by_domain: dict = attrs.field(factory=dict, hash=False)
 
 
 class SessionProxy(session_fleet.ProcessState):
@@ -92,6 +97,9 @@
         self._dialect = dialect
         self._promotion_orders = orders
         self._store = store
+        self._regions = regions.Regions(
+            settings.failure_domain, settings.region_by_domain
+        )
         self._shutdown_since = None
         self._partitioned = False
         self._partitioned_since = None
@@ -116,6 +124,7 @@
             self,
             settings.seed_addresses,
             age=self.configuration_age,
+            region_by_domain=settings.region_by_domain,
         )
         self.owners = session_owners.GroupOwnerRouting(
             loop,
@@ -124,6 +133,8 @@
             self.knows_deployment,
             self._is_primary_unreachable,
             self,
+            settings.region_by_domain,
+            self._primary_domain,
         )
         self.catalog_feed = catalog_feed.CatalogFeed(
             loop,
@@ -196,6 +207,7 @@
                 self._settings.name,
                 self._settings.failure_domain,
                 self.catalog.draining_since_by_id.get,
+                regions=self._regions,
             )
             group.partitioned = self._partitioned
             self._groups_by_name[name] = group
@@ -206,6 +218,12 @@
                 self.fleet.election.next_token,
                 self.fleet.election.confirm_promoter,
                 self.fleet.election.resign,
+                lambda domain, former_domain: successor_nearness.nearness_of(
+                    domain,
+                    self.fleet.demand_by_domain(name),
+                    former_domain,
+                    self._regions,
+                ),
             )
             self._update_limits()
         return group
@@ -347,6 +365,11 @@
             self._loop.clock.now()
         )
 
+    def _primary_domain(self, group_name):
+        """Return the failure domain of a group's known primary, or None."""
+        group = self._groups_by_name.get(group_name)
+        return None if group is None else group.primary_domain
+
     def _update_active_groups(self, now):
         """Mark the groups that this process owns, supervises or used recently."""
         # The promoter's successor knows the state of all groups when it takes over.
@@ -355,6 +378,7 @@
         )
         for name, group in self._groups_by_name.items():
             used_recently = now - group.last_request_at < GROUP_RECENT_USE_SECONDS
+            group.supervised = watches_all
             group.active = (
                 self.owners.holds_connections(name) or watches_all or used_recently
             )
@@ -392,6 +416,8 @@
         now = self._loop.clock.now()
         self._update_active_groups(now)
         self._check_reachability(now)
+        if self._regions.are_several:
+            self.sessions.close_misplaced()
         if self.fleet.election.is_promoter and not self._partitioned:
             for name, group in self._groups_by_name.items():
                 reported_since = self.fleet.reports.primary_unreachable_since(name)
@@ -413,7 +439,10 @@
         if contacts:
             own_domain = self._settings.failure_domain
             relevant_contacts = reachability.relevant_contacts(
-                own_domain, contacts, self.fleet.peer_contacts.contacts()
+                own_domain,
+                contacts,
+                self.fleet.peer_contacts.contacts(),
+                self._regions,
             )
             self._partitioned_since = reachability.partitioned_since(
                 self._partitioned_since, own_domain, relevant_contacts, now
@@ -456,6 +485,7 @@
         raise errors.NotFound(request.path)
 
     def _gauge_values(self):
+        crossings = [group.crossings() for group in self._groups_by_name.values()]
         values = {
             "open_sessions": len(self.sessions),
             "busy_sessions": self.sessions.busy_count,
@@ -466,6 +496,17 @@
             "store_calls": self._store.call_count,
             "store_calls_failed": self._store.failed_call_count,
             "log_lines_dropped": event_log.dropped_lines(),
+            "heartbeats_to_other_regions": self.fleet.heartbeats_to_other_regions,
+            "sessions_relayed_to_other_regions": self.owners.relays_to_other_regions,
+            "statements_to_other_regions": sum(
+                crossing.statement_count for crossing in crossings
+            ),
+            "other_region_round_trip_seconds": max(
+                (crossing.round_trip_seconds for crossing in crossings), default=0.0
+            ),
+            "other_region_queue_seconds": max(
+                (crossing.queue_seconds for crossing in crossings), default=0.0
+            ),
         }
         if self.configuration_age.is_required:
             age_seconds = self.configuration_age.age(self._loop.clock.now())
--- a/cassiahill/session_server.py
+++ b/cassiahill/session_server.py
@@ -21,12 +21,26 @@
         """Return the members to relay a group's session to, preferred ones first."""
         raise NotImplementedError
 
+    def relay_targets_near_primary(self, _route):
+        """Return the members near the primary to relay a session to, if that is better.
+
+        Returns
+        -------
+        list of heartbeats.Member
+            Empty when the session is better served in the own region.
+        """
+        return []
+
+    def is_misplaced(self, _group, _owner_domain):
+        """Return whether a relayed session would be better served elsewhere."""
+        return False
+
     def record_owner_failure(self, group, member):
         """Record that a member did not accept a session of a group."""
         raise NotImplementedError
 
-    def record_relay_opened(self, group):
-        """Record that another proxy accepted a session of a group."""
+    def record_relay_opened(self, group, member):
+        """Record that a member accepted a session of a group."""
         raise NotImplementedError
 
     def fall_back_to_local(self, group, tenant=None):
@@ -161,6 +175,21 @@
                 now + sessions.MIN_IDLE_SECONDS, self.close_revoked
             )
 
+    def close_misplaced(self):
+        """Close one idle session that would be better served elsewhere.
+
+        One at a time, so that the clients do not all reconnect at the same moment.
+        """
+        now = self.loop.clock.now()
+        for session in self._sessions:
+            if (
+                session.is_idle
+                and now - session.last_active_at >= sessions.MIN_IDLE_SECONDS
+                and session.is_misplaced()
+            ):
+                session.close_while_idle()
+                return
+
     def abort_transactions(self):
         """Abort the transactions that wait for their client's next statement."""
         for session in list(self._sessions):
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -44,6 +44,7 @@
         self._relayed = relayed
         self._announced_close = False
         self._relay = None
+        self._owner_domain = None
         self._loop = server.loop
         self._buffer = b""
         self._pending_lines = collections.deque()
@@ -85,6 +86,14 @@
             and not self._server.caller_checks.is_in_force(self._caller, route)
         )
 
+    def is_misplaced(self):
+        """Return whether it is relayed to a region that the primary has left."""
+        return (
+            self._owner_domain is not None
+            and self.group is not None
+            and self._server.routing.is_misplaced(self.group, self._owner_domain)
+        )
+
     def close(self):
         """Close the connection once everything written has been sent."""
         self._stream.close_when_sent()
@@ -223,6 +232,7 @@
                 self.database = database
                 self.group = route.group
                 self._caller = caller
+                self._owner_domain = outcome.owner_domain
                 self._relay = relay
                 if relay is not None and self._stream.closed:
                     relay.close()
