Exchange rate shares with the promoter on heartbeats

Cause: shares follow the demand only if the promoter learns it; owners already send it a heartbeat each 0.4 s.

Change: a heartbeat to the promoter carries a rate report, its answer the shares; both are left out without tenants. The first stamp of a pot is returned at once. The promoter gives its own process a share in its tick. The pot belongs to one term of one promoter.

The fakes of the fleet got the new methods.

--- a/cassiahill/group_owners.py
+++ b/cassiahill/group_owners.py
@@ -47,6 +47,17 @@
             return sum(proxy_counts)
         return sum(min(count, self.owners_per_domain) for count in proxy_counts)
 
+    @property
+    def connected_proxy_names(self):
+        """Names of the proxies that hold connections, as a set."""
+        return {
+            name
+            for names in self.proxy_names_by_domain.values()
+            for name in (
+                names if self.every_proxy_serves else names[: self.owners_per_domain]
+            )
+        }
+
     def includes_proxy(self, name, domain):
         """Return whether a proxy holds connections to the group."""
         names = self.proxy_names_by_domain.get(domain, ())
--- a/cassiahill/promoter_election.py
+++ b/cassiahill/promoter_election.py
@@ -106,6 +106,14 @@
         resigned = self._loop.clock.now() < self._resigned_until
         return self._tokens is not None and not self.shutting_down and not resigned
 
+    @property
+    def own_term(self):
+        """Text that differs for each term of this process; None if not the promoter."""
+        if not self.is_promoter:
+            return None
+        revision = self._tokens.revision
+        return f"{self._incarnation}.{revision.era}.{revision.number}"
+
     def next_token(self):
         """Return a fencing token for one order, or None if not the promoter."""
         return self._tokens.next_token() if self.is_promoter else None
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -49,6 +49,34 @@
         """Apply the demand of all proxies to this process's share of the slots."""
         raise NotImplementedError
 
+    def rate_report(self, promoter_name):
+        """Return the ``RateReport`` for a promoter; unset without tenants."""
+        return msgspec.UNSET
+
+    def answer_rate_report(self, name, report, term):
+        """Return the ``RateAnswer`` to a proxy's report; asked at the promoter.
+
+        Parameters
+        ----------
+        name : str
+        report : heartbeats.RateReport
+        term : str
+            Differs for each term of a promoter.
+        """
+        return msgspec.UNSET
+
+    def apply_rate_answer(self, promoter_name, answer, sent_at):
+        """Take over the promoter's answer; return whether to report again at once.
+
+        Parameters
+        ----------
+        promoter_name : str
+        answer : heartbeats.RateAnswer
+        sent_at : float
+            Instant at which the report was made.
+        """
+        return False
+
     def is_partitioned(self):
         """Return whether this process does not reach the other failure domains."""
         raise NotImplementedError
@@ -239,9 +267,25 @@
                 self._total_demand_for(heartbeat),
                 servers_revision.era,
                 self.registry.revision.era,
+                self._answer_rate_report(heartbeat.name, heartbeat.rate_report),
             )
         )
 
+    def _answer_rate_report(self, name, report):
+        """Return the answer to a proxy's report on the rate limits, or unset."""
+        term = self.election.own_term
+        if report is msgspec.UNSET or term is None:
+            return msgspec.UNSET
+        return self._process_state.answer_rate_report(name, report, term)
+
+    def _exchange_own_rates(self, now):
+        """Give this process its share of the rate limits; it is the promoter."""
+        own_name = self._own_member.name
+        report = self._process_state.rate_report(own_name)
+        answer = self._answer_rate_report(own_name, report)
+        if answer is not msgspec.UNSET:
+            self._process_state.apply_rate_answer(own_name, answer, now)
+
     def _total_demand_for(self, heartbeat):
         """Return the demand of all proxies for the groups that a member watches."""
         if not self.election.is_promoter:
@@ -285,6 +329,7 @@
             demand_by_group = self._process_state.demand_by_group()
             self.reports.update(demand_by_group, now)
             self._process_state.apply_total_demand(self.reports.total_demand_by_group)
+            self._exchange_own_rates(now)
         elif self._may_become_promoter():
             self._start_heartbeat(self._promoter_member())
             if self.members_known:
@@ -356,8 +401,10 @@
             self._process_state.demand_by_group(),
             servers_revision.era,
             self.registry.revision.era,
+            self._rate_report_for(member),
         )
-        deadline = self._loop.clock.now() + HEARTBEAT_TIMEOUT_SECONDS
+        sent_at = self._loop.clock.now()
+        deadline = sent_at + HEARTBEAT_TIMEOUT_SECONDS
         try:
             response_future = self._client.send_heartbeat(
                 member.address, msgspec.json.encode(heartbeat), deadline
@@ -385,6 +432,7 @@
                 self._process_state.apply_total_demand(
                     heartbeat_answer.total_demand_by_group
                 )
+                self._apply_rate_answer(member, heartbeat_answer.rate_answer, sent_at)
             else:
                 self.election.record_resignation(self._loop.clock.now())
         if member.name == self.follower.following.reader_to_ask():
@@ -393,6 +441,23 @@
             )
         self.follower.catch_up_with(member, heartbeat_answer)
 
+    def _rate_report_for(self, member):
+        """Return the report on the rate limits if a member is the promoter."""
+        promoter = self.election.promoter
+        if promoter is None or promoter.name != member.name:
+            return msgspec.UNSET
+        return self._process_state.rate_report(member.name)
+
+    def _apply_rate_answer(self, promoter_member, answer, sent_at):
+        """Take over the promoter's answer on the rate limits; report again if asked."""
+        if answer is msgspec.UNSET:
+            return
+        reports_again = self._process_state.apply_rate_answer(
+            promoter_member.name, answer, sent_at
+        )
+        if reports_again:
+            self._loop.call_soon(self._start_heartbeat, promoter_member)
+
     def _record_contact(self, member, answered):
         """Record whether a member answered; ask other domains if one did not."""
         asks_others = self.peer_contacts.record(
--- a/cassiahill/session_owners.py
+++ b/cassiahill/session_owners.py
@@ -64,6 +64,14 @@
         self._owners_by_group[group] = owners
         return owners.connected_proxy_count
 
+    def names_of_all_owners(self):
+        """Return the proxies that own any group; empty while members are unknown."""
+        if not self._fleet.members_known:
+            return frozenset()
+        return frozenset().union(
+            *(owners.connected_proxy_names for owners in self._owners_by_group.values())
+        )
+
     def holds_connections(self, group):
         """Return whether this process holds connections to a group's servers."""
         owners = self._owners_by_group.get(group)
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -3,6 +3,7 @@
 import signal
 
 import attrs
+import msgspec
 
 from cassiahill import (
     catalog,
@@ -11,6 +12,8 @@
     event_log,
     heartbeats,
     http1,
+    rate_limits,
+    rate_shares,
     reachability,
     server_group,
     session_fleet,
@@ -52,6 +55,8 @@
         Addresses of proxies to ask for the deployment while the store does not answer.
     grace_seconds : float
         Time between the request to stop and the kill of the process.
+    rate_tolerance : rate_limits.RateTolerance
+        By how much the operations of a tenant may exceed its limit.
     """
 
     name: str
@@ -62,6 +67,7 @@
     relay_address: tuple
     seed_addresses: tuple
     grace_seconds: float
+    rate_tolerance: rate_limits.RateTolerance = rate_limits.RateTolerance()
 
 
 class SessionProxy(session_fleet.ProcessState):
@@ -89,6 +95,10 @@
         self._partitioned_since = None
         self._groups_by_name = {}
         self._takeovers_by_group = {}
+        self.rate_limits = rate_limits.RateLimits(
+            settings.name, settings.rate_tolerance, loop.clock.now()
+        )
+        self._rate_pot = rate_shares.RatePot("")
         self.metrics = session_metrics.SessionMetrics()
         self.catalog = catalog.Catalog()
         own_member = heartbeats.Member(
@@ -209,6 +219,7 @@
             "sessions": len(self.sessions),
             "busy_sessions": self.sessions.busy_count,
             "fleet": self.fleet.dump(),
+            "rates": self.rate_limits.dump(self._loop.clock.now()),
             "groups": {
                 name: group.dump() for name, group in self._groups_by_name.items()
             },
@@ -274,6 +285,25 @@
             in {takeover.PRIMARY_UNREACHABLE, takeover.WRITES_UNACKNOWLEDGED}
         ]
 
+    def rate_report(self, promoter_name):
+        """Return the ``RateReport`` for a promoter; unset without tenants."""
+        if not self.rate_limits.limits_tenants:
+            return msgspec.UNSET
+        return self.rate_limits.report(promoter_name, self._loop.clock.now())
+
+    def answer_rate_report(self, name, report, term):
+        """Return the ``RateAnswer`` to a proxy's report."""
+        if self._rate_pot.pot_id != term:
+            self._rate_pot = rate_shares.RatePot(term)
+        return self._rate_pot.answer(
+            name, report, self.rate_limits.owner_names, self._loop.clock.now()
+        )
+
+    def apply_rate_answer(self, promoter_name, answer, sent_at):
+        """Take over the promoter's answer; return whether to report again at once."""
+        now = self._loop.clock.now()
+        return self.rate_limits.accept(promoter_name, answer, sent_at, now)
+
     def is_partitioned(self):
         """Return whether this process does not reach the other failure domains."""
         return self._partitioned
@@ -339,6 +369,9 @@
             owner_count = self.owners.update_owners(name, limits.connections)
             if name in self._groups_by_name:
                 self._groups_by_name[name].set_limits(limits, owner_count)
+        now = self._loop.clock.now()
+        self.rate_limits.install(configuration.tenants, now)
+        self.rate_limits.set_owners(self.owners.names_of_all_owners(), now)
 
     def _supervise(self):
         """Update groups and reachability, and start promotions that are due."""
@@ -418,6 +451,8 @@
             "store_era": self._store.era,
             "store_calls": self._store.call_count,
             "store_calls_failed": self._store.failed_call_count,
+            "operations_admitted": self.rate_limits.admitted_count,
+            "operations_rate_limited": self.rate_limits.refused_count,
             "log_lines_dropped": event_log.dropped_lines(),
         }
 
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -10,7 +10,14 @@
 
 import msgspec
 
-from cassiahill import errors, heartbeats, session_fleet, shared_store
+from cassiahill import (
+    errors,
+    heartbeats,
+    rate_limits,
+    rate_shares,
+    session_fleet,
+    shared_store,
+)
 from cassiahill.catalog import Catalog, Configuration
 from cassiahill.catalog_feed import CatalogFeed, CatalogSource
 from cassiahill.loop import LoopFuture, failed_future
@@ -168,6 +175,11 @@
         self.catalog = Catalog()
         self.history = []
         loop = memory_fleet.loop
+        # Without tenants until a test installs some.
+        self.rate_limits = rate_limits.RateLimits(
+            name, rate_limits.RateTolerance(), loop.clock.now()
+        )
+        self.rate_pot = rate_shares.RatePot("")
         rng = random.Random(name)
         store = FleetStore(memory_fleet, name)
         member = heartbeats.Member(name, (name, 1), (name, 2), domain)
@@ -207,6 +219,23 @@
     def apply_total_demand(self, total_demand_by_group):
         pass
 
+    def rate_report(self, promoter_name):
+        if not self.rate_limits.limits_tenants:
+            return msgspec.UNSET
+        return self.rate_limits.report(
+            promoter_name, self.memory_fleet.loop.clock.now()
+        )
+
+    def answer_rate_report(self, name, report, term):
+        if self.rate_pot.pot_id != term:
+            self.rate_pot = rate_shares.RatePot(term)
+        now = self.memory_fleet.loop.clock.now()
+        return self.rate_pot.answer(name, report, self.rate_limits.owner_names, now)
+
+    def apply_rate_answer(self, promoter_name, answer, sent_at):
+        now = self.memory_fleet.loop.clock.now()
+        return self.rate_limits.accept(promoter_name, answer, sent_at, now)
+
     def is_partitioned(self):
         return False
 
