Look only at the proxies of a tenant when its pot is divided

Most tenants are used at few proxies.

Change: the pot keeps the proxies of each tenant.

Tested: units and search as before.

--- a/cassiahill/rate_shares.py
+++ b/cassiahill/rate_shares.py
@@ -236,13 +236,14 @@
         if self.foreign_loan is not None and self.foreign_loan.valid_until <= now:
             self.foreign_loan = None
 
-    def largest_share(self, tenant_name):
+    def largest_share(self, tenant_name, now):
         """Return the largest share of a tenant that the proxy may be using."""
         share = 0.0
         if self.foreign_loan is not None:
             share = self.foreign_loan.share_by_tenant.get(tenant_name, 0.0)
         for loan in self.loans:
-            share = max(share, loan.share_by_tenant.get(tenant_name, 0.0))
+            if loan.valid_until > now:
+                share = max(share, loan.share_by_tenant.get(tenant_name, 0.0))
         return share
 
 
@@ -258,6 +259,9 @@
     def __init__(self, pot_id):
         self.pot_id = pot_id
         self._parties_by_name = {}
+        # Most tenants are used at few proxies. The parties of a tenant are those that
+        # reported demand for it or hold a loan of it.
+        self._parties_by_tenant = {}
         self._last_stamp = -math.inf
 
     def answer(self, name, report, owner_names, now):
@@ -283,6 +287,9 @@
         if report.stamp < party.report.stamp:
             return nothing_lent
         party.record(report, now)
+        for tenant_name in (*report.demand_by_tenant, *report.held_share_by_tenant):
+            parties = self._parties_by_tenant.setdefault(tenant_name, {})
+            parties[name] = party
         self._drop_ended(now)
         roll_call, contributors = self._contributors(owner_names, now)
         if not contributors or (party.foreign_loan is not None and not roll_call):
@@ -324,20 +331,21 @@
 
     def _shares_for(self, party, pot_share, now):
         """Return a proxy's shares by its demand, of what others may not be using."""
-        others = [
-            other for other in self._parties_by_name.values() if other is not party
-        ]
-        recent_demands = [
-            other.report.demand_by_tenant for other in others if other.is_recent(now)
-        ]
         share_by_tenant = {}
         for tenant_name, demand in party.report.demand_by_tenant.items():
             own_weight = weight = demand_weight(demand)
-            for demand_by_tenant in recent_demands:
-                if tenant_name in demand_by_tenant:
-                    weight += demand_weight(demand_by_tenant[tenant_name])
-            in_use = sum(other.largest_share(tenant_name) for other in others)
+            in_use = 0.0
+            parties = self._parties_by_tenant[tenant_name]
+            for name, other in list(parties.items()):
+                if other is party:
+                    continue
+                other_demand = other.report.demand_by_tenant.get(tenant_name)
+                other_share = other.largest_share(tenant_name, now)
+                if other_demand is not None and other.is_recent(now):
+                    weight += demand_weight(other_demand)
+                elif other_share <= 0.0:
+                    del parties[name]
+                in_use += other_share
             share = pot_share * own_weight / weight if weight > 0.0 else 0.0
-            share = min(share, pot_share - in_use)
-            share_by_tenant[tenant_name] = max(0.0, share)
+            share_by_tenant[tenant_name] = max(0.0, min(share, pot_share - in_use))
         return share_by_tenant
