--- a/tests/test_adapter_documents.py
+++ b/tests/test_adapter_documents.py
@@ -5,6 +5,7 @@
 
 from cassiahill import errors
 from cassiahill.catalog import Consistency
+from cassiahill.rate_limits import RateTolerance
 from tests import adapter_path
 
 with adapter_path.importable():
@@ -106,6 +107,18 @@
         self.assertEqual(platform_settings.proxy.peer_address, ("10.1.0.8", 7441))
         self.assertEqual(platform_settings.store_address, ("10.200.1.7", 8783))
 
+    def test_tolerance_of_rate_limits(self):
+        """Guards against limits that are enforced without the stated tolerance."""
+        without = settings.decode(SETTINGS_DOCUMENT).proxy.rate_tolerance
+        self.assertEqual(without, RateTolerance(1.0, 0.0, 0.0))
+        bounds = {"quotaWindowS": 5, "quotaExcess": 0.1, "quotaSlack": 20}
+        document = {**SETTINGS_DOCUMENT, "bounds": bounds}
+        tolerance = settings.decode(document).proxy.rate_tolerance
+        self.assertEqual(tolerance, RateTolerance(5.0, 0.1, 20.0))
+        document = {**SETTINGS_DOCUMENT, "bounds": {**bounds, "quotaSlack": -1}}
+        with self.assertRaises(errors.InvalidSettings):
+            settings.decode(document)
+
     def test_all_invalid_values_are_reported(self):
         """Guards against reporting only the first of several invalid values."""
         invalid_document = {
