--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -208,6 +208,7 @@
     def dump(self):
         """Return the state of the process as plain values."""
         version, revision = self.catalog_feed.versions
+        now = self._loop.clock.now()
         return {
             "name": self._settings.name,
             "ready": self.ready,
@@ -219,7 +220,8 @@
             "sessions": len(self.sessions),
             "busy_sessions": self.sessions.busy_count,
             "fleet": self.fleet.dump(),
-            "rates": self.rate_limits.dump(self._loop.clock.now()),
+            "rates": self.rate_limits.dump(now),
+            "rate_pot": self._rate_pot.dump(self.rate_limits.owner_names, now),
             "groups": {
                 name: group.dump() for name, group in self._groups_by_name.items()
             },
--- a/tests/test_rate_shares.py
+++ b/tests/test_rate_shares.py
@@ -128,6 +128,15 @@
             answer = self.exchange.report("p1", later, acme=10.0)
         self.assertAlmostEqual(answer.share_by_tenant["acme"], 0.5)
 
+    def test_dump_tells_whose_parts_count(self):
+        """Guards against a pot in which nobody sees that parts are missing."""
+        self.lend(START, p1=10.0, p2=10.0)
+        dump = self.exchange.pot.dump(OWNERS, START + 0.3)
+        self.assertEqual(dump, {"owners": 2, "contributors": 2, "roll_call": True})
+        later = START + 0.3 + 2 * STAMP_MAX_AGE_SECONDS
+        dump = self.exchange.pot.dump(OWNERS, later)
+        self.assertEqual(dump, {"owners": 2, "contributors": 0, "roll_call": False})
+
     def test_late_report_lends_nothing(self):
         """Guards against a part whose promise has ended when its report arrives."""
         exchange = self.exchange
