Choose the owner that serves a small tenant by rendezvous hashing

If all owners of a group serve every tenant, each of them needs connections of each tenant. A tenant whose rate is at most one owner's part of the sum goes to one owner, on which all proxies agree; larger ones, and those without a limit, are served by the owners of each failure domain as before. After the first two owners come those of the own domain, so that a domain that is cut off reaches its own at the third of four attempts.

Tested: tests.test_tenant_routing (agreement, spread, loss of an owner, owner that does not answer, primary out of reach), tests.test_group_owners.

--- a/cassiahill/group_owners.py
+++ b/cassiahill/group_owners.py
@@ -47,6 +47,16 @@
             return sum(proxy_counts)
         return sum(min(count, self.owners_per_domain) for count in proxy_counts)
 
+    @property
+    def owner_names_by_domain(self):
+        """Names of the proxies of each failure domain that hold connections."""
+        if self.every_proxy_serves:
+            return self.proxy_names_by_domain
+        return {
+            domain: names[: self.owners_per_domain]
+            for domain, names in self.proxy_names_by_domain.items()
+        }
+
     def includes_proxy(self, name, domain):
         """Return whether a proxy holds connections to the group."""
         names = self.proxy_names_by_domain.get(domain, ())
--- a/cassiahill/rendezvous.py
+++ b/cassiahill/rendezvous.py
@@ -1,8 +1,27 @@
-"""Rendezvous hashing of the proxies of each failure domain; does no I/O."""
+"""Rendezvous hashing of proxies; does no I/O."""
 
 import xxhash
 
 
+def rank(key, names):
+    """Return names in the order of their weight for a key.
+
+    Parameters
+    ----------
+    key : str
+    names : iterable of str
+
+    Returns
+    -------
+    list of str
+    """
+    return sorted(
+        names,
+        key=lambda name: xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode()),
+        reverse=True,
+    )
+
+
 def rank_by_domain(key, domains_by_name):
     """Return the proxies of each failure domain in the order of their weight for a key.
 
@@ -22,9 +41,4 @@
     names_by_domain = {}
     for name, domain in domains_by_name.items():
         names_by_domain.setdefault(domain, []).append(name)
-    for names in names_by_domain.values():
-        names.sort(
-            key=lambda name: xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode()),
-            reverse=True,
-        )
-    return names_by_domain
+    return {domain: rank(key, names) for domain, names in names_by_domain.items()}
--- a/cassiahill/session_owners.py
+++ b/cassiahill/session_owners.py
@@ -2,7 +2,7 @@
 
 import xxhash
 
-from cassiahill import event_log, group_owners, session_server
+from cassiahill import event_log, group_owners, session_server, tenant_routing
 
 MAX_OWNERS_TRIED = 4  # An attempt takes up to 0.3 s; clients wait 2 s.
 AVOID_OWNER_SECONDS = 1.0
@@ -42,13 +42,14 @@
         self._is_primary_unreachable = is_primary_unreachable
         self._process_state = process_state
         self._owners_by_group = {}
+        self._tenant_owners_by_group = {}
         self._first_rotation = xxhash.xxh3_64_intdigest(own_member.name.encode())
         self._next_rotation_by_group = {}
         self._avoid_until_by_owner = {}
         self._relayed_at_by_group = {}
-        self._local_until_by_group = {}
+        self._local_until = {}
 
-    def update_owners(self, group, connection_limit):
+    def update_owners(self, group, connection_limit, tenants=None):
         """Choose a group's owners; return the number of proxies with connections.
 
         Parameters
@@ -56,12 +57,19 @@
         group : str
         connection_limit : int
             Connections that each server of the group accepts.
+        tenants : tenants.TenantDirectory or None
+            None in a deployment without tenants.
         """
         domains_by_name = {self._own_member.name: self._own_member.failure_domain}
         for member in self._fleet.members_by_name.values():
             domains_by_name[member.name] = member.failure_domain
         owners = group_owners.choose_owners(group, domains_by_name, connection_limit)
         self._owners_by_group[group] = owners
+        self._tenant_owners_by_group.pop(group, None)
+        if tenants is not None:
+            self._tenant_owners_by_group[group] = tenant_routing.TenantOwners.choose(
+                group, owners, tenants
+            )
         return owners.connected_proxy_count
 
     def holds_connections(self, group):
@@ -109,14 +117,34 @@
         """Return whether the configuration and the fleet's members are known."""
         return self._knows_deployment()
 
-    def serves_group(self, group):
-        """Return whether this process serves a group's sessions itself."""
+    def serves_group(self, group, tenant=None):
+        """Return whether this process serves a tenant's sessions of a group itself.
+
+        Parameters
+        ----------
+        group : str
+        tenant : str or None
+            None on a public route and in a deployment without tenants.
+        """
         if not self.holds_connections(group):
             return False
-        served_locally = self._loop.clock.now() < self._local_until_by_group.get(
-            group, 0.0
+        if self._loop.clock.now() < self._local_until.get((group, tenant), 0.0):
+            return True
+        if self._is_primary_unreachable(group):
+            return False
+        owner_names = self._small_tenant_owners(group, tenant)
+        return owner_names is None or owner_names[0] == self._own_member.name
+
+    def _small_tenant_owners(self, group, tenant):
+        """Return the owners of a small tenant, preferred ones first, or None."""
+        tenant_owners = self._tenant_owners_by_group.get(group)
+        if tenant_owners is None or not tenant_owners.has_own_owner(tenant):
+            return None
+        return tenant_owners.owner_names(
+            tenant,
+            self._own_member.failure_domain,
+            self._process_state.is_partitioned(),
         )
-        return served_locally or not self._is_primary_unreachable(group)
 
     def should_refuse_relayed(self, group):
         """Return whether this process should refuse relayed sessions of a group."""
@@ -124,20 +152,22 @@
             group
         )
 
-    def relay_targets(self, group):
-        """Return the members to relay a group's session to, preferred ones first."""
-        now = self._loop.clock.now()
-        owners = self._owners_by_group.get(group)
-        if owners is None:
+    def relay_targets(self, group, tenant=None):
+        """Return the members to relay a tenant's session to, preferred ones first."""
+        if group not in self._owners_by_group:
             return []
-        # Sessions take turns, so that all owners of a domain get the same number.
-        rotation = self._next_rotation_by_group.get(group, self._first_rotation)
-        self._next_rotation_by_group[group] = rotation + 1
+        names = self._small_tenant_owners(group, tenant)
+        may_serve_here = False
+        if names is None:
+            names = self._owners_in_turn(group)
+        elif self._own_member.name in names and not self._is_primary_unreachable(group):
+            # Owners after this process in the order are no better than itself.
+            names = names[: names.index(self._own_member.name)]
+            may_serve_here = True
+        now = self._loop.clock.now()
         members = [
             self._fleet.members_by_name[name]
-            for name in owners.relay_candidates(
-                self._own_member.failure_domain, rotation
-            )
+            for name in names
             if name in self._fleet.members_by_name and name != self._own_member.name
         ]
         preferred = [
@@ -145,7 +175,20 @@
             for member in members
             if self._avoid_until_by_owner.get((group, member.name), 0.0) <= now
         ]
-        return (preferred or members)[:MAX_OWNERS_TRIED]
+        if not may_serve_here:
+            preferred = preferred or members
+        return preferred[:MAX_OWNERS_TRIED]
+
+    def _owners_in_turn(self, group):
+        """Return the owners of a group, with those of the own failure domain first.
+
+        Sessions take turns, so that all owners of a domain get the same number.
+        """
+        rotation = self._next_rotation_by_group.get(group, self._first_rotation)
+        self._next_rotation_by_group[group] = rotation + 1
+        return self._owners_by_group[group].relay_candidates(
+            self._own_member.failure_domain, rotation
+        )
 
     def record_owner_failure(self, group, member):
         """Record that a member did not accept a session; prefer others for a while."""
@@ -158,16 +201,19 @@
         """Record that another proxy accepted a session of a group."""
         self._relayed_at_by_group[group] = self._loop.clock.now()
 
-    def fall_back_to_local(self, group):
-        """Serve a group's sessions here for a while, if this process is an owner.
+    def fall_back_to_local(self, group, tenant=None):
+        """Serve a tenant's sessions of a group here for a while, if it is an owner.
 
         Returns
         -------
         bool
-            Whether this process serves the group now.
+            Whether this process serves them now.
         """
         if not self.holds_connections(group):
             return False
-        local_until = self._loop.clock.now() + LOCAL_FALLBACK_SECONDS
-        self._local_until_by_group[group] = local_until
+        now = self._loop.clock.now()
+        self._local_until = {
+            key: until for key, until in self._local_until.items() if until > now
+        }
+        self._local_until[group, tenant] = now + LOCAL_FALLBACK_SECONDS
         return True
--- a/cassiahill/session_server.py
+++ b/cassiahill/session_server.py
@@ -10,12 +10,12 @@
         """Return whether the configuration and the fleet's members are known."""
         raise NotImplementedError
 
-    def serves_group(self, group):
-        """Return whether this process serves a group's sessions itself."""
+    def serves_group(self, group, tenant=None):
+        """Return whether this process serves a tenant's sessions of a group itself."""
         raise NotImplementedError
 
-    def relay_targets(self, group):
-        """Return the members to relay a group's session to, preferred ones first."""
+    def relay_targets(self, group, tenant=None):
+        """Return the members to relay a tenant's session to, preferred ones first."""
         raise NotImplementedError
 
     def record_owner_failure(self, group, member):
@@ -26,7 +26,7 @@
         """Record that another proxy accepted a session of a group."""
         raise NotImplementedError
 
-    def fall_back_to_local(self, group):
+    def fall_back_to_local(self, group, tenant=None):
         """Return whether a session that no other proxy accepted is served here."""
         raise NotImplementedError
 
