Keep connections by tenant

A connection is opened in one tenant's name, and a server accepts fewer connections than there are tenants. The pool keeps idle connections by tenant, hands a client's statement only one of its own tenant, and at its quota gives up the one unused longest when another tenant waits. Reads open at replicas and where nothing is given up. Probes use any idle connection. Without tenants nothing changes.

The dump is moved out of server_group to group_dump, the quotas to connection_quotas and the lease to connection_leases.

--- a/cassiahill/placement.py
+++ b/cassiahill/placement.py
@@ -32,6 +32,25 @@
     """No position can be required, because no position sample is recent enough."""
 
 
+@attrs.frozen
+class TenantOpening:
+    """State of a server's connections when another tenant's is to be opened.
+
+    Attributes
+    ----------
+    under_way : bool
+        Whether a connection in the tenant's name is being opened to it.
+    possible : bool
+        Whether one more may be opened now.
+    has_room : bool
+        Whether no other tenant's connection need be given up.
+    """
+
+    under_way: bool
+    possible: bool
+    has_room: bool
+
+
 @attrs.frozen
 class ServerCandidate:
     """What this process knows of one server when it chooses.
@@ -54,6 +73,9 @@
         Whether it is in the failure domain of this process.
     may_be_unreachable : bool
         Whether it has left statements unanswered.
+    opening : TenantOpening or None
+        What opening a connection in the tenant's name means there; None without
+        tenants.
     """
 
     server_id: str
@@ -65,6 +87,7 @@
     running_statements: int
     same_domain: bool
     may_be_unreachable: bool
+    opening: object = None
 
 
 def expected_statement_seconds(candidate):
@@ -151,6 +174,24 @@
         return ServerChoice(
             min(with_connection, key=expected_statement_seconds).server_id
         )
-    return ServerChoice(
-        open_server_id=min(usable, key=expected_statement_seconds).server_id
+    return ServerChoice(open_server_id=min(usable, key=opening_cost).server_id)
+
+
+def opening_cost(candidate):
+    """Return a key by which servers are compared to open a connection.
+
+    With tenants, connections are scarcer than statements. Loads change while one is
+    opened, and a second one elsewhere would be spare. The primary's connections are
+    kept for what can only run there: all tenants together need more than it accepts.
+    """
+    seconds = expected_statement_seconds(candidate)
+    if candidate.opening is None:
+        return (seconds,)
+    return (
+        candidate.may_be_unreachable,
+        not (candidate.opening.under_way or candidate.opening.possible),
+        not candidate.opening.under_way,
+        candidate.is_primary,
+        not candidate.opening.has_room,
+        seconds,
     )
--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -4,11 +4,16 @@
 positions. Requests get a connection to a server that meets their requirement.
 """
 
+import collections
 import random
 
 from cassiahill import (
     busy_servers,
+    connection_leases,
+    connection_quotas,
     event_log,
+    fair_queueing,
+    group_dump,
     known_primary,
     line_connections,
     outstanding_writes,
@@ -23,16 +28,13 @@
     slot_shares,
     sole_copies,
     takeover,
+    tenant_waits,
 )
 from cassiahill.loop import LoopFuture
 from cassiahill.statements import Code
 
 TICK_INTERVAL_SECONDS = 0.02
 MAX_TICK_GAP_SECONDS = 0.3  # A longer gap between ticks means a suspended process.
-# The quotas of all proxies add up to half of a server's connection limit. The other
-# half is left for bursts and for reconnects: after a power failure the server holds the
-# lost connections for some seconds beside the new ones.
-QUOTA_DIVISOR = 2
 # Connections to keep open without requests. One saves a request the time to open it;
 # more would take connections from other proxies.
 MIN_IDLE_CONNECTIONS = 1
@@ -86,6 +88,7 @@
     removed_replicas : removed_replicas.RemovedReplicas
     sole_copies : sole_copies.SoleCopies
     slot_share : slot_shares.SlotShare
+    tenant_waits : tenant_waits.TenantWaits
     """
 
     def __init__(
@@ -105,8 +108,8 @@
         self._draining_since = draining_since
         self._connect = connect
         self._queue = request_queue.RequestQueue()
-        self._connection_limit = 1
-        self._proxy_count = 1
+        self._quotas = connection_quotas.ConnectionQuotas()
+        self._removed_pools_counts = connection_leases.ConnectionCounts()
         rng = random.Random(f"{own_name} {group}")
         self._busy_servers = busy_servers.BusyServers(rng)
         self._serve_scheduled = False
@@ -128,6 +131,7 @@
         self.read_durations = read_durations.ReadDurations()
         self.outstanding_writes = outstanding_writes.OutstandingWrites(loop.clock)
         self.slot_share = slot_shares.SlotShare()
+        self.tenant_waits = tenant_waits.TenantWaits()
         self._last_tick_at = loop.clock.now()
         self._timer = loop.repeat(loop.clock.now(), self._run_periodic_work)
 
@@ -150,19 +154,21 @@
             or previous.started_at_ms != server.started_at_ms
         )
         if pool is not None and restarted:
-            pool.close()
+            self._close_pool(pool)
             pool = None
             self.sole_copies.record_lost_log(now)
         if pool is None:
-            self.pools_by_id[server.server_id] = server_pool.ServerPool(
+            pool = server_pool.ServerPool(
                 self._loop,
                 self._dialect,
                 server,
                 self._own_name,
-                self._connection_quota(),
+                self._quotas.per_process,
                 self._schedule_serve_queue,
                 self._connect,
             )
+            pool.tenant_limit = self._quotas.per_tenant
+            self.pools_by_id[server.server_id] = pool
             self.progress_by_id[server.server_id] = position_samples.ReplicaProgress()
         else:
             pool.server = server
@@ -176,14 +182,21 @@
         self.progress_by_id.pop(server_id, None)
         now = self._loop.clock.now()
         if pool is not None:
-            pool.close()
+            self._close_pool(pool)
             self.sole_copies.record_lost_log(now)
             if not pool.server.registered_as_primary:
                 self.removed_replicas.record_removal(server_id, now)
         if self.primary.record_removal(server_id, now):
             self._log_primary_change("removed")
 
-    def set_limits(self, limits, proxy_count):
+    def _close_pool(self, pool):
+        """Close the pool of a server that was removed or has restarted."""
+        pool.close()
+        self._removed_pools_counts = connection_leases.ConnectionCounts.total(
+            (self._removed_pools_counts, pool.counts)
+        )
+
+    def set_limits(self, limits, proxy_count, tenants=None):
         """Set the limits of each server and the connection quotas that follow.
 
         Parameters
@@ -191,12 +204,20 @@
         limits : catalog.GroupLimits
         proxy_count : int
             Number of proxies that hold connections to the servers.
+        tenants : tenants.TenantDirectory or None
+            None in a deployment without tenants.
         """
         self.synchronous = limits.synchronous
-        self._connection_limit = limits.connections
-        self._proxy_count = max(1, proxy_count)
+        self._quotas = connection_quotas.ConnectionQuotas(
+            limits.connections, max(1, proxy_count), tenants is not None
+        )
+        self._queue.weights_by_tenant = None
+        if tenants is not None:
+            self._queue.weights_by_tenant = fair_queueing.weights(tenants)
+            self.tenant_waits.forget_others(tenants.by_name)
         for pool in self.pools_by_id.values():
-            pool.quota = self._connection_quota()
+            pool.quota = self._quotas.per_process
+            pool.tenant_limit = self._quotas.per_tenant
 
     def close(self):
         """Close all connections."""
@@ -206,27 +227,17 @@
 
     def dump(self):
         """Return the state of the group and its servers for operators."""
-        now = self._loop.clock.now()
-        latest = self.primary_positions.latest_sample
-        return {
-            "primary": self.primary.server_id,
-            "proof": None if latest is None else str(latest.position),
-            "proof_age": None if latest is None else now - latest.asked_at,
-            "waiting": len(self._queue),
-            "demand": self.slot_share.demand,
-            "total_demand": self.slot_share.total_demand,
-            "servers": {
-                server_id: {
-                    "connections": pool.connection_count,
-                    "idle": pool.idle_count,
-                    "running": pool.running_statements,
-                    "latency": pool.latency_seconds,
-                    "position": str(self.progress_by_id[server_id].position),
-                    "draining": pool.server.draining,
-                }
-                for server_id, pool in self.pools_by_id.items()
-            },
-        }
+        return group_dump.describe_group(self, len(self._queue), self._loop.clock.now())
+
+    @property
+    def connection_counts(self):
+        """Counts of connections to all servers since the start."""
+        return connection_leases.ConnectionCounts.total(
+            [
+                self._removed_pools_counts,
+                *(pool.counts for pool in self.pools_by_id.values()),
+            ]
+        )
 
     # Queued requests and what they require of a server
 
@@ -240,8 +251,8 @@
         Returns
         -------
         loop.LoopFuture
-            Future of a ``server_pool.ConnectionLease``, or of None when the request is
-            refused.
+            Future of a ``connection_leases.ConnectionLease``, or of None when the
+            request is refused.
         """
         self.last_request_at = self._loop.clock.now()
         future = LoopFuture()
@@ -481,14 +492,10 @@
 
     # Serving the queue
 
-    def _connection_quota(self):
-        """Return how many connections this process may keep open at each server."""
-        return max(1, self._connection_limit // (QUOTA_DIVISOR * self._proxy_count))
-
     def _statement_limit(self, server):
         """Return how many statements this process may have running at a server."""
         return self.slot_share.statement_limit(
-            server.slots, self._proxy_count, self._loop.clock.now()
+            server.slots, self._quotas.proxy_count, self._loop.clock.now()
         )
 
     def _server_candidates(self, requirement, request, now):
@@ -514,7 +521,7 @@
             yield placement.ServerCandidate(
                 server_id=server_id,
                 is_primary=is_primary,
-                has_connection=pool.idle_count > 0,
+                has_connection=pool.idle_count_for(request.tenant) > 0,
                 has_slot=pool.running_statements
                 < self._statement_limit(pool.server) + reserved_statements
                 and not self._busy_servers.is_paused(server_id, now),
@@ -525,6 +532,7 @@
                 same_domain=same_domain,
                 may_be_unreachable=server_id in request.failed_server_ids
                 or pool.may_be_unreachable(now),
+                opening=pool.opening_for(request.tenant, now),
             )
 
     def _accepts_requests(self, pool, is_primary, now):
@@ -548,7 +556,7 @@
         self._serve_scheduled = False
         now = self._loop.clock.now()
         self._queue.mark_late(now)
-        wanted_connections_by_id = dict.fromkeys(self.pools_by_id, 0)
+        wanted_connections = collections.Counter()
         for request in self._queue:
             requirement = request.requirement()
             candidates = list(self._server_candidates(requirement, request, now))
@@ -557,13 +565,12 @@
                 self._queue.remove(request)
                 request.resolve_lease(None)
             elif choice.server_id is not None:
-                self._queue.remove(request)
-                self._queue.record_served(request)
+                self._queue.take(request)
                 self._hand_over_connection(
                     request, requirement, self.pools_by_id[choice.server_id], now
                 )
             elif choice.open_server_id is not None:
-                wanted_connections_by_id[choice.open_server_id] += 1
+                wanted_connections[choice.open_server_id, request.tenant] += 1
         next_primary_expected_at = self.primary.next_primary_expected_at(
             now, self.primary_unreachable_since, self.partitioned
         )
@@ -573,23 +580,41 @@
             self._queue.remove(request)
             if self._reaches_primary:
                 self._queue.record_starved(request)
+            self.tenant_waits.record(request.tenant, now - request.arrived_at, now)
             request.resolve_lease(None)
-        for server_id, wanted_count in wanted_connections_by_id.items():
+        self._open_connections(wanted_connections, now)
+
+    def _open_connections(self, wanted_connections, now):
+        """Open the connections that are wanted, and one to each server without any.
+
+        Parameters
+        ----------
+        wanted_connections : collections.Counter
+            Number of queued requests by the server's id and the tenant.
+        now : float
+        """
+        wanted_server_ids = {server_id for server_id, _ in wanted_connections}
+        if self.active:
+            for server_id, pool in self.pools_by_id.items():
+                if not pool.connection_count and server_id not in wanted_server_ids:
+                    wanted_connections[server_id, None] = 1
+        waiting_tenants = self._queue.waiting_tenants() if wanted_connections else ()
+        for (server_id, tenant), wanted_count in wanted_connections.items():
             pool = self.pools_by_id.get(server_id)
             if pool is not None:
-                minimum = 1 if self.active and not pool.connection_count else 0
-                pool.open_if_needed(max(wanted_count, minimum), now)
+                pool.open_if_needed(wanted_count, now, tenant, waiting_tenants)
 
     def _hand_over_connection(self, request, requirement, pool, now):
         """Settle a request with an idle connection of a pool."""
-        connection = pool.acquire(request.values_by_name, now)
+        connection = pool.acquire(request.values_by_name, now, request.tenant)
+        self.tenant_waits.record(request.tenant, now - request.arrived_at, now)
         required_position = (
             requirement.position
             if isinstance(requirement, placement.AtPosition)
             else None
         )
         request.resolve_lease(
-            server_pool.ConnectionLease(connection, pool, required_position)
+            connection_leases.ConnectionLease(connection, pool, required_position)
         )
 
     def withdraw(self, request_id):
--- a/cassiahill/server_pool.py
+++ b/cassiahill/server_pool.py
@@ -4,11 +4,23 @@
 equal quota of connections that it may keep. While requests wait, a proxy opens more
 connections than its quota, and closes them soon after they are idle, so that every
 proxy can reach its own quota. The server refuses connections beyond its limit.
+
+In a deployment with tenants, a connection serves the one tenant in whose name it was
+opened, and there are more tenants than connections. A pool at its quota gives up the
+idle connection that was unused longest when another tenant waits, and goes beyond its
+quota only when all connections are in use.
 """
 
-import attrs
+import collections
 
-from cassiahill import errors, event_log, line_connections
+from cassiahill import (
+    connection_leases,
+    errors,
+    event_log,
+    idle_connections,
+    line_connections,
+    placement,
+)
 from cassiahill.statements import Code, TransactionState
 
 MAX_OPENING_CONNECTIONS = 2  # Opening a connection occupies a slot of the server.
@@ -18,6 +30,12 @@
 MAX_QUOTA_FACTOR = 3
 IDLE_TIMEOUT_SECONDS = 4.0
 OVER_QUOTA_IDLE_SECONDS = 0.25  # Long enough for a burst's next request.
+# The same two with tenants. A small tenant's next request comes after many seconds, and
+# a connection that is kept within the quota takes no other tenant's room. Those beyond
+# the quota are kept for the pauses between a tenant's transactions; a process that is
+# refused meanwhile gives up an idle connection of its own.
+TENANT_IDLE_TIMEOUT_SECONDS = 120.0
+TENANT_OVER_QUOTA_IDLE_SECONDS = 3.0
 # Pauses after the server's connection limit refused a connection. Within the quota the
 # pause is short, because another proxy closes a connection beyond its own quota
 # after some statements.
@@ -30,43 +48,6 @@
 INITIAL_LATENCY_SECONDS = 0.02
 
 
-@attrs.define(eq=False)
-class ConnectionLease:
-    """A pooled connection while one request or transaction uses it.
-
-    Attributes
-    ----------
-    connection : line_connections.LineConnection
-    pool : ServerPool
-    required_position : positions.LogPosition or None
-        Position that the server's log must have before a read runs.
-    """
-
-    connection: line_connections.LineConnection
-    pool: object
-    required_position: object = None
-    _statement_running: bool = True
-
-    def record_statement_start(self, now):
-        """Count a statement that starts, unless one is counted already."""
-        if not self._statement_running:
-            self._statement_running = True
-            self.pool.record_statement_start(now)
-
-    def record_statement_end(self, now, seconds=None):
-        """Count the end of the running statement, if there is one.
-
-        Parameters
-        ----------
-        now : float
-        seconds : float or None
-            Duration at the server; None when it gave no answer.
-        """
-        if self._statement_running:
-            self._statement_running = False
-            self.pool.record_statement_end(now, seconds)
-
-
 class ServerPool:
     """Connection pool of one backend server.
 
@@ -86,6 +67,10 @@
 
     Attributes
     ----------
+    tenant_limit : int or None
+        Largest number of connections in one tenant's name; None in a deployment
+        without tenants.
+    counts : connection_leases.ConnectionCounts
     latency_seconds : float
         Moving average of a statement's duration.
     running_statements : int
@@ -117,6 +102,8 @@
         self._connect = connect
         self.server = server
         self.quota = quota
+        self.tenant_limit = None
+        self.counts = connection_leases.ConnectionCounts()
         self.latency_seconds = INITIAL_LATENCY_SECONDS
         self.running_statements = 0
         self.failed_openings = 0
@@ -124,9 +111,10 @@
         self.answer_lost_at = float("-inf")
         self.refuses_connections = False
         self.closed = False
-        self._idle = []
-        self._connections = set()
-        self._opening_count = 0
+        self._idle = idle_connections.IdleConnections()
+        self._tenants_by_connection = {}
+        self._counts_by_tenant = collections.Counter()
+        self._openings_by_tenant = collections.Counter()
         self._next_open_at = 0.0
         self._unanswered_since = None
 
@@ -135,13 +123,30 @@
     @property
     def connection_count(self):
         """Number of open connections, with those being opened."""
-        return len(self._connections)
+        return len(self._tenants_by_connection)
 
     @property
     def idle_count(self):
         """Number of connections that no request uses."""
         return len(self._idle)
 
+    def idle_count_for(self, tenant):
+        """Return how many idle connections were opened in a tenant's name."""
+        return self._idle.count_for(tenant)
+
+    def opening_for(self, tenant, now):
+        """Return the ``placement.TenantOpening`` for a tenant; None without tenants."""
+        if self.tenant_limit is None:
+            return None
+        return placement.TenantOpening(
+            under_way=self._openings_by_tenant[tenant] > 0,
+            possible=self._may_open_for(tenant)
+            and now >= self._next_open_at
+            and self._openings_by_tenant.total() < MAX_OPENING_CONNECTIONS
+            and self.connection_count < MAX_QUOTA_FACTOR * self.quota,
+            has_room=self.connection_count < self.quota,
+        )
+
     def has_unanswered_requests(self, now):
         """Return whether the last answer was lost or the server may be unreachable."""
         return self.answer_lost_at > self.answered_at or self.may_be_unreachable(now)
@@ -160,7 +165,7 @@
 
     # Connections in use by requests
 
-    def acquire(self, values_by_name, now):
+    def acquire(self, values_by_name, now, tenant=None):
         """Take an idle connection, preferably one that has the session's values.
 
         Parameters
@@ -168,20 +173,36 @@
         values_by_name : dict
             Session values.
         now : float
+        tenant : str or None
+            Tenant in whose name the connection must have been opened; None for the
+            name of this process.
+
+        Returns
+        -------
+        line_connections.LineConnection or None
+            None when no such connection is idle.
+        """
+        return self._start_use(self._idle.take(tenant, values_by_name), now)
+
+    def acquire_any(self, now):
+        """Take an idle connection of any tenant, for a statement of this process.
 
         Returns
         -------
         line_connections.LineConnection or None
             None when no connection is idle.
         """
-        if not self._idle:
-            return None
-        for connection in reversed(self._idle):
-            if connection.values_by_name == values_by_name:
-                break
-        self._idle.remove(connection)
-        self.running_statements += 1
-        self._unanswered_since = self._unanswered_since or now
+        connection = (
+            self._idle.take(None, {})
+            if self.tenant_limit is None
+            else self._idle.take_any()
+        )
+        return self._start_use(connection, now)
+
+    def _start_use(self, connection, now):
+        """Count the first statement on a connection that was taken, if any."""
+        if connection is not None:
+            self.record_statement_start(now)
         return connection
 
     def release(self, connection):
@@ -197,7 +218,7 @@
         if self.closed or not reusable:
             connection.close()
             return
-        self._idle.append(connection)
+        self._idle.add(connection, self._tenants_by_connection[connection])
         self._on_change()
 
     def record_statement_start(self, now):
@@ -231,7 +252,7 @@
 
     # Opening and closing of connections
 
-    def open_if_needed(self, wanted_idle, now):
+    def open_if_needed(self, wanted_idle, now, tenant=None, waiting_tenants=()):
         """Open connections while fewer are idle than wanted and the limits allow more.
 
         Parameters
@@ -239,15 +260,45 @@
         wanted_idle : int
             Number of connections that should be idle or being opened.
         now : float
+        tenant : str or None
+            Tenant in whose name they are opened.
+        waiting_tenants : collection of str or None
+            Tenants with queued requests, whose idle connections are not given up.
         """
         while (
             not self.closed
-            and len(self._idle) + self._opening_count < wanted_idle
-            and self._opening_count < MAX_OPENING_CONNECTIONS
-            and self.connection_count < MAX_QUOTA_FACTOR * self.quota
+            and self.idle_count_for(tenant) + self._openings_by_tenant[tenant]
+            < wanted_idle
+            and self._openings_by_tenant.total() < MAX_OPENING_CONNECTIONS
             and now >= self._next_open_at
+            and self._may_open_for(tenant)
+            and self._make_room(tenant, waiting_tenants)
         ):
-            self._loop.spawn(self._open_connection())
+            self._loop.spawn(self._open_connection(tenant))
+
+    def _may_open_for(self, tenant):
+        """Return whether a tenant has fewer connections than it may have."""
+        return (
+            tenant is None
+            or self.tenant_limit is None
+            or self._counts_by_tenant[tenant] < self.tenant_limit
+        )
+
+    def _make_room(self, tenant, waiting_tenants):
+        """Return whether one more connection may be opened.
+
+        With tenants, an idle one of another tenant is given up for it at the quota.
+        """
+        if self.tenant_limit is not None and self.connection_count >= self.quota:
+            self._give_up_idle_connection({tenant, *waiting_tenants})
+        return self.connection_count < MAX_QUOTA_FACTOR * self.quota
+
+    def _give_up_idle_connection(self, excluded_tenants):
+        """Close the idle connection of another tenant that was unused longest."""
+        connection = self._idle.unused_longest(excluded_tenants)
+        if connection is not None:
+            self.counts.given_up += 1
+            connection.close()
 
     def close_idle_connections(self, now, keep_count):
         """Close connections that have been idle for too long.
@@ -259,42 +310,54 @@
             Number of connections to keep open. With 0, all are closed soon, because
             this process does not serve the group and the group owners need them.
         """
-        for connection in list(self._idle):
+        for connection in self._idle:
             if self.connection_count <= keep_count:
                 return
-            over_quota = self.connection_count > self.quota or not keep_count
-            max_idle_seconds = (
-                OVER_QUOTA_IDLE_SECONDS if over_quota else IDLE_TIMEOUT_SECONDS
-            )
-            if now - connection.used_at > max_idle_seconds:
+            if now - connection.used_at > self._max_idle_seconds(keep_count):
                 connection.close()
 
+    def _max_idle_seconds(self, keep_count):
+        """Return for how long a connection may be idle at present."""
+        has_tenants = self.tenant_limit is not None
+        if not keep_count:
+            return OVER_QUOTA_IDLE_SECONDS
+        if self.connection_count > self.quota:
+            return (
+                TENANT_OVER_QUOTA_IDLE_SECONDS
+                if has_tenants
+                else OVER_QUOTA_IDLE_SECONDS
+            )
+        return TENANT_IDLE_TIMEOUT_SECONDS if has_tenants else IDLE_TIMEOUT_SECONDS
+
     def close(self):
         """Close idle connections now, and those in use when they are released."""
         self.closed = True
-        for connection in list(self._idle):
+        for connection in self._idle:
             connection.close()
 
-    def _open_connection(self):
-        """Open one connection; a task."""
+    def _open_connection(self, tenant):
+        """Open one connection in a tenant's or this process's name; a task."""
         loop = self._loop
-        self._opening_count += 1
+        self._openings_by_tenant[tenant] += 1
         try:
             connection = self._connect(
                 loop, self._dialect, self.server, self._on_connection_closed
             )
         except errors.CassiahillError as error:
-            self._opening_count -= 1
+            self._record_opening_end(tenant)
             self._on_open_failed(error.code, refused=True)
             return
-        self._connections.add(connection)
+        self._tenants_by_connection[connection] = tenant
+        self._counts_by_tenant[tenant] += 1
         deadline = loop.clock.now() + OPEN_TIMEOUT_SECONDS
         timeout_error = errors.ConnectionLost(
             "no answer to the opening of a connection"
         )
         try:
             reply = yield loop.with_deadline(
-                connection.open(self._caller), deadline, timeout_error
+                connection.open(self._caller if tenant is None else tenant),
+                deadline,
+                timeout_error,
             )
         except errors.CassiahillError as error:
             refused = connection.closed
@@ -302,21 +365,30 @@
             self._on_open_failed(error.detail, refused)
             return
         finally:
-            self._opening_count -= 1
+            self._record_opening_end(tenant)
         if reply.code is not None:
             connection.close()
-            self._on_open_refused(reply)
+            self._on_open_refused(reply, tenant)
             return
+        self.counts.opened += 1
         self.failed_openings = 0
         self.refuses_connections = False
         self._next_open_at = 0.0
         self.answered_at = loop.clock.now()
         self.release(connection)
 
-    def _on_open_refused(self, reply):
+    def _record_opening_end(self, tenant):
+        self._openings_by_tenant[tenant] -= 1
+        if not self._openings_by_tenant[tenant]:
+            del self._openings_by_tenant[tenant]
+
+    def _on_open_refused(self, reply, tenant):
         """Delay the next opening after the server refused a connection by a reply."""
         now = self._loop.clock.now()
         if reply.code is Code.CONNECTION_LIMIT:
+            self.counts.refused += 1
+            if self.tenant_limit is not None:
+                self._give_up_idle_connection({tenant})
             within_quota = self.connection_count < self.quota
             self._next_open_at = now + (
                 WITHIN_QUOTA_RETRY_SECONDS if within_quota else OVER_QUOTA_RETRY_SECONDS
@@ -357,7 +429,10 @@
         self._on_change()
 
     def _on_connection_closed(self, connection):
-        self._connections.discard(connection)
-        if connection in self._idle:
-            self._idle.remove(connection)
+        if connection in self._tenants_by_connection:
+            tenant = self._tenants_by_connection.pop(connection)
+            self._idle.discard(connection, tenant)
+            self._counts_by_tenant[tenant] -= 1
+            if not self._counts_by_tenant[tenant]:
+                del self._counts_by_tenant[tenant]
         self._on_change()
--- a/cassiahill/server_probes.py
+++ b/cassiahill/server_probes.py
@@ -49,7 +49,7 @@
         pool = self._group.pools_by_id.get(server_id)
         if pool is None or server_id in self._probed_server_ids:
             return
-        connection = pool.acquire({}, now)
+        connection = pool.acquire_any(now)
         if connection is None:
             if pool.failed_openings:
                 self._group.record_unanswered_probe(server_id, now)
@@ -113,7 +113,7 @@
 
     See ``ServerGroup.ask_status_report``.
     """
-    connection = pool.acquire({}, loop.clock.now())
+    connection = pool.acquire_any(loop.clock.now())
     if connection is None:
         pool.open_if_needed(1, loop.clock.now())
         return statements.Code.BUSY
--- a/cassiahill/session_executor.py
+++ b/cassiahill/session_executor.py
@@ -30,7 +30,7 @@
         Whether it may run on a replica.
     began_at : float
         Instant at which the client began it.
-    lease : server_pool.ConnectionLease or None
+    lease : connection_leases.ConnectionLease or None
         The leased connection; None until the first statement.
     wrote : bool
         Whether a write has succeeded in it.
@@ -57,13 +57,16 @@
     group : server_group.ServerGroup
     route : catalog.Route
     state : SessionState
+    tenant : str or None
+        Tenant in whose name the statements run; None for the process's own name.
     """
 
-    def __init__(self, loop, group, route, state):
+    def __init__(self, loop, group, route, state, tenant=None):
         self._loop = loop
         self._group = group
         self._route = route
         self._session_state = state
+        self._tenant = tenant
         self._sender = StatementSender(loop, group, state)
 
     @property
@@ -424,6 +427,7 @@
             target_at=request.arrived_at
             + self._route.target
             - self._group.read_durations.usual_seconds(self._route.database),
+            tenant=self._tenant,
         )
 
     def _refuse_request(self, request, queued_request):
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -7,6 +7,7 @@
 from cassiahill import (
     catalog,
     catalog_feed,
+    connection_leases,
     errors,
     event_log,
     heartbeats,
@@ -336,9 +337,13 @@
             return
         self._loop.call_soon(self.fleet.announce_changes)
         for name, limits in configuration.groups_by_name.items():
-            owner_count = self.owners.update_owners(name, limits.connections)
+            owner_count = self.owners.update_owners(
+                name, limits.connections, configuration.tenants
+            )
             if name in self._groups_by_name:
-                self._groups_by_name[name].set_limits(limits, owner_count)
+                self._groups_by_name[name].set_limits(
+                    limits, owner_count, configuration.tenants
+                )
 
     def _supervise(self):
         """Update groups and reachability, and start promotions that are due."""
@@ -409,6 +414,9 @@
         raise errors.NotFound(request.path)
 
     def _gauge_values(self):
+        connections = connection_leases.ConnectionCounts.total(
+            group.connection_counts for group in self._groups_by_name.values()
+        )
         return {
             "open_sessions": len(self.sessions),
             "busy_sessions": self.sessions.busy_count,
@@ -419,6 +427,9 @@
             "store_calls": self._store.call_count,
             "store_calls_failed": self._store.failed_call_count,
             "log_lines_dropped": event_log.dropped_lines(),
+            "connections_opened": connections.opened,
+            "connections_refused": connections.refused,
+            "connections_given_up": connections.given_up,
         }
 
     def _record_reply(self, request, database, reply, arrived_at):
--- a/tests/line_group.py
+++ b/tests/line_group.py
@@ -54,6 +54,8 @@
         simulated.
     slot_seconds : callable or None
         Returns the time of a statement in a slot, by request id.
+    opening_seconds : float or None
+        Time that a new connection occupies a slot; None when it occupies none.
     """
 
     server_id: str
@@ -71,13 +73,14 @@
     seconds: float = STATEMENT_SECONDS
     slots_free_at: list = attrs.field(factory=list)
     slot_seconds: object = None
+    opening_seconds: float | None = None
 
-    def take_slot(self, request_id, now):
+    def take_slot(self, request_id, now, slot_seconds=None):
         """Run a statement in the slot that is free first; return when it ends."""
-        if not self.slots_free_at or request_id is None:
+        if not self.slots_free_at or (request_id is None and slot_seconds is None):
             return now + self.seconds
         start = max(now, self.slots_free_at[0])
-        end = start + self.slot_seconds(request_id)
+        end = start + (slot_seconds or self.slot_seconds(request_id))
         heapq.heapreplace(self.slots_free_at, end)
         return end
 
@@ -233,6 +236,8 @@
         self.used_at = group.loop.clock.now()
         self.closed = False
         self._counted_by_server = False
+        # Name with which it was opened.
+        self.caller = None
 
     @property
     def pending_replies(self):
@@ -242,7 +247,8 @@
         self._statement_name_count += 1
         return f"c{self._statement_name_count}"
 
-    def open(self, _caller):
+    def open(self, caller):
+        self.caller = caller
         if self._server.unreachable:
             future = LoopFuture()
             self._reply_futures.append(future)
@@ -251,7 +257,7 @@
             return self._answer(Reply(code=Code.CONNECTION_LIMIT))
         self._server.connections += 1
         self._counted_by_server = True
-        return self._answer(Reply())
+        return self._answer(Reply(), slot_seconds=self._server.opening_seconds)
 
     def send_statement(self, statement, request_id=None, required_position=None):
         if self._server.unreachable:
@@ -282,7 +288,7 @@
     def abort(self):
         self.close()
 
-    def _answer(self, reply, request_id=None):
+    def _answer(self, reply, request_id=None, slot_seconds=None):
         """Return the future of a reply, which never comes if it is None or lost."""
         future = LoopFuture()
         self._reply_futures.append(future)
@@ -291,7 +297,8 @@
             return future
         if reply is None:
             return future
-        ends_at = self._server.take_slot(request_id, self._group.loop.clock.now())
+        now = self._group.loop.clock.now()
+        ends_at = self._server.take_slot(request_id, now, slot_seconds)
         self._group.loop.call_at(ends_at, lambda: self._deliver(future, reply))
         return future
 
--- a/tests/session_builders.py
+++ b/tests/session_builders.py
@@ -62,10 +62,10 @@
         self.loop.advance(0.5)
         self._next_id = 0
 
-    def session(self, consistency=Consistency.OWN_WRITES, **overrides):
+    def session(self, consistency=Consistency.OWN_WRITES, tenant=None, **overrides):
         """Return a ``SessionExecutor`` for a new session; see ``make_route``."""
         route = make_route(consistency, **overrides)
-        return SessionExecutor(self.loop, self.group, route, SessionState())
+        return SessionExecutor(self.loop, self.group, route, SessionState(), tenant)
 
     def make_request(self, statement, access=Access.READ, shape=None):
         """Return a ``SessionRequest`` that arrives now."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -9,6 +9,7 @@
     NotProvable,
     OnPrimary,
     ServerCandidate,
+    TenantOpening,
     choose_server,
 )
 from cassiahill.positions import LogPosition
@@ -95,5 +96,45 @@
         self.assertEqual(set(running_by_id.values()), {10})
 
 
+class OpeningForTenantTest(unittest.TestCase):
+    def open_server_id(self, *candidates):
+        """Return where a connection is opened for a read; none is idle."""
+        without = [attrs.evolve(item, has_connection=False) for item in candidates]
+        return choose_server(AT_POSITION, without).open_server_id
+
+    def test_reads_leave_the_primarys_connections_to_writes(self):
+        """Guards against tenants' writes that wait for connections used by reads."""
+        room = TenantOpening(False, True, True)
+        no_room = TenantOpening(False, True, False)
+        primary = candidate("a", is_primary=True, opening=room, latency_seconds=0.001)
+        self.assertEqual(
+            self.open_server_id(primary, candidate("b", opening=no_room)), "b"
+        )
+        silent = candidate("b", opening=room, may_be_unreachable=True)
+        self.assertEqual(self.open_server_id(primary, silent), "a")
+
+    def test_one_opening_for_one_request(self):
+        """Guards against a second connection while the first is being opened."""
+        slow = candidate(
+            "b", opening=TenantOpening(True, True, False), latency_seconds=0.05
+        )
+        fast = candidate("c", opening=TenantOpening(False, True, True))
+        self.assertEqual(self.open_server_id(slow, fast), "b")
+
+    def test_room_is_used_before_a_connection_is_given_up(self):
+        """Guards against a closed connection while another server has room."""
+        full = candidate("b", opening=TenantOpening(False, True, False))
+        free = candidate(
+            "c", opening=TenantOpening(False, True, True), latency_seconds=0.03
+        )
+        self.assertEqual(self.open_server_id(full, free), "c")
+
+    def test_server_at_its_limit_is_passed_over(self):
+        """Guards against a request that waits while another server takes more."""
+        at_limit = candidate("b", opening=TenantOpening(False, False, True))
+        full = candidate("c", opening=TenantOpening(False, True, False))
+        self.assertEqual(self.open_server_id(at_limit, full), "c")
+
+
 if __name__ == "__main__":
     unittest.main()
