Close tenants' connections beyond the quota after 1 s

Connections beyond the quota are opened while all others are in use; other processes may be refused until they are closed.

Tested: tests.test_server_pool.

--- a/cassiahill/server_pool.py
+++ b/cassiahill/server_pool.py
@@ -31,11 +31,11 @@
 IDLE_TIMEOUT_SECONDS = 4.0
 OVER_QUOTA_IDLE_SECONDS = 0.25  # Long enough for a burst's next request.
 # The same two with tenants. A small tenant's next request comes after many seconds, and
-# a connection that is kept within the quota takes no other tenant's room. Those beyond
-# the quota are kept for the pauses between a tenant's transactions; a process that is
-# refused meanwhile gives up an idle connection of its own.
+# a connection that is kept within the quota takes no other process's room. Beyond the
+# quota, connections were opened while all others were in use; other processes may be
+# refused until they are closed.
 TENANT_IDLE_TIMEOUT_SECONDS = 120.0
-TENANT_OVER_QUOTA_IDLE_SECONDS = 3.0
+TENANT_OVER_QUOTA_IDLE_SECONDS = 1.0
 # Pauses after the server's connection limit refused a connection. Within the quota the
 # pause is short, because another proxy closes a connection beyond its own quota
 # after some statements.
