Adapt the search's broken sender to idle connections by tenant

The pool's list of idle connections became IdleConnections, so the broken version that keeps a leased connection idle failed with an AttributeError instead of showing a shared connection. It puts the connection there by IdleConnections.add; what the search must find is the same.

Tested: tests.test_session_search.

--- a/tests/test_session_search.py
+++ b/tests/test_session_search.py
@@ -65,7 +65,7 @@
         def send_and_release(self, lease, request, required_position=None):
             reply = yield from send(self, lease, request, required_position)
             if lease.connection not in lease.pool._idle:
-                lease.pool._idle.append(lease.connection)
+                lease.pool._idle.add(lease.connection, None)
             return reply
 
         with mock.patch.object(
