--- a/cassiahill/group_owners.py
+++ b/cassiahill/group_owners.py
@@ -59,12 +59,16 @@
     @property
     def connected_proxy_names(self):
         """Names of the proxies that hold connections, as a set."""
+        return {name for names in self.owner_names_by_domain.values() for name in names}
+
+    @property
+    def owner_names_by_domain(self):
+        """Names of the proxies of each failure domain that hold connections."""
+        if self.every_proxy_serves:
+            return self.proxy_names_by_domain
         return {
-            name
-            for names in self.proxy_names_by_domain.values()
-            for name in (
-                names if self.every_proxy_serves else names[: self.owners_per_domain]
-            )
+            domain: names[: self.owners_per_domain]
+            for domain, names in self.proxy_names_by_domain.items()
         }
 
     def includes_proxy(self, name, domain):
--- a/cassiahill/session_executor.py
+++ b/cassiahill/session_executor.py
@@ -30,7 +30,7 @@
         Whether it may run on a replica.
     began_at : float
         Instant at which the client began it.
-    lease : server_pool.ConnectionLease or None
+    lease : connection_leases.ConnectionLease or None
         The leased connection; None until the first statement.
     wrote : bool
         Whether a write has succeeded in it.
--- a/cassiahill/session_owners.py
+++ b/cassiahill/session_owners.py
@@ -2,7 +2,13 @@
 
 import xxhash
 
-from cassiahill import event_log, group_owners, session_crossings, session_server
+from cassiahill import (
+    event_log,
+    group_owners,
+    session_crossings,
+    session_server,
+    tenant_routing,
+)
 from cassiahill.regions import Regions
 
 MAX_OWNERS_TRIED = 4  # An attempt takes up to 0.3 s; clients wait 2 s.
@@ -59,13 +65,14 @@
         self._primary_domain = primary_domain or (lambda _group: None)
         self.relays_to_other_regions = 0
         self._owners_by_group = {}
+        self._tenant_owners_by_group = {}
         self._first_rotation = xxhash.xxh3_64_intdigest(own_member.name.encode())
         self._next_rotation_by_group = {}
         self._avoid_until_by_owner = {}
         self._relayed_at_by_group = {}
-        self._local_until_by_group = {}
+        self._local_until = {}
 
-    def update_owners(self, group, connection_limit):
+    def update_owners(self, group, connection_limit, tenants=None):
         """Choose a group's owners; return the number of proxies with connections.
 
         Parameters
@@ -73,6 +80,8 @@
         group : str
         connection_limit : int
             Connections that each server of the group accepts.
+        tenants : tenants.TenantDirectory or None
+            None in a deployment without tenants.
         """
         domains_by_name = {self._own_member.name: self._own_member.failure_domain}
         for member in self._fleet.members_by_name.values():
@@ -81,6 +90,11 @@
             group, domains_by_name, connection_limit, self._regions.region_by_domain
         )
         self._owners_by_group[group] = owners
+        self._tenant_owners_by_group.pop(group, None)
+        if tenants is not None:
+            self._tenant_owners_by_group[group] = tenant_routing.TenantOwners.choose(
+                group, owners, tenants
+            )
         return owners.connected_proxy_count
 
     def names_of_all_owners(self):
@@ -137,13 +151,33 @@
         return self._knows_deployment()
 
     def serves_group(self, group, tenant=None):
-        """Return whether this process serves a group's sessions itself."""
+        """Return whether this process serves a tenant's sessions of a group itself.
+
+        Parameters
+        ----------
+        group : str
+        tenant : str or None
+            None on a public route and in a deployment without tenants.
+        """
         if not self.holds_connections(group):
             return False
-        served_locally = self._loop.clock.now() < self._local_until_by_group.get(
-            group, 0.0
+        if self._loop.clock.now() < self._local_until.get((group, tenant), 0.0):
+            return True
+        if self._is_primary_unreachable(group):
+            return False
+        owner_names = self._small_tenant_owners(group, tenant)
+        return owner_names is None or owner_names[0] == self._own_member.name
+
+    def _small_tenant_owners(self, group, tenant):
+        """Return the owners of a small tenant, preferred ones first, or None."""
+        tenant_owners = self._tenant_owners_by_group.get(group)
+        if tenant_owners is None or not tenant_owners.has_own_owner(tenant):
+            return None
+        return tenant_owners.owner_names(
+            tenant,
+            self._own_member.failure_domain,
+            self._process_state.is_partitioned(),
         )
-        return served_locally or not self._is_primary_unreachable(group)
 
     def should_refuse_relayed(self, group):
         """Return whether this process should refuse relayed sessions of a group."""
@@ -152,18 +186,27 @@
         )
 
     def relay_targets(self, group, tenant=None):
-        """Return the members to relay a group's session to, preferred ones first."""
+        """Return the members to relay a tenant's session to, preferred ones first."""
         owners = self._owners_by_group.get(group)
         if owners is None:
             return []
-        members = self._other_members(
-            owners.relay_candidates(
+        names = self._small_tenant_owners(group, tenant)
+        may_serve_here = False
+        if names is None:
+            names = owners.relay_candidates(
                 self._own_member.failure_domain,
                 self._next_rotation(group),
                 self._regions,
             )
-        )
-        return (self._not_avoided(group, members) or members)[:MAX_OWNERS_TRIED]
+        elif self._own_member.name in names and not self._is_primary_unreachable(group):
+            # Owners after this process in the order are no better than itself.
+            names = names[: names.index(self._own_member.name)]
+            may_serve_here = True
+        members = self._other_members(names)
+        preferred = self._not_avoided(group, members)
+        if not may_serve_here:
+            preferred = preferred or members
+        return preferred[:MAX_OWNERS_TRIED]
 
     def relay_targets_near_primary(self, route):
         """Return the owners to relay a session to that is served in another region.
@@ -181,6 +224,7 @@
         )
         if (
             owners is None
+            or route.group in self._tenant_owners_by_group
             or not place.near_primary
             or self._process_state.is_partitioned()
         ):
@@ -248,15 +292,18 @@
             self.relays_to_other_regions += 1
 
     def fall_back_to_local(self, group, tenant=None):
-        """Serve a group's sessions here for a while, if this process is an owner.
+        """Serve a tenant's sessions of a group here for a while, if it is an owner.
 
         Returns
         -------
         bool
-            Whether this process serves the group now.
+            Whether this process serves them now.
         """
         if not self.holds_connections(group):
             return False
-        local_until = self._loop.clock.now() + LOCAL_FALLBACK_SECONDS
-        self._local_until_by_group[group] = local_until
+        now = self._loop.clock.now()
+        self._local_until = {
+            key: until for key, until in self._local_until.items() if until > now
+        }
+        self._local_until[group, tenant] = now + LOCAL_FALLBACK_SECONDS
         return True
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -11,6 +11,7 @@
     catalog,
     catalog_feed,
     configuration_age,
+    connection_leases,
     errors,
     event_log,
     heartbeats,
@@ -440,9 +441,13 @@
             return
         self._loop.call_soon(self.fleet.announce_changes)
         for name, limits in configuration.groups_by_name.items():
-            owner_count = self.owners.update_owners(name, limits.connections)
+            owner_count = self.owners.update_owners(
+                name, limits.connections, configuration.tenants
+            )
             if name in self._groups_by_name:
-                self._groups_by_name[name].set_limits(limits, owner_count)
+                self._groups_by_name[name].set_limits(
+                    limits, owner_count, configuration.tenants
+                )
         now = self._loop.clock.now()
         self.rate_limits.install(configuration.tenants, now)
         self.rate_limits.set_owners(self.owners.names_of_all_owners(), now)
@@ -522,6 +527,9 @@
 
     def _gauge_values(self):
         crossings = [group.crossings() for group in self._groups_by_name.values()]
+        connections = connection_leases.ConnectionCounts.total(
+            group.connection_counts for group in self._groups_by_name.values()
+        )
         values = {
             "open_sessions": len(self.sessions),
             "busy_sessions": self.sessions.busy_count,
@@ -545,6 +553,9 @@
             "other_region_queue_seconds": max(
                 (crossing.queue_seconds for crossing in crossings), default=0.0
             ),
+            "connections_opened": connections.opened,
+            "connections_refused": connections.refused,
+            "connections_given_up": connections.given_up,
         }
         if self.configuration_age.is_required:
             age_seconds = self.configuration_age.age(self._loop.clock.now())
--- a/cassiahill/session_server.py
+++ b/cassiahill/session_server.py
@@ -14,11 +14,11 @@
         raise NotImplementedError
 
     def serves_group(self, group, tenant=None):
-        """Return whether this process serves a group's sessions itself."""
+        """Return whether this process serves a tenant's sessions of a group itself."""
         raise NotImplementedError
 
     def relay_targets(self, group, tenant=None):
-        """Return the members to relay a group's session to, preferred ones first."""
+        """Return the members to relay a tenant's session to, preferred ones first."""
         raise NotImplementedError
 
     def relay_targets_near_primary(self, _route):
