Give the allowance of first operations to the owners that serve the tenant

The allowance went to the owners that hashing by the tenant's name alone ranks first, while sessions go to owners that are ranked by group and tenant. A first operation was then refused until the next heartbeat. Both now use the order of the tenant's routing, the first owners of each group in front.

--- a/cassiahill/rate_limits.py
+++ b/cassiahill/rate_limits.py
@@ -169,6 +169,9 @@
     tolerance : RateTolerance
     now : float
         Start of the process.
+    rank_owners : callable or None
+        Takes a tenant's name and returns the owners, those first that serve it; None
+        for the order of rendezvous hashing.
 
     Attributes
     ----------
@@ -178,10 +181,11 @@
     admitted_count, refused_count : int
     """
 
-    def __init__(self, own_name, tolerance, now):
+    def __init__(self, own_name, tolerance, now, rank_owners=None):
         self._own_name = own_name
         self._tolerance = tolerance
         self._started_at = now
+        self._rank_owners = rank_owners or self._rank_by_hash
         self._uses_by_tenant = {}
         self._tenants_by_name = {}
         self.lease = rate_shares.RateLease(now)
@@ -332,8 +336,8 @@
     def _allowance_for(self, tenant):
         """Return this proxy's part of a tenant's allowance, a whole number.
 
-        What cannot be divided equally goes to the proxies that rendezvous hashing ranks
-        first for the tenant: they serve it if it is a small one.
+        What cannot be divided equally goes to the owners that serve the tenant if it is
+        a small one.
         """
         if self._own_name not in self.owner_names:
             return 0
@@ -341,12 +345,12 @@
             self._tolerance.allowance_for(tenant), len(self.owner_names)
         )
         if remainder:
-            ranked_names = rendezvous.rank_by_domain(
-                tenant.name, dict.fromkeys(self.owner_names, "")
-            )[""]
-            count += self._own_name in ranked_names[:remainder]
+            count += self._own_name in self._rank_owners(tenant.name)[:remainder]
         return count
 
+    def _rank_by_hash(self, tenant_name):
+        return rendezvous.rank(tenant_name, self.owner_names)
+
     def _take_allowance(self, use, now):
         """Use the allowance, except in the first window.
 
--- a/cassiahill/session_owners.py
+++ b/cassiahill/session_owners.py
@@ -1,5 +1,7 @@
 """Chooses the owners of each group and the proxies to relay sessions to."""
 
+import itertools
+
 import xxhash
 
 from cassiahill import (
@@ -105,6 +107,25 @@
             *(owners.connected_proxy_names for owners in self._owners_by_group.values())
         )
 
+    def rank_owners(self, tenant):
+        """Return the owners of all groups, the first ones of each group in front.
+
+        Parameters
+        ----------
+        tenant : str
+            A small tenant is served by the first owner of each group.
+
+        Returns
+        -------
+        list of str
+        """
+        ranked_names = [
+            self._tenant_owners_by_group[group].rank(tenant)
+            for group in sorted(self._tenant_owners_by_group)
+        ]
+        names = itertools.chain.from_iterable(itertools.zip_longest(*ranked_names))
+        return [name for name in dict.fromkeys(names) if name is not None]
+
     def holds_connections(self, group):
         """Return whether this process holds connections to a group's servers."""
         owners = self._owners_by_group.get(group)
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -112,10 +112,6 @@
         self._partitioned_since = None
         self._groups_by_name = {}
         self._takeovers_by_group = {}
-        self.rate_limits = rate_limits.RateLimits(
-            settings.name, settings.rate_tolerance, loop.clock.now()
-        )
-        self._rate_pot = rate_shares.RatePot("")
         self.metrics = session_metrics.SessionMetrics()
         self.catalog = catalog.Catalog()
         self.configuration_age = configuration_age.ConfigurationAge(
@@ -147,6 +143,13 @@
             settings.region_by_domain,
             self._primary_domain,
         )
+        self.rate_limits = rate_limits.RateLimits(
+            settings.name,
+            settings.rate_tolerance,
+            loop.clock.now(),
+            self.owners.rank_owners,
+        )
+        self._rate_pot = rate_shares.RatePot("")
         self.catalog_feed = catalog_feed.CatalogFeed(
             loop,
             store,
--- a/cassiahill/tenant_routing.py
+++ b/cassiahill/tenant_routing.py
@@ -69,6 +69,14 @@
         """Return whether one owner serves a tenant, instead of all."""
         return tenant is not None and tenant not in self.large
 
+    def rank(self, tenant):
+        """Return the owners of the group in the order that all proxies agree on."""
+        names_by_domain = self.owners.owner_names_by_domain
+        return rendezvous.rank(
+            f"{self.group}\0{tenant}",
+            [name for names in names_by_domain.values() for name in names],
+        )
+
     def owner_names(self, tenant, own_domain, partitioned=False):
         """Return the owners of a small tenant, in order of preference.
 
@@ -84,12 +92,8 @@
         -------
         list of str
         """
-        domains_by_name = {
-            name: domain
-            for domain, names in self.owners.owner_names_by_domain.items()
-            for name in names
-        }
-        names = rendezvous.rank(f"{self.group}\0{tenant}", domains_by_name)
-        own_names = [name for name in names if domains_by_name[name] == own_domain]
+        names = self.rank(tenant)
+        own_owners = self.owners.owner_names_by_domain.get(own_domain, ())
+        own_names = [name for name in names if name in own_owners]
         agreed_names = [] if partitioned else names[:AGREED_OWNERS]
         return list(dict.fromkeys([*agreed_names, *own_names, *names]))
--- a/tests/test_tenant_routing.py
+++ b/tests/test_tenant_routing.py
@@ -131,6 +131,19 @@
                 targets = make_routing(name).relay_targets("orders", "small-1")
                 self.assertEqual(targets[0].name, owner_names[0])
 
+    def test_first_owners_of_all_groups_are_ranked_first(self):
+        """Guards against an allowance of operations at owners that serve others."""
+        routing = make_routing("host-0")
+        routing.update_owners("stock", 56, make_directory())
+        first_names = {
+            TenantOwners.choose(
+                group, choose_owners(group, DOMAINS_BY_NAME, 56), make_directory()
+            ).rank("small-1")[0]
+            for group in ("orders", "stock")
+        }
+        ranked = routing.rank_owners("small-1")
+        self.assertEqual(set(ranked[: len(first_names)]), first_names)
+
     def test_next_owner_serves_when_the_first_does_not_answer(self):
         """Guards against a session without an owner while another one could serve."""
         owner_names = make_tenant_owners().owner_names("small-1", "domain-0")
