Choose servers by relative slowness and the expected load of others

The average latency of a server mixed kinds of statements. The short statements that only the primary runs made it look fast, so that it drew reads. Statements that other proxies send to the primary were not counted.

server_load keeps the duration of reads relative to the usual one and spreads the demand that heartbeats carry over the servers. No message is added. The state dump and a metric show the spread.

--- a/cassiahill/connection_leases.py
+++ b/cassiahill/connection_leases.py
@@ -51,10 +51,14 @@
     required_position: object = None
     _statement_running: bool = True
 
+    def __attrs_post_init__(self):
+        self._count_primary_only(1)
+
     def record_statement_start(self, now):
         """Count a statement that starts, unless one is counted already."""
         if not self._statement_running:
             self._statement_running = True
+            self._count_primary_only(1)
             self.pool.record_statement_start(now)
 
     def record_statement_end(self, now, seconds=None):
@@ -68,4 +72,9 @@
         """
         if self._statement_running:
             self._statement_running = False
+            self._count_primary_only(-1)
             self.pool.record_statement_end(now, seconds)
+
+    def _count_primary_only(self, change):
+        if self.required_position is None:
+            self.pool.primary_only_statements += change
--- a/cassiahill/group_dump.py
+++ b/cassiahill/group_dump.py
@@ -17,6 +17,7 @@
     -------
     dict
     """
+    expected_loads_by_id = group.expected_loads(now)
     latest = group.primary_positions.latest_sample
     return {
         "primary": group.primary.server_id,
@@ -25,21 +26,26 @@
         "waiting": waiting_count,
         "demand": group.slot_share.demand,
         "total_demand": group.slot_share.total_demand,
+        "load_spread": group.load_spread(now),
         "connections": attrs.asdict(group.connection_counts),
         "tenants_waiting_most": group.tenant_waits.dump(now),
         "servers": {
-            server_id: describe_server(pool, group.progress_by_id[server_id])
+            server_id: describe_server(
+                pool, group.progress_by_id[server_id], expected_loads_by_id[server_id]
+            )
             for server_id, pool in group.pools_by_id.items()
         },
     }
 
 
-def describe_server(pool, progress):
+def describe_server(pool, progress, expected_load):
     """Return the state of one server and its pool as a dump."""
     return {
         "connections": pool.connection_count,
         "idle": pool.idle_count,
         "running": pool.running_statements,
+        "expected_of_others": expected_load.other_statements,
+        "slowness": expected_load.slowness,
         "latency": pool.latency_seconds,
         "position": str(progress.position),
         "draining": pool.server.draining,
--- a/cassiahill/placement.py
+++ b/cassiahill/placement.py
@@ -66,7 +66,8 @@
     may_have_position : bool
         Whether its log may have the required position.
     latency_seconds : float
-        Moving average of a statement's duration, with the wait in the server's queue.
+        Expected duration of a read for each statement there, with the wait in the
+        server's queue; see ``server_load.ExpectedLoad``.
     running_statements : int
         Statements of this process that run there.
     network_seconds : float
@@ -76,6 +77,8 @@
     opening : TenantOpening or None
         What opening a connection in the tenant's name means there; None without
         tenants.
+    other_statements : float
+        Statements of other processes that are expected there.
     """
 
     server_id: str
@@ -88,11 +91,13 @@
     network_seconds: float
     may_be_unreachable: bool
     opening: object = None
+    other_statements: float = 0.0
 
 
 def expected_statement_seconds(candidate):
     """Return an estimate of the duration of one more statement at a candidate."""
-    seconds = candidate.latency_seconds * (1 + candidate.running_statements)
+    statement_count = candidate.running_statements + candidate.other_statements
+    seconds = candidate.latency_seconds * (1 + statement_count)
     if candidate.is_primary:
         seconds *= PRIMARY_COST_FACTOR
     # The duration of statements already contains the way, so that crossing to another
--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -25,6 +25,7 @@
     removed_replicas,
     request_queue,
     sample_demand,
+    server_load,
     server_pool,
     server_probes,
     slot_shares,
@@ -144,6 +145,9 @@
         self.read_durations = read_durations.ReadDurations()
         self.outstanding_writes = outstanding_writes.OutstandingWrites(loop.clock)
         self.slot_share = slot_shares.SlotShare()
+        self.server_load = server_load.ServerLoad(
+            random.Random(f"{own_name} {group} load")
+        )
         self.tenant_waits = tenant_waits.TenantWaits()
         self._last_tick_at = loop.clock.now()
         self._timer = loop.repeat(loop.clock.now(), self._run_periodic_work)
@@ -207,6 +211,7 @@
         if self._is_in_other_region(pool):
             self._former_crossing_statements += pool.statement_count
         pool.close()
+        self.server_load.remove_server(pool.server.server_id)
         self._removed_pools_counts = connection_leases.ConnectionCounts.total(
             (self._removed_pools_counts, pool.counts)
         )
@@ -544,6 +549,31 @@
             server.slots, self._quotas.proxy_count, self._loop.clock.now()
         )
 
+    def expected_loads(self, now):
+        """Return the ``server_load.ExpectedLoad`` of each server, by its id."""
+        return self.server_load.expected(
+            {
+                server_id: max(1, pool.server.slots)
+                for server_id, pool in self.pools_by_id.items()
+            },
+            self.primary.server_id,
+            self.slot_share,
+            now,
+        )
+
+    def load_spread(self, now):
+        """Return the highest expected level of the servers divided by the mean."""
+        loads_by_id = self.expected_loads(now)
+        return server_load.load_spread(
+            {
+                server_id: (
+                    pool.running_statements + loads_by_id[server_id].other_statements
+                )
+                / max(1, pool.server.slots)
+                for server_id, pool in self.pools_by_id.items()
+            }
+        )
+
     def _server_candidates(self, requirement, request, now):
         """Yield a ``ServerCandidate`` for each server that takes the request.
 
@@ -552,6 +582,7 @@
         reserved_statements = (
             URGENT_STATEMENTS if request.priority == MOST_URGENT_PRIORITY else 0
         )
+        expected_loads_by_id = self.expected_loads(now)
         for server_id, pool in self.pools_by_id.items():
             is_primary = server_id == self.primary.server_id
             same_domain = pool.server.failure_domain == self._own_domain
@@ -573,7 +604,7 @@
                 and not self._busy_servers.is_paused(server_id, now),
                 may_have_position=position is None
                 or self.progress_by_id[server_id].may_have_position(position, now),
-                latency_seconds=pool.latency_seconds,
+                latency_seconds=expected_loads_by_id[server_id].latency_seconds,
                 running_statements=pool.running_statements,
                 network_seconds=network_delays.network_seconds(
                     self._regions.distance(pool.server.failure_domain),
@@ -582,6 +613,7 @@
                 may_be_unreachable=server_id in request.failed_server_ids
                 or pool.may_be_unreachable(now),
                 opening=pool.opening_for(request.tenant, now),
+                other_statements=expected_loads_by_id[server_id].other_statements,
             )
 
     def _accepts_requests(self, pool, is_primary, now):
@@ -687,8 +719,14 @@
         running_count = sum(
             pool.running_statements for pool in self.pools_by_id.values()
         )
+        elapsed_seconds = now - self._last_tick_at
         self.slot_share.record_statements(
-            len(self._queue) + running_count, now - self._last_tick_at
+            len(self._queue) + running_count, elapsed_seconds
+        )
+        self.server_load.record_primary_only(
+            sum(map(_needs_primary, self._queue))
+            + sum(pool.primary_only_statements for pool in self.pools_by_id.values()),
+            elapsed_seconds,
         )
         self._last_tick_at = now
         self._serve_queue()
--- a/cassiahill/server_pool.py
+++ b/cassiahill/server_pool.py
@@ -76,6 +76,8 @@
         Moving average of a statement's duration.
     running_statements : int
         Number of statements that run at the server.
+    primary_only_statements : int
+        Those of them that only the primary may run.
     failed_openings : int
         Number of consecutive failures to open a connection.
     answered_at : float
@@ -111,6 +113,7 @@
         self.counts = connection_leases.ConnectionCounts()
         self.latency_seconds = INITIAL_LATENCY_SECONDS
         self.running_statements = 0
+        self.primary_only_statements = 0
         self.failed_openings = 0
         self.answered_at = float("-inf")
         self.answer_lost_at = float("-inf")
--- a/cassiahill/session_executor.py
+++ b/cassiahill/session_executor.py
@@ -226,9 +226,11 @@
         if setup_failure is not None:
             self._sender.release(lease)
             return setup_failure
+        asked_at = self._loop.clock.now()
         reply = yield from self._sender.send(
             lease, request, required_position=lease.required_position
         )
+        self._record_load(lease, asked_at, reply)
         if reply is None:
             self._sender.discard(lease)
             return RetryableFailure("no answer to a read")
@@ -241,6 +243,20 @@
         self._sender.release(lease)
         return reply
 
+    def _record_load(self, lease, asked_at, reply):
+        """Record what the end of a read shows of its server's load."""
+        now = self._loop.clock.now()
+        server_id = lease.connection.server.server_id
+        if reply is None or reply.code is Code.BUSY:
+            self._group.server_load.record_failed_read(server_id, now)
+        elif reply.code is None:
+            self._group.server_load.record_read(
+                server_id,
+                now - asked_at,
+                self._group.read_durations.usual_seconds(self._route.database),
+                now,
+            )
+
     # Statements inside a transaction
 
     def run_in_transaction(self, transaction, request):
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -533,6 +533,7 @@
         connections = connection_leases.ConnectionCounts.total(
             group.connection_counts for group in self._groups_by_name.values()
         )
+        now = self._loop.clock.now()
         values = {
             "open_sessions": len(self.sessions),
             "busy_sessions": self.sessions.busy_count,
@@ -550,6 +551,14 @@
             "statements_to_other_regions": sum(
                 crossing.statement_count for crossing in crossings
             ),
+            "server_load_spread": max(
+                (
+                    group.load_spread(now)
+                    for group in self._groups_by_name.values()
+                    if group.active and group.pools_by_id
+                ),
+                default=1.0,
+            ),
             "other_region_round_trip_seconds": max(
                 (crossing.round_trip_seconds for crossing in crossings), default=0.0
             ),
@@ -561,7 +570,7 @@
             "connections_given_up": connections.given_up,
         }
         if self.configuration_age.is_required:
-            age_seconds = self.configuration_age.age(self._loop.clock.now())
+            age_seconds = self.configuration_age.age(now)
             values["configuration_age_seconds"] = age_seconds
         return values
 
