--- a/cassiahill/catalog_checks.py
+++ b/cassiahill/catalog_checks.py
@@ -164,6 +164,37 @@
     return findings
 
 
+def check_slots(entries, servers):
+    """Return findings on limits that leave slots of registered servers without use.
+
+    A statement occupies a connection as long as a slot, so slots beyond the connection
+    limit never run anything.
+
+    Parameters
+    ----------
+    entries : CatalogEntries
+    servers : iterable of catalog.BackendServer
+
+    Returns
+    -------
+    list of CatalogFinding
+    """
+    most_slots_by_group = {}
+    for server in servers:
+        most_slots = most_slots_by_group.get(server.group, 0)
+        most_slots_by_group[server.group] = max(most_slots, server.slots)
+    findings = []
+    for entry in entries.groups:
+        slots = most_slots_by_group.get(entry.value.group, 0)
+        if entry.value.connections < slots:
+            problem = (
+                f"{entry.value.connections} connections are fewer than the {slots} "
+                "slots of a server"
+            )
+            findings.append(_warning(entry.place, problem, f"{slots} or more"))
+    return findings
+
+
 def _error(place, problem, allowed=""):
     return CatalogFinding(Severity.ERROR, place, problem, allowed)
 
--- a/tests/test_catalog_checks.py
+++ b/tests/test_catalog_checks.py
@@ -4,7 +4,7 @@
 import unittest
 
 from cassiahill import catalog_checks
-from cassiahill.catalog import Consistency, GroupLimits
+from cassiahill.catalog import BackendServer, Consistency, GroupLimits
 from cassiahill.catalog_checks import CatalogFinding, Severity
 from tests.check_builders import make_entries, make_tenant
 from tests.session_builders import make_route
@@ -122,6 +122,24 @@
                 f"{connections} connections",
             )
 
+    def test_slots_beyond_the_connection_limit(self):
+        """Guards against a limit with which some slots of a server are never used."""
+        entries = make_entries(groups=[GroupLimits("orders", 9, True)])
+        few, many, other = (
+            BackendServer(name, group, ("127.0.0.1", 1), "a", slots, False, False, 0, 0)
+            for name, group, slots in (
+                ("s-1", "orders", 9),
+                ("s-2", "orders", 12),
+                ("s-3", "bills", 20),
+            )
+        )
+        self.assertEqual(catalog_checks.check_slots(entries, [few, other]), [])
+        (finding,) = catalog_checks.check_slots(entries, [many, few, other])
+        self.assertEqual(
+            (finding.severity, finding.place), (Severity.WARNING, "services[0]")
+        )
+        self.assertIn("9 connections are fewer than the 12 slots", finding.problem)
+
     def test_limits_of_tenants(self):
         """Guards against limits with which a tenant is never served."""
         for limits, severity, text in (
