Call a key unknown only while the configuration is proved young

Cause: a proxy that restarted with an old copy of the configuration, or lags, refused a key that a newer version had added as unknown, which clients take as final. Change: without a young proof an unknown key is refused with busy, so the client tries again. Tests: test_unknown_key_under_an_old_configuration.

--- a/cassiahill/caller_checks.py
+++ b/cassiahill/caller_checks.py
@@ -11,6 +11,8 @@
 from cassiahill import errors
 from cassiahill.statements import Code, Reply
 
+OLD_CONFIGURATION_DETAIL = "the configuration may be outdated"
+
 
 class RefusalReason(enum.Enum):
     """Why a caller is refused; a label of a metric."""
@@ -94,11 +96,16 @@
         ------
         errors.Unauthenticated
             If the route needs a key and no tenant holds this one.
+        errors.ConfigurationUnproved
+            If the key is not known, but the configuration may lack newer keys.
         """
         tenants = self._get_configuration().tenants
         if tenants is None or route.public:
             return Caller(key_digest, None)
         tenant = tenants.by_key_digest.get(key_digest)
+        if tenant is None and not self._is_young_enough(self._clock.now()):
+            self._count_refusal(RefusalReason.OLD_CONFIGURATION)
+            raise errors.ConfigurationUnproved(OLD_CONFIGURATION_DETAIL)
         if tenant is None:
             self._count_refusal(RefusalReason.UNKNOWN_KEY)
             raise errors.Unauthenticated("the key is not known")
@@ -151,7 +158,7 @@
         now = self._clock.now()
         if not self._is_young_enough(now):
             self._count_refusal(RefusalReason.OLD_CONFIGURATION)
-            return Reply(code=Code.BUSY, detail="the configuration may be outdated")
+            return Reply(code=Code.BUSY, detail=OLD_CONFIGURATION_DETAIL)
         if not self.is_in_force(caller, route):
             self._count_refusal(RefusalReason.REVOKED_KEY)
             return Reply(
--- a/cassiahill/errors.py
+++ b/cassiahill/errors.py
@@ -109,6 +109,14 @@
     http_status = 401
 
 
+class ConfigurationUnproved(NotRunError):
+    """The configuration is not proved young enough to tell which keys are in force."""
+
+    code = "configuration_unproved"
+    http_status = 503
+    retry_after = 0.25
+
+
 class DeadlinePassed(NotRunError):
     """The deadline passed before the statement was sent to a database."""
 
--- a/cassiahill/session_opening.py
+++ b/cassiahill/session_opening.py
@@ -99,14 +99,16 @@
             )
         try:
             caller = checks.identify(route, self._key_digest)
-        except errors.Unauthenticated as error:
+        except (errors.Unauthenticated, errors.ConfigurationUnproved) as error:
             event_log.event(
                 "caller_refused",
                 database=self._database,
                 relayed=self._is_relayed,
                 cause=error.detail,
             )
-            return Refused(Code.UNAUTHENTICATED, error.detail)
+            may_retry = isinstance(error, errors.ConfigurationUnproved)
+            code = Code.BUSY if may_retry else Code.UNAUTHENTICATED
+            return Refused(code, error.detail)
         if self._is_relayed:
             if routing.should_refuse_relayed(route.group):
                 return Refused(Code.BUSY, "the primary is out of reach")
--- a/tests/test_caller_checks.py
+++ b/tests/test_caller_checks.py
@@ -54,6 +54,14 @@
         """Guards against statements in the name of another tenant."""
         self.assertEqual(self.checks.identify(ROUTE, NORTH_DIGEST).tenant, "north")
 
+    def test_unknown_key_under_an_old_configuration(self):
+        """Guards against a key called unknown that a newer configuration has added."""
+        self.is_young_enough = False
+        with self.assertRaises(errors.ConfigurationUnproved):
+            self.checks.identify(ROUTE, digest_key(UNKNOWN_KEY))
+        self.assertEqual(self.reasons, [RefusalReason.OLD_CONFIGURATION])
+        self.assertEqual(self.checks.identify(ROUTE, NORTH_DIGEST).tenant, "north")
+
     def test_unknown_key_is_refused(self):
         """Guards against a session for a caller whose key nobody holds."""
         for digest in (digest_key(UNKNOWN_KEY), digest_key(""), "", NORTH_KEY):
