Keep public and new sessions while keys are refused

Cause: a proxy without a young proof closed all idle sessions every 50 ms, also those on public routes, which it serves; and where no proxy had a proof, each client reconnected after 0.1 s. Change: only sessions of callers with a key are closed, and not in their first 2 s, in which the load balancer takes a proxy out that is not ready. A second check after a revocation looks at the sessions that were revoked, not at all.

--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -458,8 +458,10 @@
                 # Servers that did not answer during the partition may answer now.
                 group.reset_failure_detection()
                 group.partitioned = partitioned
-        if partitioned or self._refuses_keys():
+        if partitioned:
             self.sessions.close_idle()
+        elif self._refuses_keys():
+            self.sessions.close_idle_with_keys()
         for name, group in self._groups_by_name.items():
             primary_unreachable = group.active and group.is_primary_unreachable(now)
             if primary_unreachable and self.owners.was_recently_relayed(name, now):
--- a/cassiahill/session_server.py
+++ b/cassiahill/session_server.py
@@ -2,6 +2,9 @@
 
 from cassiahill import sessions, transport
 
+# The load balancer takes a proxy that is not ready out of rotation within this time.
+MIN_OPEN_SECONDS = 2.0
+
 
 class SessionRouting:
     """Decides which proxy serves a session.
@@ -156,6 +159,17 @@
                 continue
             self._close_if_idle(session, now)
 
+    def close_idle_with_keys(self):
+        """Close the idle sessions of callers with a key, while these are refused here.
+
+        Another proxy may serve them. A session that was opened a moment ago stays open
+        for a while: where all proxies refuse, clients would reconnect all the time.
+        """
+        now = self.loop.clock.now()
+        for session in list(self._sessions):
+            if session.has_key and now - session.opened_at >= MIN_OPEN_SECONDS:
+                self._close_if_idle(session, now)
+
     def close_revoked(self):
         """End the sessions whose keys are no longer in force.
 
@@ -163,16 +177,29 @@
         ago a little later. A statement that arrives before that is refused and ends its
         session.
         """
+        self._close_revoked_of(self._sessions)
+
+    def _close_revoked_of(self, candidates):
+        """Close the idle ones among some sessions; check the other revoked ones again.
+
+        Only the revoked ones are checked again, because one of them may be busy for
+        long while many other sessions are open.
+        """
         if self._revocation_timer is not None:
             self._revocation_timer.cancel()
             self._revocation_timer = None
-        revoked = [session for session in self._sessions if session.is_revoked]
+        revoked = [
+            session
+            for session in candidates
+            if session in self._sessions and session.is_revoked
+        ]
         now = self.loop.clock.now()
         for session in revoked:
             self._close_if_idle(session, now)
         if revoked:
             self._revocation_timer = self.loop.call_at(
-                now + sessions.MIN_IDLE_SECONDS, self.close_revoked
+                now + sessions.MIN_IDLE_SECONDS,
+                lambda: self._close_revoked_of(revoked),
             )
 
     def close_misplaced(self):
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -56,7 +56,7 @@
         self._caller = None
         self.database = None
         self.group = None
-        self.last_active_at = self._loop.clock.now()
+        self.opened_at = self.last_active_at = self._loop.clock.now()
         self._stream = transport.Stream(
             self._loop, sock, self._on_data, self._on_closed
         )
@@ -76,6 +76,11 @@
         """Return whether this is a session of the group and is not relayed."""
         return self.group == group and self._relay is None
 
+    @property
+    def has_key(self):
+        """Whether the session is open and its caller needs a key."""
+        return self._caller is not None and self._caller.tenant is not None
+
     @property
     def is_revoked(self):
         """Whether the session is open and its key is no longer in force."""
--- a/tests/test_key_secrecy.py
+++ b/tests/test_key_secrecy.py
@@ -1,22 +1,17 @@
 """Checks that no output of a proxy holds a caller's key."""
 
 import contextlib
-import random
-import threading
 import unittest
 from unittest import mock
 
 import msgspec
 
-from cassiahill import catalog_feed, clock, loop, transport
+from cassiahill import transport
 from cassiahill.caller_checks import CallerChecks
-from cassiahill.session_proxy import SessionProxy, SessionProxySettings
 from cassiahill.shared_store import MemorySharedStore
-from cassiahill.takeover import PromotionOrders
 from cassiahill.tenants import digest_key
-from tests import adapter_path
 from tests.log_lines import captured_log_lines
-from tests.loopback import free_address
+from tests.proxy_process import running_proxy
 from tests.session_server import LineClient, running_servers
 from tests.tenant_builders import (
     ALL_KEYS,
@@ -25,9 +20,6 @@
     make_tenants,
 )
 
-with adapter_path.importable():
-    from adapter import documents, wire
-
 DOCUMENT = {
     "version": 1,
     "routes": [
@@ -62,44 +54,6 @@
         yield written
 
 
-@contextlib.contextmanager
-def running_proxy(store):
-    """Run a session proxy in a thread within the ``with`` block."""
-    event_loop = loop.EventLoop(clock.SystemClock())
-    settings = SessionProxySettings(
-        "proxy-1",
-        "domain-a",
-        *(free_address() for _ in range(4)),
-        seed_addresses=(),
-        grace_seconds=1.0,
-    )
-    source = catalog_feed.CatalogSource(
-        documents.CONFIGURATION_KIND,
-        documents.CONFIGURATION_NAME,
-        documents.SERVERS_KIND,
-        documents.decode_configuration,
-        documents.decode_server,
-    )
-    proxy = SessionProxy(
-        event_loop,
-        settings,
-        store,
-        source,
-        wire.LineDialect(),
-        PromotionOrders(),
-        random.Random(1),
-    )
-    # A proxy without peers takes itself for partitioned and closes idle sessions.
-    proxy.fleet.peers_indicate_partition = lambda _now: False
-    thread = threading.Thread(target=event_loop.run, daemon=True)
-    thread.start()
-    try:
-        yield proxy, settings
-    finally:
-        event_loop.stop()
-        thread.join(10.0)
-
-
 class KeySecrecyTest(unittest.TestCase):
     def assert_without(self, secrets, outputs):
         """Check that none of the secrets is in any of the outputs."""
