--- a/tests/test_tenant_sessions.py
+++ b/tests/test_tenant_sessions.py
@@ -1,9 +1,12 @@
 """Tests of sessions whose callers have keys, on loopback sockets."""
 
+import time
 import unittest
+from unittest import mock
 
 import attrs
 
+from cassiahill import sessions
 from cassiahill.caller_checks import CallerChecks
 from cassiahill.tenants import digest_key
 from tests.session_server import LineClient, running_servers
@@ -122,6 +125,27 @@
         (answer,) = other_client.exchange(b"QUERY 1 READ a")
         self.assertEqual(answer[0], b"COMPLETE signature")
 
+    def test_busy_session_of_a_revoked_key_is_checked_alone(self):
+        """Guards against checks of all sessions while one stays in its transaction."""
+        client = self.client()
+        client.exchange(b"QUERY 1 BEGIN")
+        self.client(SOUTH_KEY)
+        self.revoke_north_key()
+        checked_sessions = []
+        is_revoked = sessions.Session.is_revoked.fget
+
+        def record(session):
+            checked_sessions.append(session)
+            return is_revoked(session)
+
+        with mock.patch.object(sessions.Session, "is_revoked", property(record)):
+            self.servers.run_on_loop(self.entry_server.close_revoked)
+            self.assertEqual(len(checked_sessions), 2)
+            time.sleep(3.5 * sessions.MIN_IDLE_SECONDS)
+            self.assertEqual(len(set(checked_sessions[2:])), 1)
+            client.exchange(b"QUERY 2 ROLLBACK")
+            self.assertEqual(client.read_line(), b"")
+
     def test_begin_beyond_the_limit_leaves_the_session_open(self):
         """Guards against a limit that ends sessions or cuts transactions short."""
         client = self.client()
