Try no owner for a client that has given up

Cause: after the wait for a configuration, two owners near the primary and four others were tried, 0.3 s each, so a client got its answer up to 3.3 s after it asked; it leaves after 2 s. A client that left meanwhile made an owner serve the group itself for a second, though no owner had failed. Change: no owner is tried later than 1.5 s after the request, and a client that left decides nothing. Tests: test_session_opening.

--- a/cassiahill/session_opening.py
+++ b/cassiahill/session_opening.py
@@ -6,7 +6,8 @@
 from cassiahill.statements import Code
 
 OPEN_POLL_INTERVAL_SECONDS = 0.02
-OPEN_TIMEOUT_SECONDS = 1.5  # Clients give up after 2 s.
+# Clients give up after 2 s. No owner is tried after this time.
+OPEN_TIMEOUT_SECONDS = 1.5
 
 
 @attrs.frozen
@@ -71,6 +72,7 @@
         self._first_line = first_line
         self._connect_relay = connect_relay
         self._is_closed = is_closed
+        self._deadline = self._loop.clock.now() + OPEN_TIMEOUT_SECONDS
 
     def run(self):
         """Open the session; a task.
@@ -80,9 +82,8 @@
         Opened or Refused
         """
         routing = self._server.routing
-        deadline = self._loop.clock.now() + OPEN_TIMEOUT_SECONDS
         while not routing.knows_deployment():
-            if self._loop.clock.now() > deadline:
+            if self._loop.clock.now() > self._deadline:
                 return Refused(Code.BUSY, "no configuration yet")
             yield self._loop.sleep_until(
                 self._loop.clock.now() + OPEN_POLL_INTERVAL_SECONDS
@@ -133,6 +134,8 @@
         opened = yield from self._open_relay(route, caller, targets)
         if opened is not None:
             return opened
+        if self._is_closed():
+            return Refused(Code.BUSY, "the client has left")
         if routing.fall_back_to_local(route.group, caller.tenant):
             return Opened(route, caller)
         return Refused(Code.BUSY, "no owner of the group answers")
@@ -146,7 +149,7 @@
         """
         routing = self._server.routing
         for member in members:
-            if self._is_closed():
+            if self._is_closed() or self._loop.clock.now() > self._deadline:
                 return None
             try:
                 relay = self._connect_relay(
