Choose the owners of a group only after a change

Cause: the creation of each group and each configuration hashed all members for all groups; with 300 members and 30 groups that is 5 ms each time (measured), 30 times at the start. Change: the choice is kept while the members, their domains and the connection limit are the same. Tests: test_owners_are_chosen_again_only_after_a_change.

--- a/cassiahill/session_owners.py
+++ b/cassiahill/session_owners.py
@@ -59,6 +59,8 @@
         self._primary_domain = primary_domain or (lambda _group: None)
         self.relays_to_other_regions = 0
         self._owners_by_group = {}
+        self._domains_by_name = {}
+        self._choice_inputs_by_group = {}
         self._first_rotation = xxhash.xxh3_64_intdigest(own_member.name.encode())
         self._next_rotation_by_group = {}
         self._avoid_until_by_owner = {}
@@ -77,8 +79,18 @@
         domains_by_name = {self._own_member.name: self._own_member.failure_domain}
         for member in self._fleet.members_by_name.values():
             domains_by_name[member.name] = member.failure_domain
+        if domains_by_name != self._domains_by_name:
+            self._domains_by_name = domains_by_name
+        # All groups are updated when one is created or the configuration changes.
+        choice_inputs = (connection_limit, self._domains_by_name)
+        if self._choice_inputs_by_group.get(group) == choice_inputs:
+            return self._owners_by_group[group].connected_proxy_count
+        self._choice_inputs_by_group[group] = choice_inputs
         owners = group_owners.choose_owners(
-            group, domains_by_name, connection_limit, self._regions.region_by_domain
+            group,
+            self._domains_by_name,
+            connection_limit,
+            self._regions.region_by_domain,
         )
         self._owners_by_group[group] = owners
         return owners.connected_proxy_count
--- a/tests/test_session_owners.py
+++ b/tests/test_session_owners.py
@@ -2,8 +2,9 @@
 
 import types
 import unittest
+from unittest import mock
 
-from cassiahill import sessions
+from cassiahill import group_owners, sessions
 from cassiahill.catalog import Consistency
 from cassiahill.heartbeats import Member
 from cassiahill.session_owners import AVOID_OWNER_SECONDS, GroupOwnerRouting
@@ -21,7 +22,7 @@
         self.domains_by_name = domains_of_fleet(66)
         self.primary_domain = "south-a"
         self.partitioned = False
-        members_by_name = {
+        self.members_by_name = members_by_name = {
             name: Member(name, (name, 1), (name, 2), domain)
             for name, domain in self.domains_by_name.items()
         }
@@ -49,6 +50,19 @@
         for member in targets:
             self.assertEqual(REGION_BY_DOMAIN[member.failure_domain], "south")
 
+    def test_owners_are_chosen_again_only_after_a_change(self):
+        """Guards against hashing of all members for each configuration and group."""
+        with mock.patch.object(
+            group_owners, "choose_owners", wraps=group_owners.choose_owners
+        ) as choose_owners:
+            count = self.routing.update_owners("orders", CONNECTION_LIMIT)
+            self.assertEqual(count, 6)
+            choose_owners.assert_not_called()
+            self.routing.update_owners("orders", CONNECTION_LIMIT + 1)
+            self.members_by_name.pop("proxy-1")
+            self.routing.update_owners("orders", CONNECTION_LIMIT + 1)
+            self.assertEqual(choose_owners.call_count, 2)
+
     def test_other_sessions_stay_in_the_own_region(self):
         """Guards against relays across for sessions that the own region serves."""
         self.assertEqual(self.targets_near_primary(Consistency.BOUNDED), [])
