--- a/tests/test_session_opening.py
+++ b/tests/test_session_opening.py
@@ -17,6 +17,7 @@
 
 
 def make_members(count):
+    """Return members of one failure domain."""
     return [
         Member(f"owner-{index}", ("owner", index), ("owner", index), "domain-a")
         for index in range(count)
