Treat a null list of tenants as a damaged one

Cause: a configuration whose field tenants is null opened all databases to callers without a key. The module's text no longer says that no message between proxies holds a key: the configuration's document does. Tests: test_damaged_list_opens_nothing has the case.

--- a/cassiahill/tenants.py
+++ b/cassiahill/tenants.py
@@ -1,7 +1,7 @@
 """Tenants: callers that hold keys, with limits on their rate of operations.
 
-Keys are kept and passed on as digests only, so that no message between proxies, dump or
-log line can hold one.
+Sessions, relays and log lines have digests only. The keys themselves are in the document
+of the configuration, which proxies also get from one another.
 """
 
 import hashlib
--- a/tests/test_adapter_documents.py
+++ b/tests/test_adapter_documents.py
@@ -137,7 +137,7 @@
 
     def test_damaged_list_opens_nothing(self):
         """Guards against service without keys after the whole list is damaged."""
-        for entries in ({}, "x", 7, False):
+        for entries in ({}, "x", 7, False, None):
             directory, log = self.decode(entries)
             self.assertEqual(directory.by_name, {})
             self.assertIn("tenants_unreadable", log)
