Lend shares of the tenants' limits before their first operations

Change: a proxy reports the tenants whose sessions are sent to it with a small demand from the start, so that their buckets fill before the traffic comes.

--- a/cassiahill/rate_limits.py
+++ b/cassiahill/rate_limits.py
@@ -188,6 +188,7 @@
         self._rank_owners = rank_owners or self._rank_by_hash
         self._uses_by_tenant = {}
         self._tenants_by_name = {}
+        self._expected_names = frozenset()
         self.lease = rate_shares.RateLease(now)
         self.owner_names = frozenset()
         self.admitted_count = 0
@@ -224,6 +225,18 @@
         for use in self._uses_by_tenant.values():
             use.allowance = None
 
+    def expect_tenants(self, names, now):
+        """Set the tenants whose sessions are sent to this proxy.
+
+        They are reported with a small demand before their first operation, so that it
+        finds a share and tokens. A loan goes to those that report demand.
+        """
+        self._expected_names = frozenset(names)
+        for name in self._expected_names - self._uses_by_tenant.keys():
+            if name in self._tenants_by_name:
+                use = self._start_use(self._tenants_by_name[name], now)
+                self._uses_by_tenant[name] = use
+
     def admit(self, tenant_name, now):
         """Return whether an operation that a tenant starts is within its limit.
 
@@ -264,7 +277,7 @@
         """Return the report for a promoter; see ``rate_shares.RateLease.report``."""
         self._forget_unused(now)
         demand_by_tenant = {
-            name: round(use.demand_at(now), 3)
+            name: round(max(use.demand_at(now), self._expected_demand(name)), 3)
             for name, use in self._uses_by_tenant.items()
         }
         is_owner = self._own_name in self.owner_names
@@ -302,6 +315,11 @@
             return 0.0
         return 1.0 / len(self.owner_names)
 
+    def _expected_demand(self, tenant_name):
+        """Return the least demand to report for a tenant."""
+        is_expected = tenant_name in self._expected_names
+        return rate_shares.FULLY_RAISED_DEMAND if is_expected else 0.0
+
     def _share(self, tenant_name, now):
         """Return the fraction of a tenant's limit that this proxy may use now."""
         phases = self.lease.phases(tenant_name, self._static_share, now, now)
@@ -364,7 +382,8 @@
     def _forget_unused(self, now):
         """Forget tenants that were not used recently and whose bucket is full."""
         for name, use in list(self._uses_by_tenant.items()):
-            if now - use.used_at < RECENT_USE_SECONDS:
+            recently_used = now - use.used_at < RECENT_USE_SECONDS
+            if recently_used or name in self._expected_names:
                 continue
             tenant = self._tenants_by_name[name]
             self._advance(tenant, use.bucket, now)
--- a/cassiahill/session_owners.py
+++ b/cassiahill/session_owners.py
@@ -68,6 +68,8 @@
         self.relays_to_other_regions = 0
         self._owners_by_group = {}
         self._tenant_owners_by_group = {}
+        self._sent_here_by_group = {}
+        self._tenants_sent_here = frozenset()
         self._domains_by_name = {}
         self._choice_inputs_by_group = {}
         self._first_rotation = xxhash.xxh3_64_intdigest(own_member.name.encode())
@@ -119,6 +121,35 @@
             *(owners.connected_proxy_names for owners in self._owners_by_group.values())
         )
 
+    def tenants_sent_here(self, directory):
+        """Return the names of the tenants of which this process is the first owner.
+
+        Parameters
+        ----------
+        directory : tenants.TenantDirectory or None
+
+        Returns
+        -------
+        frozenset of str
+        """
+        owners_by_group = {
+            group: tenant_owners
+            for group, tenant_owners in self._tenant_owners_by_group.items()
+            if self.holds_connections(group)
+        }
+        if owners_by_group != self._sent_here_by_group:
+            # Hashing all tenants takes a while, and this is asked for at each change of
+            # the members.
+            self._sent_here_by_group = owners_by_group
+            self._tenants_sent_here = frozenset(
+                tenant
+                for tenant_owners in owners_by_group.values()
+                for tenant in directory.by_name
+                if not tenant_owners.has_own_owner(tenant)
+                or tenant_owners.rank(tenant)[0] == self._own_member.name
+            )
+        return self._tenants_sent_here
+
     def rank_owners(self, tenant):
         """Return the owners of all groups, the first ones of each group in front.
 
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -454,6 +454,8 @@
         now = self._loop.clock.now()
         self.rate_limits.install(configuration.tenants, now)
         self.rate_limits.set_owners(self.owners.names_of_all_owners(), now)
+        sent_here = self.owners.tenants_sent_here(configuration.tenants)
+        self.rate_limits.expect_tenants(sent_here, now)
 
     def _supervise(self):
         """Update groups and reachability, and start promotions that are due."""
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -99,6 +99,25 @@
         self.assertTrue(fleet.processes["p2"].limits.lease.is_lent(fleet.now))
         self.assertTrue(fleet.admit("p2", "acme"))
 
+    def test_first_operations_of_an_expected_tenant(self):
+        """Guards against refusals where the sessions of a tenant are sent.
+
+        Its owners have not reported demand yet, and gave their parts to the pot.
+        """
+        names = [f"p{number}" for number in range(24)]
+        fleet = RateFleet(names, directory(acme=(40.0, 40.0)))
+        for name in names[:4]:
+            fleet.processes[name].limits.expect_tenants(["acme"], fleet.now)
+        fleet.elect("p0")
+        fleet.learn_promoter_everywhere()
+        for _ in range(150):
+            fleet.advance(0.1)
+        for name in names[:4]:
+            admitted = [fleet.admit(name, "acme") for _ in range(100)]
+            # Each may use a quarter of the rate and the burst.
+            self.assertGreaterEqual(sum(admitted), 10)
+        self.assertLessEqual(fleet.excess("acme"), 0.0)
+
     def test_unused_tenants_are_forgotten(self):
         """Guards against memory and messages that grow with all tenants ever seen."""
         limits = single_proxy(acme=(10.0, 20.0))
