Estimate the load of the servers once for each pass over the queue

The estimate was made anew for each queued request, although nothing that it uses changes during a pass; a long queue under overload paid for it many times.

--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -574,7 +574,7 @@
             }
         )
 
-    def _server_candidates(self, requirement, request, now):
+    def _server_candidates(self, requirement, request, expected_loads_by_id, now):
         """Yield a ``ServerCandidate`` for each server that takes the request.
 
         In a partition these are the servers of the own failure domain only.
@@ -582,7 +582,6 @@
         reserved_statements = (
             URGENT_STATEMENTS if request.priority == MOST_URGENT_PRIORITY else 0
         )
-        expected_loads_by_id = self.expected_loads(now)
         for server_id, pool in self.pools_by_id.items():
             is_primary = server_id == self.primary.server_id
             same_domain = pool.server.failure_domain == self._own_domain
@@ -638,9 +637,12 @@
         now = self._loop.clock.now()
         self._queue.mark_late(now)
         wanted_connections = collections.Counter()
+        expected_loads_by_id = self.expected_loads(now) if len(self._queue) else {}
         for request in self._queue:
             requirement = request.requirement()
-            candidates = list(self._server_candidates(requirement, request, now))
+            candidates = list(
+                self._server_candidates(requirement, request, expected_loads_by_id, now)
+            )
             choice = placement.choose_server(requirement, candidates)
             if self.partitioned and not placement.may_serve(requirement, candidates):
                 self._queue.remove(request)
