--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,9 +16,17 @@
 class SoakTest(unittest.TestCase):
     def test_no_violations_under_faults(self):
         """Guards against consistency violations that only real processes show."""
+        self.check_run()
+
+    def test_no_violations_with_tenants(self):
+        """Guards against runs for wrong callers that only real processes show."""
+        self.check_run("--tenants", "12")
+
+    def check_run(self, *options):
+        """Run the soak and check that it finds no violation."""
         command = [sys.executable, "platform/soak/run.py", "--seconds", FAULT_SECONDS]
         completed = subprocess.run(
-            [*command, "--seeds", *SEEDS],
+            [*command, "--seeds", *SEEDS, *options],
             cwd=REPOSITORY_ROOT,
             capture_output=True,
             text=True,
