Keep the parts of restarting owners in the pot of rate limits

Cause: an owner's part counted for new loans for 1.6 s, and a restarted process said for 5 s that it does not know what it promised. Change: a part counts for 3.6 s after the owner's last stamp, and a report that continues a former run's within that time still counts as free: that run had promised the part to this pot alone.

--- a/cassiahill/rate_shares.py
+++ b/cassiahill/rate_shares.py
@@ -34,7 +34,10 @@
 PROMISE_SECONDS = 5.0
 # The difference allows for clocks that run at slightly different rates.
 LENT_SECONDS = 4.9
-STAMP_MAX_AGE_SECONDS = 1.6  # Four heartbeat intervals.
+# A part counts for new loans for this long after the owner's last stamp, so that a
+# restart does not take it from the pot. What remains of a loan then is still longer
+# than two heartbeat intervals.
+STAMP_MAX_AGE_SECONDS = 3.6
 # Added to each reported demand in operations per second, so that the shares of a tenant
 # with few operations do not follow each single one. Demand below the second value gets
 # less: a proxy that is hardly used should not take a share from one that is.
@@ -210,11 +213,15 @@
         Those that the proxy may be using, in the order of their stamps.
     foreign_loan : Loan or None
         What it holds of another promoter's pot.
+    is_free : bool
+        Whether its part is promised to no other pot. A process that has restarted does
+        not know, but its former run said so a short time before.
     """
 
     report: RateReport = attrs.field(factory=lambda: RateReport("", -math.inf))
     loans: list = attrs.field(factory=list)
     foreign_loan: Loan | None = None
+    is_free: bool = False
 
     def is_recent(self, now):
         """Return whether the newest report returned a recent stamp."""
@@ -222,6 +229,8 @@
 
     def record(self, report, now):
         """Replace the report, and drop the loans that it shows to be replaced."""
+        is_continued = report.stamp - self.report.stamp <= STAMP_MAX_AGE_SECONDS
+        self.is_free = report.is_free or (self.is_free and is_continued)
         self.report = report
         received = [loan for loan in self.loans if loan.stamp <= report.stamp]
         self.loans = received[-1:] + self.loans[len(received) :]
@@ -327,7 +336,7 @@
         ]
         if len(recent_owners) == len(owner_names):
             return True, recent_owners
-        return False, [party for party in recent_owners if party.report.is_free]
+        return False, [party for party in recent_owners if party.is_free]
 
     def _shares_for(self, party, pot_share, now):
         """Return a proxy's shares by its demand, of what others may not be using."""
