--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -3,7 +3,6 @@
 import signal
 
 import attrs
-import msgspec
 import xxhash
 
 from cassiahill import (
@@ -16,8 +15,8 @@
     event_log,
     heartbeats,
     http1,
+    rate_exchange,
     rate_limits,
-    rate_shares,
     reachability,
     regions,
     server_group,
@@ -149,7 +148,7 @@
             loop.clock.now(),
             self.owners.rank_owners,
         )
-        self._rate_pot = rate_shares.RatePot("")
+        self._rate_exchange = rate_exchange.RateExchange(loop.clock, self.rate_limits)
         self.catalog_feed = catalog_feed.CatalogFeed(
             loop,
             store,
@@ -282,7 +281,7 @@
             "busy_sessions": self.sessions.busy_count,
             "fleet": self.fleet.dump(),
             "rates": self.rate_limits.dump(now),
-            "rate_pot": self._rate_pot.dump(self.rate_limits.owner_names, now),
+            "rate_pot": self._rate_exchange.dump_pot(now),
             "groups": {
                 name: group.dump() for name, group in self._groups_by_name.items()
             },
@@ -354,22 +353,15 @@
 
     def rate_report(self, promoter_name):
         """Return the ``RateReport`` for a promoter; unset without tenants."""
-        if not self.rate_limits.limits_tenants:
-            return msgspec.UNSET
-        return self.rate_limits.report(promoter_name, self._loop.clock.now())
+        return self._rate_exchange.report(promoter_name)
 
     def answer_rate_report(self, name, report, term):
         """Return the ``RateAnswer`` to a proxy's report."""
-        if self._rate_pot.pot_id != term:
-            self._rate_pot = rate_shares.RatePot(term)
-        return self._rate_pot.answer(
-            name, report, self.rate_limits.owner_names, self._loop.clock.now()
-        )
+        return self._rate_exchange.answer(name, report, term)
 
     def apply_rate_answer(self, promoter_name, answer, sent_at):
         """Take over the promoter's answer; return whether to report again at once."""
-        now = self._loop.clock.now()
-        return self.rate_limits.accept(promoter_name, answer, sent_at, now)
+        return self._rate_exchange.apply_answer(promoter_name, answer, sent_at)
 
     def is_partitioned(self):
         """Return whether this process does not reach the other failure domains."""
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -13,8 +13,8 @@
 from cassiahill import (
     errors,
     heartbeats,
+    rate_exchange,
     rate_limits,
-    rate_shares,
     session_fleet,
     shared_store,
 )
@@ -186,7 +186,7 @@
         self.rate_limits = rate_limits.RateLimits(
             name, rate_limits.RateTolerance(), loop.clock.now()
         )
-        self.rate_pot = rate_shares.RatePot("")
+        self.rate_exchange = rate_exchange.RateExchange(loop.clock, self.rate_limits)
         rng = random.Random(name)
         store = FleetStore(memory_fleet, name)
         member = heartbeats.Member(name, (name, 1), (name, 2), domain)
@@ -241,21 +241,13 @@
         pass
 
     def rate_report(self, promoter_name):
-        if not self.rate_limits.limits_tenants:
-            return msgspec.UNSET
-        return self.rate_limits.report(
-            promoter_name, self.memory_fleet.loop.clock.now()
-        )
+        return self.rate_exchange.report(promoter_name)
 
     def answer_rate_report(self, name, report, term):
-        if self.rate_pot.pot_id != term:
-            self.rate_pot = rate_shares.RatePot(term)
-        now = self.memory_fleet.loop.clock.now()
-        return self.rate_pot.answer(name, report, self.rate_limits.owner_names, now)
+        return self.rate_exchange.answer(name, report, term)
 
     def apply_rate_answer(self, promoter_name, answer, sent_at):
-        now = self.memory_fleet.loop.clock.now()
-        return self.rate_limits.accept(promoter_name, answer, sent_at, now)
+        return self.rate_exchange.apply_answer(promoter_name, answer, sent_at)
 
     def is_partitioned(self):
         return False
