--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -10,11 +10,11 @@
     catalog,
     catalog_feed,
     configuration_age,
-    connection_leases,
     errors,
     event_log,
     heartbeats,
     http1,
+    proxy_dump,
     rate_exchange,
     rate_limits,
     reachability,
@@ -95,21 +95,34 @@
     dialect : dialect.Dialect
     orders : takeover.PromotionOrders
     rng : random.Random
+
+    Attributes
+    ----------
+    groups_by_name : dict of str to server_group.ServerGroup
+    metrics : session_metrics.SessionMetrics
+    catalog : catalog.Catalog
+    catalog_feed : catalog_feed.CatalogFeed
+    configuration_age : configuration_age.ConfigurationAge
+    fleet : session_fleet.SessionFleet
+    owners : session_owners.GroupOwnerRouting
+    rate_limits : rate_limits.RateLimits
+    rate_exchange : rate_exchange.RateExchange
+    sessions : session_server.SessionServer
     """
 
     def __init__(self, loop, settings, store, source, dialect, orders, rng):
         self._loop = loop
-        self._settings = settings
+        self.settings = settings
         self._dialect = dialect
         self._promotion_orders = orders
-        self._store = store
+        self.store = store
         self._regions = regions.Regions(
             settings.failure_domain, settings.region_by_domain
         )
         self._shutdown_since = None
         self._partitioned = False
         self._partitioned_since = None
-        self._groups_by_name = {}
+        self.groups_by_name = {}
         self._takeovers_by_group = {}
         self.metrics = session_metrics.SessionMetrics()
         self.catalog = catalog.Catalog()
@@ -148,7 +161,7 @@
             loop.clock.now(),
             self.owners.rank_owners,
         )
-        self._rate_exchange = rate_exchange.RateExchange(loop.clock, self.rate_limits)
+        self.rate_exchange = rate_exchange.RateExchange(loop.clock, self.rate_limits)
         self.catalog_feed = catalog_feed.CatalogFeed(
             loop,
             store,
@@ -212,19 +225,19 @@
 
     def get_group(self, name):
         """Return the ``ServerGroup`` of a group, created when it is first needed."""
-        group = self._groups_by_name.get(name)
+        group = self.groups_by_name.get(name)
         if group is None:
             group = server_group.ServerGroup(
                 self._loop,
                 self._dialect,
                 name,
-                self._settings.name,
-                self._settings.failure_domain,
+                self.settings.name,
+                self.settings.failure_domain,
                 self.catalog.draining_since_by_id.get,
                 regions=self._regions,
             )
             group.partitioned = self._partitioned
-            self._groups_by_name[name] = group
+            self.groups_by_name[name] = group
             self._takeovers_by_group[name] = takeover.Takeover(
                 self._loop,
                 group,
@@ -264,28 +277,7 @@
 
     def dump(self):
         """Return the state of the process as plain values."""
-        version, revision = self.catalog_feed.versions
-        now = self._loop.clock.now()
-        return {
-            "name": self._settings.name,
-            "ready": self.ready,
-            "configuration": version,
-            "servers_revision": revision.number,
-            "servers_era": revision.era,
-            "store_era": self._store.era,
-            "store_is_away": self.catalog_feed.is_store_unreachable,
-            "configuration_age": self.configuration_age.state_proof(
-                self._loop.clock.now()
-            ).age_seconds,
-            "sessions": len(self.sessions),
-            "busy_sessions": self.sessions.busy_count,
-            "fleet": self.fleet.dump(),
-            "rates": self.rate_limits.dump(now),
-            "rate_pot": self._rate_exchange.dump_pot(now),
-            "groups": {
-                name: group.dump() for name, group in self._groups_by_name.items()
-            },
-        }
+        return proxy_dump.describe_proxy(self, self._loop.clock.now())
 
     # Interface for the fleet
 
@@ -323,13 +315,13 @@
 
     def connected_groups(self):
         """Return the groups whose servers this process is connected to."""
-        return [name for name, group in self._groups_by_name.items() if group.active]
+        return [name for name, group in self.groups_by_name.items() if group.active]
 
     def demand_by_group(self):
         """Return the average number of statements that wait or run, by group."""
         return {
             name: round(group.slot_share.demand, 3)
-            for name, group in self._groups_by_name.items()
+            for name, group in self.groups_by_name.items()
             if group.active
         }
 
@@ -337,15 +329,15 @@
         """Apply the demand of all proxies to this process's share of the slots."""
         now = self._loop.clock.now()
         for name, total_demand in total_demand_by_group.items():
-            if name in self._groups_by_name:
-                self._groups_by_name[name].slot_share.record_total(total_demand, now)
+            if name in self.groups_by_name:
+                self.groups_by_name[name].slot_share.record_total(total_demand, now)
 
     def groups_without_primary(self):
         """Return the connected groups whose primary this process does not reach."""
         now = self._loop.clock.now()
         return [
             name
-            for name, group in self._groups_by_name.items()
+            for name, group in self.groups_by_name.items()
             if group.active
             and takeover.promotion_reason(group.primary_symptoms(now), now)
             in {takeover.PRIMARY_UNREACHABLE, takeover.WRITES_UNACKNOWLEDGED}
@@ -353,15 +345,15 @@
 
     def rate_report(self, promoter_name):
         """Return the ``RateReport`` for a promoter; unset without tenants."""
-        return self._rate_exchange.report(promoter_name)
+        return self.rate_exchange.report(promoter_name)
 
     def answer_rate_report(self, name, report, term):
         """Return the ``RateAnswer`` to a proxy's report."""
-        return self._rate_exchange.answer(name, report, term)
+        return self.rate_exchange.answer(name, report, term)
 
     def apply_rate_answer(self, promoter_name, answer, sent_at):
         """Take over the promoter's answer; return whether to report again at once."""
-        return self._rate_exchange.apply_answer(promoter_name, answer, sent_at)
+        return self.rate_exchange.apply_answer(promoter_name, answer, sent_at)
 
     def is_partitioned(self):
         """Return whether this process does not reach the other failure domains."""
@@ -376,7 +368,7 @@
 
         A process without connections to servers cannot detect a partition by itself.
         """
-        if any(group.active for group in self._groups_by_name.values()):
+        if any(group.active for group in self.groups_by_name.values()):
             return None
         return self.owners.reference_owner(self.fleet.reference_failures)
 
@@ -389,14 +381,14 @@
         self._update_limits()
 
     def _is_primary_unreachable(self, group_name):
-        group = self._groups_by_name.get(group_name)
+        group = self.groups_by_name.get(group_name)
         return group is not None and group.is_primary_unreachable(
             self._loop.clock.now()
         )
 
     def _primary_domain(self, group_name):
         """Return the failure domain of a group's known primary, or None."""
-        group = self._groups_by_name.get(group_name)
+        group = self.groups_by_name.get(group_name)
         return None if group is None else group.primary_domain
 
     def _update_active_groups(self, now):
@@ -405,13 +397,13 @@
         watches_all = (
             self.fleet.election.is_promoter or self.fleet.election.is_successor
         )
-        for name, group in self._groups_by_name.items():
+        for name, group in self.groups_by_name.items():
             used_recently = now - group.last_request_at < GROUP_RECENT_USE_SECONDS
             group.supervised = watches_all
             group.active = (
                 self.owners.holds_connections(name) or watches_all or used_recently
             )
-        any_active = any(group.active for group in self._groups_by_name.values())
+        any_active = any(group.active for group in self.groups_by_name.values())
         self.catalog_feed.set_server_watch_pause(short=any_active)
 
     # Changes of catalog and fleet
@@ -439,8 +431,8 @@
             owner_count = self.owners.update_owners(
                 name, limits.connections, configuration.tenants
             )
-            if name in self._groups_by_name:
-                self._groups_by_name[name].set_limits(
+            if name in self.groups_by_name:
+                self.groups_by_name[name].set_limits(
                     limits, owner_count, configuration.tenants
                 )
         now = self._loop.clock.now()
@@ -457,7 +449,7 @@
         if self._regions.are_several:
             self.sessions.close_misplaced()
         if self.fleet.election.is_promoter and not self._partitioned:
-            for name, group in self._groups_by_name.items():
+            for name, group in self.groups_by_name.items():
                 reported_since = self.fleet.reports.primary_unreachable_since(name)
                 symptoms = group.primary_symptoms(now, reported_since)
                 self._takeovers_by_group[name].start_if_needed(symptoms)
@@ -470,12 +462,12 @@
         """Update whether this process is partitioned, and close idle sessions then."""
         contacts = [
             contact
-            for group in self._groups_by_name.values()
+            for group in self.groups_by_name.values()
             if group.active
             for contact in group.contacts(now)
         ]
         if contacts:
-            own_domain = self._settings.failure_domain
+            own_domain = self.settings.failure_domain
             relevant_contacts = reachability.relevant_contacts(
                 own_domain,
                 contacts,
@@ -492,7 +484,7 @@
         if partitioned != self._partitioned:
             self._partitioned = partitioned
             event_log.event("cut_off" if partitioned else "connected")
-            for group in self._groups_by_name.values():
+            for group in self.groups_by_name.values():
                 # Servers that did not answer during the partition may answer now.
                 group.reset_failure_detection()
                 group.partitioned = partitioned
@@ -500,7 +492,7 @@
             self.sessions.close_idle()
         elif self._refuses_keys():
             self.sessions.close_idle_with_keys()
-        for name, group in self._groups_by_name.items():
+        for name, group in self.groups_by_name.items():
             primary_unreachable = group.active and group.is_primary_unreachable(now)
             if primary_unreachable and self.owners.was_recently_relayed(name, now):
                 self.sessions.close_idle(name)
@@ -518,49 +510,14 @@
                 known = heartbeats.decode_known_versions(request.query)
                 return http1.json_response(self.fleet.view(known))
             case ("GET", path) if path == METRICS_PATH:
-                body = self.metrics.render(self._gauge_values())
+                body = self.metrics.render(
+                    proxy_dump.gauge_values(self, self._loop.clock.now())
+                )
                 return http1.Response(200, body, session_metrics.CONTENT_TYPE)
             case ("GET", path) if path == STATE_PATH:
                 return http1.json_response(self.dump())
         raise errors.NotFound(request.path)
 
-    def _gauge_values(self):
-        crossings = [group.crossings() for group in self._groups_by_name.values()]
-        connections = connection_leases.ConnectionCounts.total(
-            group.connection_counts for group in self._groups_by_name.values()
-        )
-        values = {
-            "open_sessions": len(self.sessions),
-            "busy_sessions": self.sessions.busy_count,
-            "configuration_version": self.catalog_feed.versions[0],
-            "promoter": int(self.fleet.election.is_promoter),
-            "store_away": int(self.catalog_feed.is_store_unreachable),
-            "store_era": self._store.era,
-            "store_calls": self._store.call_count,
-            "store_calls_failed": self._store.failed_call_count,
-            "operations_admitted": self.rate_limits.admitted_count,
-            "operations_rate_limited": self.rate_limits.refused_count,
-            "log_lines_dropped": event_log.dropped_lines(),
-            "heartbeats_to_other_regions": self.fleet.heartbeats_to_other_regions,
-            "sessions_relayed_to_other_regions": self.owners.relays_to_other_regions,
-            "statements_to_other_regions": sum(
-                crossing.statement_count for crossing in crossings
-            ),
-            "other_region_round_trip_seconds": max(
-                (crossing.round_trip_seconds for crossing in crossings), default=0.0
-            ),
-            "other_region_queue_seconds": max(
-                (crossing.queue_seconds for crossing in crossings), default=0.0
-            ),
-            "connections_opened": connections.opened,
-            "connections_refused": connections.refused,
-            "connections_given_up": connections.given_up,
-        }
-        if self.configuration_age.is_required:
-            age_seconds = self.configuration_age.age(self._loop.clock.now())
-            values["configuration_age_seconds"] = age_seconds
-        return values
-
     def _record_reply(self, request, database, reply, arrived_at):
         """Count and log the reply to a request."""
         seconds = self._loop.clock.now() - arrived_at
@@ -584,7 +541,7 @@
 
     def _drain(self):
         """Close the sessions within the grace period and stop the loop; a task."""
-        grace_seconds = self._settings.grace_seconds
+        grace_seconds = self.settings.grace_seconds
         started_at = self._shutdown_since
         yield self._loop.sleep_until(started_at + STOP_LISTENING_SHARE * grace_seconds)
         self.sessions.stop_listening()
@@ -598,7 +555,7 @@
                 break
             yield self._loop.sleep_until(now + DRAIN_POLL_SECONDS)
         event_log.event("stopped", sessions_left=len(self.sessions))
-        for group in self._groups_by_name.values():
+        for group in self.groups_by_name.values():
             group.close()
         self._loop.stop()
 
--- a/tests/test_key_secrecy.py
+++ b/tests/test_key_secrecy.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cassiahill import transport
+from cassiahill import clock, proxy_dump, transport
 from cassiahill.caller_checks import CallerChecks
 from cassiahill.shared_store import MemorySharedStore
 from cassiahill.tenants import digest_key
@@ -114,9 +114,10 @@
             peer.send_lines(b"GET /v1/state HTTP/1.1", b"Host: x", b"")
             self.assertTrue(peer.read_line().startswith(b"HTTP/1.1 200"))
             peer.close()
+            gauges = proxy_dump.gauge_values(proxy, clock.SystemClock().now())
             outputs = [
                 msgspec.json.encode(proxy.dump()).decode(),
-                proxy.metrics.render(proxy._gauge_values()).decode(),
+                proxy.metrics.render(gauges).decode(),
                 repr(proxy.catalog.configuration),
                 repr(store.list("proxies").result()),
             ]
