--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -24,15 +24,11 @@
     session_metrics,
     session_owners,
     session_server,
+    session_shutdown,
     successor_nearness,
     takeover,
 )
 
-# Instants of a shutdown, as fractions of the grace period.
-STOP_LISTENING_SHARE = 0.4  # By then the balancer sends no new clients.
-REFUSE_STATEMENTS_SHARE = 0.5  # Until then open transactions may end by themselves.
-EXIT_SHARE = 0.85  # The rest is left for the process to exit.
-DRAIN_POLL_SECONDS = 0.05
 SUPERVISION_INTERVAL_SECONDS = 0.05
 # A group that was used within this time keeps its connections.
 GROUP_RECENT_USE_SECONDS = 5.0
@@ -119,7 +115,6 @@
         self._regions = regions.Regions(
             settings.failure_domain, settings.region_by_domain
         )
-        self._shutdown_since = None
         self._partitioned = False
         self._partitioned_since = None
         self.groups_by_name = {}
@@ -192,6 +187,13 @@
             self.owners,
             self.caller_checks,
         )
+        self._shutdown = session_shutdown.SessionShutdown(
+            loop,
+            settings.grace_seconds,
+            self.sessions,
+            self.fleet.election,
+            self.groups_by_name,
+        )
         self._readiness_server = http1.Server(
             loop, settings.readiness_address, self._handle_readiness_request
         )
@@ -204,7 +206,7 @@
     def ready(self):
         """Whether the balancer should send new clients."""
         return (
-            self._shutdown_since is None
+            not self._shutdown.has_begun
             and self.knows_deployment()
             and not self._partitioned
             and not self._refuses_keys()
@@ -258,23 +260,15 @@
     def install_signal_handlers(self):
         """Shut down on SIGTERM and SIGINT; log SIGHUP, which needs no action."""
         signal.signal(
-            signal.SIGTERM, lambda *_: self._loop.call_soon(self.start_shutdown)
+            signal.SIGTERM, lambda *_: self._loop.call_soon(self._shutdown.start)
         )
         signal.signal(
-            signal.SIGINT, lambda *_: self._loop.call_soon(self.start_shutdown)
+            signal.SIGINT, lambda *_: self._loop.call_soon(self._shutdown.start)
         )
         signal.signal(
             signal.SIGHUP, lambda *_: self._loop.call_soon(event_log.event, "reload")
         )
 
-    def start_shutdown(self):
-        """Stop accepting clients, drain the open sessions, and stop the loop."""
-        if self._shutdown_since is None:
-            self._shutdown_since = self._loop.clock.now()
-            self.fleet.election.shutting_down = True
-            event_log.event("stop_begins", sessions=len(self.sessions))
-            self._loop.spawn(self._drain())
-
     def dump(self):
         """Return the state of the process as plain values."""
         return proxy_dump.describe_proxy(self, self._loop.clock.now())
@@ -537,28 +531,6 @@
                 position=reply.position,
             )
 
-    # Shutdown within the grace period
-
-    def _drain(self):
-        """Close the sessions within the grace period and stop the loop; a task."""
-        grace_seconds = self.settings.grace_seconds
-        started_at = self._shutdown_since
-        yield self._loop.sleep_until(started_at + STOP_LISTENING_SHARE * grace_seconds)
-        self.sessions.stop_listening()
-        refuse_at = started_at + REFUSE_STATEMENTS_SHARE * grace_seconds
-        while len(self.sessions):
-            self.sessions.close_idle()
-            now = self._loop.clock.now()
-            if now >= refuse_at:
-                self.sessions.refuse_statements()
-            if now >= started_at + EXIT_SHARE * grace_seconds:
-                break
-            yield self._loop.sleep_until(now + DRAIN_POLL_SECONDS)
-        event_log.event("stopped", sessions_left=len(self.sessions))
-        for group in self.groups_by_name.values():
-            group.close()
-        self._loop.stop()
-
 
 def _spread_of(name):
     """Return a number from 0 to 1 that differs among the names of proxies."""
