--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -14,10 +14,10 @@
     event_log,
     heartbeats,
     http1,
+    partition_detector,
     proxy_dump,
     rate_exchange,
     rate_limits,
-    reachability,
     regions,
     server_group,
     session_fleet,
@@ -115,8 +115,9 @@
         self._regions = regions.Regions(
             settings.failure_domain, settings.region_by_domain
         )
-        self._partitioned = False
-        self._partitioned_since = None
+        self._partition = partition_detector.PartitionDetector(
+            settings.failure_domain, self._regions
+        )
         self.groups_by_name = {}
         self._takeovers_by_group = {}
         self.metrics = session_metrics.SessionMetrics()
@@ -208,7 +209,7 @@
         return (
             not self._shutdown.has_begun
             and self.knows_deployment()
-            and not self._partitioned
+            and not self._partition.partitioned
             and not self._refuses_keys()
         )
 
@@ -238,7 +239,7 @@
                 self.catalog.draining_since_by_id.get,
                 regions=self._regions,
             )
-            group.partitioned = self._partitioned
+            group.partitioned = self._partition.partitioned
             self.groups_by_name[name] = group
             self._takeovers_by_group[name] = takeover.Takeover(
                 self._loop,
@@ -351,7 +352,7 @@
 
     def is_partitioned(self):
         """Return whether this process does not reach the other failure domains."""
-        return self._partitioned
+        return self._partition.partitioned
 
     def is_store_unreachable(self):
         """Return whether the store does not answer this process."""
@@ -442,7 +443,7 @@
         self._check_reachability(now)
         if self._regions.are_several:
             self.sessions.close_misplaced()
-        if self.fleet.election.is_promoter and not self._partitioned:
+        if self.fleet.election.is_promoter and not self._partition.partitioned:
             for name, group in self.groups_by_name.items():
                 reported_since = self.fleet.reports.primary_unreachable_since(name)
                 symptoms = group.primary_symptoms(now, reported_since)
@@ -454,35 +455,8 @@
 
     def _check_reachability(self, now):
         """Update whether this process is partitioned, and close idle sessions then."""
-        contacts = [
-            contact
-            for group in self.groups_by_name.values()
-            if group.active
-            for contact in group.contacts(now)
-        ]
-        if contacts:
-            own_domain = self.settings.failure_domain
-            relevant_contacts = reachability.relevant_contacts(
-                own_domain,
-                contacts,
-                self.fleet.peer_contacts.contacts(),
-                self._regions,
-            )
-            self._partitioned_since = reachability.partitioned_since(
-                self._partitioned_since, own_domain, relevant_contacts, now
-            )
-            partitioned = self._partitioned_since is not None
-        else:
-            self._partitioned_since = None
-            partitioned = self.fleet.peers_indicate_partition(now)
-        if partitioned != self._partitioned:
-            self._partitioned = partitioned
-            event_log.event("cut_off" if partitioned else "connected")
-            for group in self.groups_by_name.values():
-                # Servers that did not answer during the partition may answer now.
-                group.reset_failure_detection()
-                group.partitioned = partitioned
-        if partitioned:
+        self._partition.update(self.groups_by_name.values(), self.fleet, now)
+        if self._partition.partitioned:
             self.sessions.close_idle()
         elif self._refuses_keys():
             self.sessions.close_idle_with_keys()
