--- a/cassiahill/session_owners.py
+++ b/cassiahill/session_owners.py
@@ -34,7 +34,7 @@
         Returns whether the configuration and the fleet's members are known.
     is_primary_unreachable : callable
         Returns whether this process has not reached a group's primary for long.
-    process_state : session_fleet.ProcessState
+    process_state : process_state.ProcessState
     region_by_domain : dict of str to str, or None
         Region of each failure domain; None or empty without regions.
     primary_domain : callable or None
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -15,6 +15,7 @@
     heartbeats,
     http1,
     partition_detector,
+    process_state,
     proxy_dump,
     rate_exchange,
     rate_limits,
@@ -79,7 +80,7 @@
     rate_tolerance: rate_limits.RateTolerance = rate_limits.RateTolerance()
 
 
-class SessionProxy(session_fleet.ProcessState):
+class SessionProxy(process_state.ProcessState):
     """The session proxy of one process and all its parts.
 
     Parameters
--- a/cassiahill/store_follower.py
+++ b/cassiahill/store_follower.py
@@ -30,7 +30,7 @@
     own_member : heartbeats.Member
     registry : member_registry.MemberRegistry
     client : member_client.MemberClient
-    process_state : session_fleet.ProcessState
+    process_state : process_state.ProcessState
     rng : random.Random
     regions : regions.Regions
 
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -22,6 +22,7 @@
 from cassiahill.catalog_feed import CatalogFeed, CatalogSource
 from cassiahill.configuration_age import ConfigurationAge
 from cassiahill.loop import LoopFuture, failed_future
+from cassiahill.process_state import ProcessState
 from tests.line_group import InMemoryGroup
 from tests.stepped_loop import SteppedLoop
 
@@ -172,7 +173,7 @@
         pass
 
 
-class MemoryProcess(session_fleet.ProcessState):
+class MemoryProcess(ProcessState):
     """One process with its fleet and its catalog, without clients and servers."""
 
     def __init__(self, memory_fleet, name, domain, connected):
--- a/tests/test_session_fleet.py
+++ b/tests/test_session_fleet.py
@@ -10,6 +10,7 @@
 from cassiahill.heartbeats import Heartbeat, Member, View
 from cassiahill.loop import failed_future
 from cassiahill.member_registry import PROXIES_KIND, WATCH_PAUSE_SECONDS
+from cassiahill.process_state import ProcessState
 from cassiahill.promoter_election import PROMOTER_NAME, FencingTokens
 from cassiahill.session_fleet import SessionFleet
 from cassiahill.shared_store import MemorySharedStore, Revision
@@ -20,7 +21,7 @@
 CLAIM_SECONDS = 2 * session_fleet.HEARTBEAT_INTERVAL_SECONDS
 
 
-class FixedProcessState(session_fleet.ProcessState):
+class FixedProcessState(ProcessState):
     """A connected process whose state the test sets."""
 
     def __init__(self):
