--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -21,6 +21,7 @@
     http1,
     member_registry,
     promoter_election,
+    rate_heartbeats,
     reachability,
     store_follower,
 )
@@ -101,6 +102,9 @@
             own_member.name,
             lambda: self.follower.following.readers.domains_by_name,
         )
+        self._rate_heartbeats = rate_heartbeats.RateHeartbeats(
+            process_state, self.election, own_member.name
+        )
         self.registry = member_registry.MemberRegistry(
             loop, store, own_member, self.election, rng, self._on_members_changed
         )
@@ -199,7 +203,7 @@
                 self.registry.revision.era,
                 stated_proof.version,
                 stated_proof.age_seconds,
-                self._answer_rate_report(heartbeat.name, heartbeat.rate_report),
+                self._rate_heartbeats.answer(heartbeat.name, heartbeat.rate_report),
             )
         )
 
@@ -217,21 +221,6 @@
         demand_by_domain[self._own_member.failure_domain] += own_demand
         return dict(demand_by_domain)
 
-    def _answer_rate_report(self, name, report):
-        """Return the answer to a proxy's report on the rate limits, or unset."""
-        term = self.election.own_term
-        if report is msgspec.UNSET or term is None:
-            return msgspec.UNSET
-        return self._process_state.answer_rate_report(name, report, term)
-
-    def _exchange_own_rates(self, now):
-        """Give this process its share of the rate limits; it is the promoter."""
-        own_name = self._own_member.name
-        report = self._process_state.rate_report(own_name)
-        answer = self._answer_rate_report(own_name, report)
-        if answer is not msgspec.UNSET:
-            self._process_state.apply_rate_answer(own_name, answer, now)
-
     def _total_demand_for(self, heartbeat):
         """Return the demand of all proxies for the groups that a member watches."""
         if not self.election.is_promoter:
@@ -275,7 +264,7 @@
             demand_by_group = self._process_state.demand_by_group()
             self.reports.update(demand_by_group, now)
             self._process_state.apply_total_demand(self.reports.total_demand_by_group)
-            self._exchange_own_rates(now)
+            self._rate_heartbeats.exchange_own(now)
         elif self._may_become_promoter():
             self._start_heartbeat(self._promoter_member())
             # Before the fleet is known, each process takes itself for the first
@@ -370,7 +359,7 @@
             self._process_state.demand_by_group(),
             servers_revision.era,
             self.registry.revision.era,
-            self._rate_report_for(member),
+            self._rate_heartbeats.report_for(member),
         )
         asked_at = self._loop.clock.now()
         deadline = asked_at + HEARTBEAT_TIMEOUT_SECONDS
@@ -405,7 +394,11 @@
                 self._process_state.apply_total_demand(
                     heartbeat_answer.total_demand_by_group
                 )
-                self._apply_rate_answer(member, heartbeat_answer.rate_answer, asked_at)
+                reports_again = self._rate_heartbeats.apply_answer(
+                    member.name, heartbeat_answer.rate_answer, asked_at
+                )
+                if reports_again:
+                    self._loop.call_soon(self._start_heartbeat, member)
             else:
                 self.election.record_resignation(self._loop.clock.now())
         if member.name == self.follower.following.reader_to_ask():
@@ -414,23 +407,6 @@
             )
         self.follower.catch_up_with(member, heartbeat_answer)
 
-    def _rate_report_for(self, member):
-        """Return the report on the rate limits if a member is the promoter."""
-        promoter = self.election.promoter
-        if promoter is None or promoter.name != member.name:
-            return msgspec.UNSET
-        return self._process_state.rate_report(member.name)
-
-    def _apply_rate_answer(self, promoter_member, answer, asked_at):
-        """Take over the promoter's answer on the rate limits; report again if asked."""
-        if answer is msgspec.UNSET:
-            return
-        reports_again = self._process_state.apply_rate_answer(
-            promoter_member.name, answer, asked_at
-        )
-        if reports_again:
-            self._loop.call_soon(self._start_heartbeat, promoter_member)
-
     def _record_contact(self, member, answered):
         """Record whether a member answered; ask other domains if one did not."""
         asks_others = self.peer_contacts.record(
