--- a/cassiahill/proxy_dump.py
+++ b/cassiahill/proxy_dump.py
@@ -68,6 +68,14 @@
         "statements_to_other_regions": sum(
             crossing.statement_count for crossing in crossings
         ),
+        "server_load_spread": max(
+            (
+                group.load_spread(now)
+                for group in groups
+                if group.active and group.pools_by_id
+            ),
+            default=1.0,
+        ),
         "other_region_round_trip_seconds": max(
             (crossing.round_trip_seconds for crossing in crossings), default=0.0
         ),
