Let loans of rate limits outlast a change of the promoter again

With parts that count for 3.6 s, loans could be as short as 1.3 s, less than a change of the promoter takes. 2.4 s bridges a restart and leaves 2.5 s.

--- a/cassiahill/rate_shares.py
+++ b/cassiahill/rate_shares.py
@@ -35,9 +35,9 @@
 # The difference allows for clocks that run at slightly different rates.
 LENT_SECONDS = 4.9
 # A part counts for new loans for this long after the owner's last stamp, so that a
-# restart does not take it from the pot. What remains of a loan then is still longer
-# than two heartbeat intervals.
-STAMP_MAX_AGE_SECONDS = 3.6
+# quick restart does not take it from the pot. Loans then still outlast a change of the
+# promoter.
+STAMP_MAX_AGE_SECONDS = 2.4
 # Added to each reported demand in operations per second, so that the shares of a tenant
 # with few operations do not follow each single one. Demand below the second value gets
 # less: a proxy that is hardly used should not take a share from one that is.
