--- a/cassiahill/rate_limits.py
+++ b/cassiahill/rate_limits.py
@@ -20,9 +20,9 @@
 
 from cassiahill import event_log, rate_shares, rendezvous
 
-BURST_SLACK_SHARE = 5 / 8
+BURST_SLACK_SHARE = 1 / 2
 BURST_EXCESS_SHARE = 1 / 2
-ALLOWANCE_SLACK_SHARE = 1 / 4
+ALLOWANCE_SLACK_SHARE = 3 / 8
 ALLOWANCE_EXCESS_SHARE = 1 / 8
 DEMAND_SECONDS = 4.0  # Time constant of the average demand.
 # The average of a tenant that is new here is taken over at least this time.
