Say more plainly what comments and docstrings of the tenants and regions mean

Cause: a reading by somebody who had not seen the code. Wrong ones are mended: without a connection that has the session's values, the one unused longest is taken, not the one used last; a pool goes beyond its quota also when all its idle connections are of waiting tenants; the owners near the primary are not used in a deployment with tenants. No behaviour changes.

--- a/cassiahill/catalog_feed.py
+++ b/cassiahill/catalog_feed.py
@@ -13,8 +13,8 @@
 # a second or less. They read a larger one in the store.
 LARGE_CONFIGURATION_BYTES = 65_536
 LAPSE_CHECK_INTERVAL_SECONDS = 0.2
-# Many times what a store in good order takes. A store that was silent is found to be
-# back sooner by another call than by the answer to a lost one.
+# Many times what a store in good order takes. After an outage, another call is answered
+# sooner than a lost one fails by the store's own time-out.
 PROOF_TIMEOUT_SECONDS = 0.6
 # Longer for processes without connections: the store limits the calls of all proxies.
 UNCONNECTED_WATCH_PAUSE_SECONDS = 2.0
@@ -45,8 +45,8 @@
 class _StoredVersion:
     """Version of the configuration that the store held at a revision.
 
-    It is None if it cannot be read. A restored store may hold a lower version than the
-    installed one.
+    The version is None if the configuration cannot be read. A restored store may hold a
+    lower version than the installed one.
     """
 
     revision: Revision = Revision()
--- a/cassiahill/configuration_age.py
+++ b/cassiahill/configuration_age.py
@@ -49,7 +49,7 @@
     Attributes
     ----------
     version : int
-        Version than which the store held no newer one.
+        The store held no newer version than this one.
     age_seconds : float or None
         Time since then; None if there is no proof.
     """
@@ -79,7 +79,7 @@
     proved_at : float
         Instant of the last proof; minus infinity without one.
     proved_version : int
-        Version than which there was no newer one at that instant.
+        The store held no newer version than this one at that instant.
     """
 
     def __init__(self, bound_seconds, now, spread=0.0):
--- a/cassiahill/connection_leases.py
+++ b/cassiahill/connection_leases.py
@@ -1,4 +1,4 @@
-"""Connections of a pool while requests use them, and what became of connections."""
+"""Leases of pooled connections, and counts of opened and given up connections."""
 
 import attrs
 
@@ -7,7 +7,7 @@
 
 @attrs.define
 class ConnectionCounts:
-    """What became of connections to one server or one group since the start.
+    """Counts of connections to one server or one group since the start.
 
     Attributes
     ----------
--- a/cassiahill/connection_quotas.py
+++ b/cassiahill/connection_quotas.py
@@ -16,8 +16,8 @@
 # of them are shared, and one that is reopened costs a slot. After a power failure, new
 # ones may be refused until the server has dropped the lost ones.
 TENANT_QUOTA_SHARE = 0.875
-# One tenant's transactions may hold as many connections as if all owners kept half of
-# the limit for it, so that those at rest leave room for others at every owner.
+# One tenant may hold as many connections as if all owners kept half of the limit for
+# it, so that its transactions at rest leave room for others at every owner.
 TENANT_LIMIT_SHARE = 0.5
 MIN_TENANT_LIMIT = 2  # One for a transaction and one for other statements.
 
--- a/cassiahill/fair_queueing.py
+++ b/cassiahill/fair_queueing.py
@@ -39,7 +39,7 @@
 
 @attrs.define
 class FairOrder:
-    """Tags of the requests that wait together.
+    """Tags of the requests that wait with the same priority.
 
     Attributes
     ----------
--- a/cassiahill/heartbeat_peers.py
+++ b/cassiahill/heartbeat_peers.py
@@ -117,7 +117,7 @@
 
 
 def _regions_of_peers(regions):
-    """Return regions that hold only if the own region has witnesses of a partition."""
+    """Return the regions; a single one if the own region has too few other domains."""
     return regions if regions.own_region_has_witnesses else Regions(regions.own_domain)
 
 
--- a/cassiahill/heartbeats.py
+++ b/cassiahill/heartbeats.py
@@ -142,7 +142,7 @@
     servers_era, members_era : int
         Eras of the two revisions.
     proved_version : int
-        Version than which the store held no newer one, ``proof_age`` ago.
+        The store held no newer version than this one, ``proof_age`` ago.
     proof_age : float or None
         Seconds at the instant of the answer. The receiver counts them from the instant
         at which it sent the heartbeat. None if there is no proof.
--- a/cassiahill/idle_connections.py
+++ b/cassiahill/idle_connections.py
@@ -1,9 +1,9 @@
 """The idle connections of a pool, by the tenant in whose name each was opened.
 
 A server runs every statement on a connection as that tenant, so a client's statement
-gets a connection of its own tenant only. The load that this answers has more tenants
-than a server accepts connections: the connection that was unused longest is given up
-for a tenant that waits for one.
+gets a connection of its own tenant only. With more tenants than a server accepts
+connections, the connection that was unused longest is given up for a tenant that waits
+for one.
 """
 
 
@@ -53,8 +53,8 @@
         ----------
         tenant : str or None
         values_by_name : dict
-            Session values; a connection that has them is preferred, then the one that
-            was used last.
+            Session values; the connection that has them and was used last is
+            preferred, without one that which was unused longest.
         """
         connections = self._idle_by_tenant.get(tenant)
         if not connections:
--- a/cassiahill/member_registry.py
+++ b/cassiahill/member_registry.py
@@ -229,8 +229,8 @@
     def _replace_members(self):
         """Decode the documents that have changed, and report the change.
 
-        In a large fleet every list repeats all members, at the start of all proxies
-        several times.
+        In a large fleet every list repeats all members, and there are several lists
+        when all proxies start.
         """
         documents_by_name = self._lost_documents_by_name | self._documents_by_name
         self._decoded_by_name = {
--- a/cassiahill/network_delays.py
+++ b/cassiahill/network_delays.py
@@ -1,8 +1,8 @@
 """Network delay to a server: by its distance, or as measured; does no I/O.
 
 All traffic between two regions shares one narrow link. When the link is full, a queue
-builds before it and the round trips across grow. Reads then leave it by themselves,
-because the measured delay is part of what a read is expected to take.
+builds before it and the round trips across grow. Fewer reads then cross it, because the
+measured delay is part of what a read is expected to take.
 """
 
 import attrs
@@ -56,7 +56,7 @@
 
 @attrs.frozen
 class Crossings:
-    """What crosses to the servers in other regions.
+    """Traffic from this process to the servers in other regions.
 
     Attributes
     ----------
--- a/cassiahill/placement.py
+++ b/cassiahill/placement.py
@@ -2,7 +2,8 @@
 
 The choice is meant for heavy load: servers have few free slots, replicas lag, a server
 is unreachable, or one kind of request arrives at several times its usual rate. A server
-in another region is chosen only if the nearer ones are so much busier.
+in another region is chosen only if the nearer ones are busier by more than the longer
+round trip.
 """
 
 import attrs
@@ -66,8 +67,8 @@
     may_have_position : bool
         Whether its log may have the required position.
     latency_seconds : float
-        Expected duration of a read for each statement there, with the wait in the
-        server's queue; see ``server_load.ExpectedLoad``.
+        Expected duration of a read that is alone there; see
+        ``server_load.ExpectedLoad``.
     running_statements : int
         Statements of this process that run there.
     network_seconds : float
@@ -100,8 +101,8 @@
     seconds = candidate.latency_seconds * (1 + statement_count)
     if candidate.is_primary:
         seconds *= PRIMARY_COST_FACTOR
-    # The duration of statements already contains the way, so that crossing to another
-    # region counts twice: it also takes room on the link.
+    # The measured durations already contain the round trip, so crossing to another
+    # region counts twice. That is intended: it also takes room on the link.
     seconds += candidate.network_seconds
     if candidate.may_be_unreachable:
         seconds += UNREACHABLE_PENALTY_SECONDS
--- a/cassiahill/process_state.py
+++ b/cassiahill/process_state.py
@@ -1,4 +1,4 @@
-"""What the fleet asks of the rest of its process, and tells it."""
+"""Interface through which the fleet asks and informs the rest of its process."""
 
 import msgspec
 
--- a/cassiahill/rate_heartbeats.py
+++ b/cassiahill/rate_heartbeats.py
@@ -1,4 +1,4 @@
-"""What heartbeats carry about the rate limits, by who is the promoter."""
+"""Decides which heartbeats and answers carry reports on the rate limits."""
 
 import msgspec
 
--- a/cassiahill/rate_limits.py
+++ b/cassiahill/rate_limits.py
@@ -329,7 +329,8 @@
         """Return the use of a tenant that was not used here recently.
 
         The static part belongs to this proxy alone, so its tokens have gathered since
-        it may be used. A loan has none, because it is lent to those that report demand.
+        it may be used. A loan starts without tokens, because it is lent to those that
+        report demand.
         """
         use = TenantUse(TokenBucket(0.0, now), now, now)
         static_from = self.lease.static_from
--- a/cassiahill/rate_shares.py
+++ b/cassiahill/rate_shares.py
@@ -39,8 +39,9 @@
 # promoter.
 STAMP_MAX_AGE_SECONDS = 2.4
 # Added to each reported demand in operations per second, so that the shares of a tenant
-# with few operations do not follow each single one. Demand below the second value gets
-# less: a proxy that is hardly used should not take a share from one that is.
+# with few operations do not follow each single one. Demand below
+# ``FULLY_RAISED_DEMAND`` is raised by less: a proxy that a tenant hardly uses should
+# not take a share from one that it uses more.
 ADDED_DEMAND = 1.5
 FULLY_RAISED_DEMAND = 0.02
 
@@ -215,7 +216,7 @@
         What it holds of another promoter's pot.
     is_free : bool
         Whether its part is promised to no other pot. A process that has restarted does
-        not know, but its former run said so a short time before.
+        not know; what its former run reported a short time before still counts.
     """
 
     report: RateReport = attrs.field(factory=lambda: RateReport("", -math.inf))
--- a/cassiahill/regions.py
+++ b/cassiahill/regions.py
@@ -41,7 +41,7 @@
 
     own_domain: str
     region_by_domain: dict = attrs.field(factory=dict, hash=False)
-    # Kept, because it is read for each candidate of each statement.
+    # Computed once, because it is read for each candidate of each statement.
     are_several: bool = attrs.field(init=False)
 
     @are_several.default
--- a/cassiahill/request_queue.py
+++ b/cassiahill/request_queue.py
@@ -5,10 +5,9 @@
 priority. Within a priority, those that can still meet their latency target go before
 those that cannot: under overload, a plain first-in-first-out queue would answer all of
 them late. Otherwise, the order is that of arrival, and in a deployment with tenants
-that of ``fair_queueing``. A request is refused as soon as it
-is known that it cannot be served in time, and at the latest after ``MAX_WAIT_SHARE`` of
-its time. In a lasting overload that is known at its arrival, from the wait of those
-before it.
+that of ``fair_queueing``. A request is refused as soon as it is known that it cannot be
+served in time, and at the latest after ``MAX_WAIT_SHARE`` of its time. In a lasting
+overload that is known at its arrival, from the wait of those before it.
 """
 
 import collections
@@ -156,8 +155,8 @@
     def has_room_for(self, request, now):
         """Return whether a request that has just arrived may get a connection in time.
 
-        Only requests of its own tenant tell: those of a tenant that floods the group
-        wait for long, while others are served before them.
+        Only requests of its own tenant are considered: those of a tenant that floods
+        the group wait for long, while others are served before them.
 
         Parameters
         ----------
--- a/cassiahill/server_load.py
+++ b/cassiahill/server_load.py
@@ -4,8 +4,8 @@
 knowledge that is about a heartbeat old. It uses what is known at once, the statements
 of this process and the durations of its reads, and the demand of all proxies, which the
 heartbeats carry. The other proxies are expected to fill the servers to an equal level,
-so that their statements count only where that is impossible: at a primary whose own
-statements exceed that level.
+which changes no choice. Only a primary is expected to be fuller, if the statements that
+need it exceed that level.
 """
 
 import collections
@@ -56,8 +56,8 @@
     Attributes
     ----------
     latency_seconds : float
-        Expected duration of a read there, for each statement at the server. It is
-        shorter at a server with more slots than the others.
+        Expected duration of a read that is alone there; each statement beside it
+        adds as much. It is shorter at a server with more slots than the others.
     other_statements : float
         Statements of other processes that wait or run there.
     slowness : float
@@ -173,6 +173,9 @@
 def spread_statements(count, primary_only_count, weights_by_id, primary_id):
     """Spread statements so that the servers reach an equal level for their weight.
 
+    If more statements need the primary than that gives it, it gets just these, and the
+    other servers share the rest.
+
     Parameters
     ----------
     count, primary_only_count : float
--- a/cassiahill/server_pool.py
+++ b/cassiahill/server_pool.py
@@ -8,7 +8,7 @@
 In a deployment with tenants, a connection serves the one tenant in whose name it was
 opened, and there are more tenants than connections. A pool at its quota gives up the
 idle connection that was unused longest when another tenant waits, and goes beyond its
-quota only when all connections are in use.
+quota only when it has none to give up.
 """
 
 import collections
--- a/cassiahill/session_owners.py
+++ b/cassiahill/session_owners.py
@@ -279,7 +279,8 @@
         -------
         list of heartbeats.Member
             Empty when the session is served in this region, also while none of the
-            owners near the primary accepts sessions.
+            owners near the primary accepts sessions, and in a deployment with tenants,
+            where the owner is chosen by tenant.
         """
         owners = self._owners_by_group.get(route.group)
         primary_domain = self._primary_domain(route.group)
@@ -356,7 +357,7 @@
             self.relays_to_other_regions += 1
 
     def fall_back_to_local(self, group, tenant=None):
-        """Serve a tenant's sessions of a group here for a while, if it is an owner.
+        """Serve a tenant's sessions of a group here for a while, as one of its owners.
 
         Returns
         -------
--- a/cassiahill/store_watcher.py
+++ b/cassiahill/store_watcher.py
@@ -53,9 +53,10 @@
     may_be_stale : bool
         Whether lists may be some seconds old, except after a loss of history.
     on_complete : callable or None
-        Called after each report, and after each watch without changes, with an instant
-        and a ``Revision``. The objects reported by now are those of the revision, and
-        no older than at the instant. Lists that may be stale are left out.
+        Called with an instant and a ``Revision`` after each list and watch, also after
+        watches without changes. All changes up to the revision have been reported, and
+        the store held nothing newer at the instant. Lists that may be stale are left
+        out.
 
     Attributes
     ----------
--- a/cassiahill/tenant_waits.py
+++ b/cassiahill/tenant_waits.py
@@ -56,7 +56,7 @@
         }
 
     def dump(self, now):
-        """Return the tenants that wait most at present, the first one most of all."""
+        """Return the tenants with the longest recent waits, longest first."""
         most = heapq.nlargest(
             SHOWN_TENANTS,
             self._waits_by_tenant.items(),
--- a/cassiahill/tenants.py
+++ b/cassiahill/tenants.py
@@ -1,7 +1,7 @@
 """Tenants: callers that hold keys, with limits on their rate of operations.
 
-Sessions and relays hold digests only, and log lines neither. The keys are in the
-document of the configuration, which proxies also get from one another.
+Sessions and relays hold digests only, and log lines hold neither keys nor digests. The
+keys are in the document of the configuration, which proxies also get from one another.
 """
 
 import hashlib
