Count the owners and expected tenants of the present configuration only

The read-through found, by scripts and by reading: a tenant that was added while the owners stayed was expected nowhere; a version without tenants after a group had left raised an exception; owners of former groups counted at proxies that had known them, so that static parts added up to less than 1; a tenant whose limit was removed could keep tokens without end, or no number, under the next limit. The tests of the first two failed before; the two tests of removed limits passed on the old code too, they only keep the new paths.

--- a/cassiahill/rate_limits.py
+++ b/cassiahill/rate_limits.py
@@ -210,7 +210,8 @@
         self._advance_all(now)
         self._tenants_by_name = {} if directory is None else directory.by_name
         for name in list(self._uses_by_tenant):
-            if name in self._tenants_by_name:
+            tenant = self._tenants_by_name.get(name)
+            if tenant is not None and tenant.is_limited:
                 self._uses_by_tenant[name].allowance = None
             else:
                 del self._uses_by_tenant[name]
@@ -231,11 +232,14 @@
         They are reported with a small demand before their first operation, so that it
         finds a share and tokens. A loan goes to those that report demand.
         """
-        self._expected_names = frozenset(names)
+        self._expected_names = frozenset(
+            name
+            for name in names
+            if name in self._tenants_by_name and self._tenants_by_name[name].is_limited
+        )
         for name in self._expected_names - self._uses_by_tenant.keys():
-            if name in self._tenants_by_name:
-                use = self._start_use(self._tenants_by_name[name], now)
-                self._uses_by_tenant[name] = use
+            use = self._start_use(self._tenants_by_name[name], now)
+            self._uses_by_tenant[name] = use
 
     def admit(self, tenant_name, now):
         """Return whether an operation that a tenant starts is within its limit.
@@ -248,7 +252,7 @@
         now : float
         """
         tenant = self._tenants_by_name.get(tenant_name)
-        if tenant is None or not math.isfinite(tenant.rate + tenant.burst):
+        if tenant is None or not tenant.is_limited:
             return True
         use = self._uses_by_tenant.get(tenant_name)
         if use is None:
--- a/cassiahill/session_owners.py
+++ b/cassiahill/session_owners.py
@@ -68,6 +68,7 @@
         self.relays_to_other_regions = 0
         self._owners_by_group = {}
         self._tenant_owners_by_group = {}
+        self._sent_here_directory = None
         self._sent_here_by_group = {}
         self._tenants_sent_here = frozenset()
         self._domains_by_name = {}
@@ -113,12 +114,25 @@
             )
         return owners.connected_proxy_count
 
-    def names_of_all_owners(self):
-        """Return the proxies that own any group; empty while members are unknown."""
+    def names_of_all_owners(self, groups):
+        """Return the proxies that own any of some groups.
+
+        Parameters
+        ----------
+        groups : iterable of str
+            Groups of the configuration. All proxies count the same owners, also those
+            that knew former groups.
+
+        Returns
+        -------
+        frozenset of str
+            Empty while the members are unknown.
+        """
         if not self._fleet.members_known:
             return frozenset()
+        owners_by_group = self._owners_by_group
         return frozenset().union(
-            *(owners.connected_proxy_names for owners in self._owners_by_group.values())
+            *(owners_by_group[group].connected_proxy_names for group in groups)
         )
 
     def tenants_sent_here(self, directory):
@@ -132,14 +146,18 @@
         -------
         frozenset of str
         """
+        if directory is None:
+            return frozenset()
         owners_by_group = {
             group: tenant_owners
             for group, tenant_owners in self._tenant_owners_by_group.items()
             if self.holds_connections(group)
         }
-        if owners_by_group != self._sent_here_by_group:
+        is_known = directory is self._sent_here_directory
+        if not is_known or owners_by_group != self._sent_here_by_group:
             # Hashing all tenants takes a while, and this is asked for at each change of
             # the members.
+            self._sent_here_directory = directory
             self._sent_here_by_group = owners_by_group
             self._tenants_sent_here = frozenset(
                 tenant
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -433,7 +433,8 @@
                 )
         now = self._loop.clock.now()
         self.rate_limits.install(configuration.tenants, now)
-        self.rate_limits.set_owners(self.owners.names_of_all_owners(), now)
+        owner_names = self.owners.names_of_all_owners(configuration.groups_by_name)
+        self.rate_limits.set_owners(owner_names, now)
         sent_here = self.owners.tenants_sent_here(configuration.tenants)
         self.rate_limits.expect_tenants(sent_here, now)
 
--- a/cassiahill/tenants.py
+++ b/cassiahill/tenants.py
@@ -48,6 +48,11 @@
     burst: float = math.inf
     priority: int = LOWEST_PRIORITY
 
+    @property
+    def is_limited(self):
+        """Whether its operations are limited."""
+        return math.isfinite(self.rate + self.burst)
+
 
 @attrs.frozen
 class TenantDirectory:
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -118,6 +118,22 @@
             self.assertGreaterEqual(sum(admitted), 10)
         self.assertLessEqual(fleet.excess("acme"), 0.0)
 
+    def test_expected_tenant_without_a_limit_gets_no_tokens(self):
+        """Guards against a first limit that starts with tokens without end."""
+        limits = single_proxy(acme=(math.inf, math.inf))
+        limits.expect_tenants(["acme"], 10.0)
+        limits.install(directory(acme=(10.0, 20.0)), 20.0)
+        self.assertLess(admit_all(limits, "acme", 20.0), 100)
+
+    def test_limit_that_is_removed_and_set_again(self):
+        """Guards against a bucket whose tokens are no number any more."""
+        limits = single_proxy(acme=(10.0, 20.0))
+        limits.admit("acme", 10.0)
+        limits.install(directory(acme=(math.inf, math.inf)), 11.0)
+        limits.set_owners([], 12.0)
+        limits.install(directory(acme=(10.0, 20.0)), 13.0)
+        self.assertLess(admit_all(limits, "acme", 13.0), 100)
+
     def test_unused_tenants_are_forgotten(self):
         """Guards against memory and messages that grow with all tenants ever seen."""
         limits = single_proxy(acme=(10.0, 20.0))
--- a/tests/test_tenant_routing.py
+++ b/tests/test_tenant_routing.py
@@ -144,6 +144,29 @@
         ranked = routing.rank_owners("small-1")
         self.assertEqual(set(ranked[: len(first_names)]), first_names)
 
+    def test_added_tenant_is_sent_to_an_owner(self):
+        """Guards against tenants that are expected nowhere because owners stay."""
+        routings = [make_routing(name) for name in DOMAINS_BY_NAME]
+        for routing in routings:
+            routing.tenants_sent_here(make_directory())
+        directory = make_directory(79)
+        for routing in routings:
+            routing.update_owners("orders", 56, directory)
+        self.assertEqual(
+            sum(
+                "small-78" in routing.tenants_sent_here(directory)
+                for routing in routings
+            ),
+            1,
+        )
+
+    def test_group_and_tenants_that_leave_together(self):
+        """Guards against a proxy that fails on a configuration without tenants."""
+        routing = make_routing("host-0")
+        routing.update_owners("stock", 56, None)
+        self.assertEqual(routing.tenants_sent_here(None), frozenset())
+        self.assertEqual(len(routing.names_of_all_owners(["stock"])), 6)
+
     def test_next_owner_serves_when_the_first_does_not_answer(self):
         """Guards against a session without an owner while another one could serve."""
         owner_names = make_tenant_owners().owner_names("small-1", "domain-0")
