Wait for timers of the loop in place of sleeps in two tests

The new tests slept while periodic work of a loop in another thread had to run. They now wait until a timer of that loop has ended, so that what was due before has run however slow the machine is.

--- a/tests/test_tenant_sessions.py
+++ b/tests/test_tenant_sessions.py
@@ -1,6 +1,5 @@
 """Tests of sessions whose callers have keys, on loopback sockets."""
 
-import time
 import unittest
 from unittest import mock
 
@@ -9,6 +8,7 @@
 from cassiahill import sessions
 from cassiahill.caller_checks import CallerChecks
 from cassiahill.tenants import digest_key
+from tests.loop_waits import let_time_pass
 from tests.session_server import LineClient, running_servers
 from tests.tenant_builders import NORTH_KEY, SOUTH_KEY, UNKNOWN_KEY, make_tenants
 
@@ -141,7 +141,7 @@
         with mock.patch.object(sessions.Session, "is_revoked", property(record)):
             self.servers.run_on_loop(self.entry_server.close_revoked)
             self.assertEqual(len(checked_sessions), 2)
-            time.sleep(3.5 * sessions.MIN_IDLE_SECONDS)
+            let_time_pass(self.servers.loop, 3.5 * sessions.MIN_IDLE_SECONDS)
             self.assertEqual(len(set(checked_sessions[2:])), 1)
             client.exchange(b"QUERY 2 ROLLBACK")
             self.assertEqual(client.read_line(), b"")
--- a/tests/test_unproved_configuration.py
+++ b/tests/test_unproved_configuration.py
@@ -6,6 +6,7 @@
 
 from cassiahill import session_server
 from cassiahill.shared_store import MemorySharedStore
+from tests.loop_waits import let_time_pass
 from tests.proxy_process import running_proxy
 from tests.session_server import LineClient, running_servers
 from tests.tenant_builders import NORTH_KEY, UNKNOWN_KEY, make_tenants
@@ -40,7 +41,7 @@
         deadline = time.monotonic() + LIMIT_SECONDS
         while self.proxy.ready is not ready:
             self.assertLess(time.monotonic(), deadline, f"ready is never {ready}")
-            time.sleep(0.02)
+            let_time_pass(self.proxy._loop, 0.02)
 
     def open_session(self, database, key=NORTH_KEY):
         """Return a client and the answer to its opening."""
@@ -73,7 +74,7 @@
         self.assertEqual(answer[-1], b"READY I -")
         _, answer = self.open_session(b"shop", UNKNOWN_KEY)
         self.assertTrue(answer.startswith(b"ERROR BUSY"), answer)
-        time.sleep(1.0)  # Many checks for idle sessions.
+        let_time_pass(self.proxy._loop, 1.0)  # Many checks for idle sessions.
         (answer,) = public_client.exchange(b"QUERY 4 BEGIN")
         self.assertTrue(answer[0].startswith(b"COMPLETE"), answer)
         self.store.available = True
