Log how long a watch had waited and a version was known

Change: watch_lost with the time that a failed watch had waited, and known_for in configuration_installed.

--- a/cassiahill/catalog_feed.py
+++ b/cassiahill/catalog_feed.py
@@ -340,12 +340,14 @@
             event_log.event("configuration_unreadable", source=origin)
             return None
         if self._catalog.install(configuration):
-            self._age.record_installed(configuration.version)
+            now = self._loop.clock.now()
+            self._age.record_installed(configuration.version, now)
             event_log.event(
                 "configuration_installed",
                 version=configuration.version,
                 routes=len(configuration.routes_by_database),
                 source=origin,
+                known_for=now - self._age.known_since,
             )
             self._on_configuration()
         return configuration.version
--- a/cassiahill/configuration_age.py
+++ b/cassiahill/configuration_age.py
@@ -76,6 +76,8 @@
     installed_version : int
     known_version : int
         Highest version that this proxy has heard of.
+    known_since : float
+        Instant at which it first heard of that version.
     proved_at : float
         Instant of the last proof; minus infinity without one.
     proved_version : int
@@ -92,6 +94,7 @@
         self._failed_calls = 0
         self.installed_version = 0
         self.known_version = 0
+        self.known_since = now
         self.proved_at = -math.inf
         self.proved_version = 0
 
@@ -118,14 +121,16 @@
 
     # What this proxy learns
 
-    def record_installed(self, version):
+    def record_installed(self, version, now):
         """Record the version of the installed configuration."""
         self.installed_version = max(self.installed_version, version)
-        self.record_known(version)
+        self.record_known(version, now)
 
-    def record_known(self, version):
+    def record_known(self, version, now):
         """Record that a version exists, as a message of a peer shows."""
-        self.known_version = max(self.known_version, version)
+        if version > self.known_version:
+            self.known_version = version
+            self.known_since = now
 
     def record_era(self, era, now):
         """Record the era of the store; proofs of a new one count after a while."""
@@ -159,7 +164,7 @@
         asked_at : float
             Instant before the peer was asked. The answer may have been under way since.
         """
-        self.record_known(version)
+        self.record_known(version, asked_at)
         if age_seconds is not None:
             self._record(version, asked_at - max(0.0, age_seconds))
 
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -184,7 +184,7 @@
         heartbeat = heartbeats.decode_heartbeat(body)
         now = self._loop.clock.now()
         self.reports.record(heartbeat, now)
-        self._age.record_known(heartbeat.version)
+        self._age.record_known(heartbeat.version, now)
         stated_proof = self._age.state_proof(now)
         version, servers_revision = self._process_state.versions()
         sender = self.members_by_name.get(heartbeat.name)
@@ -380,7 +380,7 @@
                 self.reference_failures += 1
             return
         self._record_contact(member, answered=True)
-        self._age.record_known(heartbeat_answer.version)
+        self._age.record_known(heartbeat_answer.version, self._loop.clock.now())
         self._age.record_peer_proof(
             heartbeat_answer.proved_version, heartbeat_answer.proof_age, asked_at
         )
--- a/cassiahill/store_watcher.py
+++ b/cassiahill/store_watcher.py
@@ -252,6 +252,10 @@
         asked_at = self._watch_began_at = self._loop.clock.now()
         try:
             batch = yield self._store.watch(self._kind, began_at_revision, wait_seconds)
+        except errors.PlatformUnavailable:
+            if may_wait:
+                self._log_lost_watch(asked_at)
+            raise
         finally:
             self._watch_began_at = None
         if self.revision != began_at_revision:
@@ -266,6 +270,15 @@
             return
         yield self._pause()
 
+    def _log_lost_watch(self, asked_at):
+        event_log.event(
+            "watch_lost",
+            kind=self._kind,
+            revision=self.revision.number,
+            era=self.revision.era,
+            waited=self._loop.clock.now() - asked_at,
+        )
+
     def _report_complete(self, asked_at, revision):
         if self._on_complete is not None:
             self._on_complete(asked_at, revision)
--- a/tests/age_model.py
+++ b/tests/age_model.py
@@ -224,20 +224,20 @@
             case StoreAnswer(version=version, era=era):
                 age.record_era(max(era, getattr(age, "highest_era", 0)), self.now)
                 age.highest_era = max(era, getattr(age, "highest_era", 0))
-                age.record_installed(version)
+                age.record_installed(version, self.now)
                 if era == age.highest_era:
                     age.record_proof(version, message.asked_at)
             case PeerAnswer(version=version, proof=proof, copied=copied):
-                age.record_known(version)
+                age.record_known(version, self.now)
                 if copied:
-                    age.record_installed(version)
+                    age.record_installed(version, self.now)
                 age.record_peer_proof(
                     proof.version, proof.age_seconds, message.asked_at
                 )
 
     def apply_stale_answer(self, age, version, _asked_at):
         """Install what a stale read returned; it proves nothing."""
-        age.record_installed(version)
+        age.record_installed(version, self.now)
 
     def lose(self):
         if self.messages:
--- a/tests/broken_configuration_age.py
+++ b/tests/broken_configuration_age.py
@@ -18,8 +18,8 @@
 class ResetsAgeByPeerCopy(ConfigurationAge):
     """Takes a configuration that a peer sent for a proof."""
 
-    def record_installed(self, version):
-        super().record_installed(version)
+    def record_installed(self, version, now):
+        super().record_installed(version, now)
         self._record(version, self.read_clock())
 
 
--- a/tests/test_catalog_feed.py
+++ b/tests/test_catalog_feed.py
@@ -1,10 +1,12 @@
 """Tests of ``cassiahill.catalog_feed`` and ``cassiahill.store_watcher``."""
 
+import json
 import random
 import unittest
 
 import attrs
 
+from cassiahill import errors
 from cassiahill.catalog import (
     REMOVAL_DELAY_SECONDS,
     Catalog,
@@ -15,8 +17,10 @@
 from cassiahill.catalog_feed import CatalogFeed, CatalogSource
 from cassiahill.configuration_age import ERA_SETTLE_SECONDS, ConfigurationAge
 from cassiahill.heartbeats import View
+from cassiahill.loop import LoopFuture
 from cassiahill.shared_store import MemorySharedStore
 from tests.line_group import InMemoryGroup
+from tests.log_lines import captured_log_lines
 from tests.stepped_loop import SteppedLoop
 
 
@@ -72,6 +76,32 @@
         self.loop.advance(1.0)
         self.assertEqual(self.catalog.configuration.version, 9)
 
+    def test_log_tells_how_long_a_version_was_known_before(self):
+        """Guards against a late version of which nobody can tell why it was late."""
+        self.store.available = False
+        self.age.record_known(8, self.loop.clock.now())
+        self.loop.advance(2.0)
+        with captured_log_lines() as lines:
+            self.feed.apply_view(View({"version": 8}, 1, {}, servers_era=1), "p2")
+        (installed,) = [
+            json.loads(line) for line in lines if "configuration_installed" in line
+        ]
+        self.assertEqual(installed["source"], "peer p2")
+        self.assertAlmostEqual(installed["known_for"], 2.0)
+
+    def test_log_tells_how_long_a_lost_watch_has_waited(self):
+        """Guards against a silent store that looks like one that refuses calls."""
+        waiting = LoopFuture()
+        self.store.watch = lambda *_: waiting
+        self.loop.advance(1.0)
+        with captured_log_lines() as lines:
+            self.loop.advance(3.0)
+            waiting.set_exception(errors.PlatformUnavailable("no answer"))
+            self.loop.advance(0.05)
+        lost = [json.loads(line) for line in lines if "watch_lost" in line]
+        self.assertEqual({line["kind"] for line in lost}, {"config", "servers"})
+        self.assertTrue(all(3.0 < line["waited"] < 4.1 for line in lost), lost)
+
     def test_known_configuration_is_not_decoded_again(self):
         """Guards against the work for thousands of tenants at each copy of a version.
 
--- a/tests/test_configuration_age.py
+++ b/tests/test_configuration_age.py
@@ -24,7 +24,7 @@
     def setUp(self):
         self.age = ConfigurationAge(BOUND_SECONDS, now=0.0)
         self.age.record_era(1, 0.0)
-        self.age.record_installed(3)
+        self.age.record_installed(3, 0.0)
         self.latest_at = 10.0 + BOUND_SECONDS - CLOCK_MARGIN_SECONDS
 
     def test_nothing_is_refused_without_a_bound(self):
@@ -53,7 +53,7 @@
         self.age.record_proof(3, asked_at=10.0)
         stated = self.age.state_proof(12.0)
         receiver = ConfigurationAge(BOUND_SECONDS, now=11.0)
-        receiver.record_installed(3)
+        receiver.record_installed(3, 0.0)
         receiver.record_peer_proof(stated.version, stated.age_seconds, asked_at=11.8)
         self.assertAlmostEqual(receiver.proved_at, 9.8)
         stated_again = receiver.state_proof(13.0)
@@ -67,7 +67,7 @@
 
     def test_proof_of_an_older_version_holds_for_a_newer_one(self):
         """Guards against refusals right after a change that peers do not have yet."""
-        self.age.record_installed(5)
+        self.age.record_installed(5, 0.0)
         self.age.record_peer_proof(3, 0.5, asked_at=10.0)
         self.assertEqual(self.age.proved_at, 9.5)
 
@@ -75,19 +75,19 @@
         """Guards against an old configuration that is proved by a newer one's proof."""
         self.age.record_peer_proof(4, 0.0, asked_at=10.0)
         self.assertFalse(self.age.is_young_enough(10.0))
-        self.age.record_installed(4)
+        self.age.record_installed(4, 0.0)
         self.age.record_peer_proof(4, 0.0, asked_at=10.4)
         self.assertTrue(self.age.is_young_enough(10.5))
 
     def test_earlier_proof_counts_while_a_newer_version_is_fetched(self):
         """Guards against refusals at each change of the configuration."""
         self.age.record_proof(3, asked_at=10.0)
-        self.age.record_known(4)
+        self.age.record_known(4, 10.5)
         self.assertTrue(self.age.is_young_enough(11.0))
 
     def test_store_that_has_lost_a_version_proves_nothing(self):
         """Guards against a restored store whose copy lacks the newest version."""
-        self.age.record_installed(5)
+        self.age.record_installed(5, 0.0)
         self.age.record_proof(3, asked_at=10.0)
         self.assertFalse(self.age.is_young_enough(10.0))
 
