Show that a change after a short silence of the store comes late

Fails on this code, in memory: a change ends all watches, the new ones are sent into a silence of 0.4 to 2.6 s, and the version written after it is installed nowhere within the bound. Calls are lost in a silence of the store in memory too, not only watches.

--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -31,6 +31,7 @@
 STALE_SECONDS = 3.0  # Age of what a read gets that may be stale.
 WATCH_SECONDS = shared_store.MAX_WATCH_SECONDS
 WATCH_SLACK_SECONDS = 1.5  # An answer is awaited this much longer than the watch.
+CALL_TIMEOUT_SECONDS = 1.5
 
 
 class FleetStore(shared_store.SharedStore):
@@ -117,6 +118,9 @@
 
         def run():
             yield loop.sleep_until(loop.clock.now() + STORE_SECONDS)
+            if self._fleet.store_is_silent:
+                yield loop.sleep_until(loop.clock.now() + CALL_TIMEOUT_SECONDS)
+                raise errors.PlatformUnavailable("no answer before the deadline")
             self.era = self._fleet.store.era
             return (yield answer())
 
@@ -304,6 +308,8 @@
         Fraction of the processes that are connected to servers.
     revocation_seconds : float or None
         Bound of the age of the configuration.
+    change_seconds : float or None
+        Time in which an acknowledged change must be in force; None if there is none.
     feed_class : type
         ``CatalogFeed`` or a broken version of it.
     region_by_domain : dict of str to str, or None
@@ -331,7 +337,7 @@
     seed_addresses : tuple
         Given to the processes that start from now on.
     store_is_silent : bool
-        Whether watches that arrive, and those that a change would end, are lost.
+        Whether calls that arrive, and watches that a change would end, are lost.
     """
 
     def __init__(
@@ -341,10 +347,12 @@
         connected_share=0.3,
         seed=1,
         revocation_seconds=None,
+        change_seconds=None,
         feed_class=CatalogFeed,
         region_by_domain=None,
     ):
         self.revocation_seconds = revocation_seconds
+        self.change_seconds = change_seconds
         self.feed_class = feed_class
         self.message_seconds = MESSAGE_SECONDS
         self.seed_addresses = ()
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -5,7 +5,10 @@
 from cassiahill import store_watcher
 from tests.memory_fleet import MemoryFleet
 
+REGIONS = {f"domain-{number}": "ab"[number % 2] for number in range(6)}
 SILENT_SECONDS = 4.5
+# Too short for calls that fail in it to show it, or for the watches to end soon after.
+SHORT_SILENCES_SECONDS = (0.4, 0.8, 1.2, 2.0, 2.6)
 
 
 class SilentStoreTest(unittest.TestCase):
@@ -53,6 +56,48 @@
         fleet.loop.advance(5.0)
         self.assert_change_is_known_within(fleet, 5.0)
 
+    def assert_version_in_force(self, fleet, stable_seconds):
+        """Check each process once the change and the store are old enough.
+
+        Parameters
+        ----------
+        fleet : MemoryFleet
+        stable_seconds : float
+            Time after the end of the silence from which on the bound holds.
+        """
+        fleet.write("config", "main", {"version": 4})
+        fleet.loop.advance(0.1)
+        for silent_seconds in SHORT_SILENCES_SECONDS:
+            version = fleet.store.list("config").result().objects[0].value["version"]
+            fleet.store_is_silent = True
+            fleet.loop.advance(silent_seconds)
+            fleet.store_is_silent = False
+            fleet.loop.advance(0.3)
+            fleet.write("config", "main", {"version": version + 1})
+            fleet.loop.advance(max(fleet.change_seconds, stable_seconds - 0.3))
+            for name, process in fleet.processes_by_name.items():
+                installed = process.catalog.configuration.version
+                self.assertEqual(installed, version + 1, (name, silent_seconds))
+            fleet.loop.advance(10.0)
+            fleet.write("config", "main", {"version": version + 2})
+            fleet.loop.advance(0.1)
+
+    def test_change_after_a_short_silence_is_in_force_in_a_small_fleet(self):
+        """Guards against versions that come late because all watches were lost."""
+        for count in (1, 8):
+            self.assert_version_in_force(self.started(count, 3.0), 4.0)
+
+    def test_change_after_a_short_silence_is_in_force_in_a_large_fleet(self):
+        """Guards against the same in a fleet of two regions that follows readers."""
+        fleet = self.started(66, 5.0, domain_count=6, region_by_domain=REGIONS)
+        self.assert_version_in_force(fleet, 6.0)
+
+    def started(self, count, change_seconds, **options):
+        """Return a fleet that has been running for a while."""
+        fleet = MemoryFleet(count, change_seconds=change_seconds, **options)
+        fleet.loop.advance(12.0)
+        return fleet
+
     def test_process_whose_watch_alone_was_lost_learns_from_its_peers(self):
         """Guards against one process that is blind while the others know the change."""
         fleet = MemoryFleet(8)
