Prove the configuration in every deployment, not only with limited keys

Cause: silence of a watch was taken for "nothing has changed". A watch that is sent into a silent moment of the store is lost while its connection lives on, until its own time-out: 5.5 s in small fleets, 8.5 s in large ones. A change right before the silence ends all watches, so that all new ones are lost together. If the silence is short, that outlasts silence and stable time together.

Change: the promoter asks the store for newer changes in each fifth of the time in which a change must be in force, and a reader does if it hears of no answer to the promoter, as deployments that limit the age of keys did already. A change that only this call tells ends the watch that has missed it.

--- a/cassiahill/catalog_feed.py
+++ b/cassiahill/catalog_feed.py
@@ -253,6 +253,10 @@
                 )
                 self._apply_configuration_changes(batch.changes)
                 self._record_proof(asked_at, batch.revision)
+                for change in batch.changes:
+                    self._configuration_watcher.record_announcement(
+                        change.stored.revision
+                    )
             except errors.HistoryLost:
                 asked_at = self._loop.clock.now()
                 snapshot = yield self._store.list(kind)
--- a/cassiahill/configuration_age.py
+++ b/cassiahill/configuration_age.py
@@ -1,11 +1,16 @@
 """Decides whether the configuration is proved young enough; does no I/O.
 
 A proof is an instant at which the store held no newer configuration than the one that
-is installed here. A key that an operator takes away may be used for a bounded time
-after the store has acknowledged it. So a proxy may accept keys only while its last
-proof lies less than that bound back. The store proves it to a few proxies, by answers
-that are not stale. The others are told the age of a peer's proof, and date it from
-before they asked.
+is installed here. The store gives it to a few proxies, by answers that are not stale.
+The others are told the age of a peer's proof, and date it from before they asked.
+
+An acknowledged change must be in force within a bounded time. A watch that does not
+end is no proof that there is none, because it may be lost while its connection lives
+on. So the store is asked for proofs in every deployment.
+
+A key that an operator takes away may be used for a bounded time after the store has
+acknowledged it. Where that is so, a proxy may accept keys only while its last proof
+lies less than that bound back, and each proxy seeks a proof.
 
 The decision is meant for proxies that lose the store, their peers or both, that were
 suspended or restarted, and for a store that has returned from an older copy.
@@ -23,18 +28,21 @@
 # Age of the proof, as a share of the bound, from which on a proxy asks its peers. It is
 # more than heartbeats let it reach while the promoter proves the configuration.
 PEER_ASK_SHARE = 0.5
-# Parts of the bound: the least pause between two calls, and the longest after failures.
+# Parts of the time for a proof: the least pause between two calls, and the longest
+# after failures.
 MIN_CALL_PAUSE_SHARE = 0.2
 MAX_CALL_PAUSE_SHARE = 0.8
-# Part of the bound by which proxies differ, so that they do not call the store at once.
+# Part of the time for a proof by which proxies differ, so that they do not call the
+# store at once.
 CALL_SPREAD_SHARE = 0.1
 
 
 class StoreRole(enum.Enum):
-    """How early a proxy asks the store: the age of its proof as a share of the bound.
+    """How early a proxy asks the store: the share of the time for a proof.
 
     In normal operation only the promoter asks. A reader asks if it hears of no proof by
-    the promoter, and other proxies if they hear of none by a reader.
+    the promoter. Where the age is limited, other proxies ask if they hear of none by a
+    reader.
     """
 
     PROMOTER = 0.2
@@ -70,6 +78,8 @@
         All instants are of a clock that also runs while the host is suspended.
     spread : float
         From 0 to 1, differs among the proxies.
+    change_seconds : float or None
+        Time in which an acknowledged change must be in force; None if there is none.
 
     Attributes
     ----------
@@ -84,8 +94,9 @@
         The store held no newer version than this one at that instant.
     """
 
-    def __init__(self, bound_seconds, now, spread=0.0):
+    def __init__(self, bound_seconds, now, spread=0.0, change_seconds=None):
         self._bound_seconds = bound_seconds
+        self._proof_seconds = _shortest(bound_seconds, change_seconds)
         self._spread = spread
         self._started_at = now
         self._era = None
@@ -103,6 +114,11 @@
         """Whether the deployment limits the age."""
         return self._bound_seconds is not None
 
+    @property
+    def is_sought(self):
+        """Whether the store is asked for proofs."""
+        return self._proof_seconds is not None
+
     def age(self, now):
         """Return the seconds since the last proof; infinite without one."""
         return now - self.proved_at
@@ -192,16 +208,18 @@
         role : StoreRole
         now : float
         """
-        if not self.is_required or now < self._next_call_at:
+        if not self.is_sought or now < self._next_call_at:
+            return False
+        if role is StoreRole.FOLLOWER and not self.is_required:
             return False
         share = role.value
         if role is not StoreRole.PROMOTER:
             share += CALL_SPREAD_SHARE * self._spread
-        return self._age_since_start(now) >= share * self._bound_seconds
+        return self._age_since_start(now) >= share * self._proof_seconds
 
     def record_call(self, now):
         """Record that the store is asked for a proof."""
-        self._next_call_at = now + MIN_CALL_PAUSE_SHARE * self._bound_seconds
+        self._next_call_at = now + MIN_CALL_PAUSE_SHARE * self._proof_seconds
 
     def record_call_result(self, role, answered, now):
         """Record whether the store answered.
@@ -216,9 +234,14 @@
         pause_share = min(
             MAX_CALL_PAUSE_SHARE, MIN_CALL_PAUSE_SHARE * 2**self._failed_calls
         )
-        pause_seconds = pause_share * self._bound_seconds
+        pause_seconds = pause_share * self._proof_seconds
         self._next_call_at = now + pause_seconds * (0.5 + 0.5 * self._spread)
 
     def _age_since_start(self, now):
         """Return the age of the proof, or the time since the start if that is less."""
         return now - max(self.proved_at, self._started_at)
+
+
+def _shortest(*durations):
+    """Return the shortest of the durations that are not None, or None."""
+    return min((seconds for seconds in durations if seconds is not None), default=None)
--- a/cassiahill/configuration_prover.py
+++ b/cassiahill/configuration_prover.py
@@ -1,7 +1,6 @@
 """Asks the store and peers for proofs of the configuration's age.
 
-``configuration_age`` decides who asks and when. Nothing is asked in a deployment that
-does not limit the age.
+``configuration_age`` decides who asks and when.
 """
 
 from cassiahill import event_log
@@ -39,7 +38,7 @@
         self._ask_peer_at = loop.clock.now()
         self._was_young = False
         self._timer = None
-        if age.is_required:
+        if age.is_sought:
             self._timer = loop.repeat(
                 loop.clock.now() + CHECK_INTERVAL_SECONDS, self._check
             )
@@ -62,7 +61,8 @@
         if self._age.should_ask_peers(now) and now >= self._ask_peer_at:
             self._ask_peer_at = now + PEER_INTERVAL_SECONDS
             self._ask_peer()
-        self._log_change(now)
+        if self._age.is_required:
+            self._log_change(now)
         return now + CHECK_INTERVAL_SECONDS
 
     def _ask_store(self, role: StoreRole):
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -31,6 +31,7 @@
 )
 
 SUPERVISION_INTERVAL_SECONDS = 0.05
+DEFAULT_CHANGE_SECONDS = 5.0
 # A group that was used within this time keeps its connections.
 GROUP_RECENT_USE_SECONDS = 5.0
 METRICS_PATH = "/metrics"
@@ -61,6 +62,9 @@
     revocation_seconds : float or None
         Time after the store's acknowledgement from which on a key that was taken away
         must not be accepted anywhere; None if the deployment does not limit it.
+    change_seconds : float
+        Time after the store's acknowledgement from which on a change of the
+        configuration must be in force.
     region_by_domain : dict of str to str
         Region of each failure domain; empty in a deployment without regions.
     rate_tolerance : rate_limits.RateTolerance
@@ -76,6 +80,7 @@
     seed_addresses: tuple
     grace_seconds: float
     revocation_seconds: float | None = None
+    change_seconds: float = DEFAULT_CHANGE_SECONDS
     region_by_domain: dict = attrs.field(factory=dict, hash=False)
     rate_tolerance: rate_limits.RateTolerance = rate_limits.RateTolerance()
 
@@ -124,7 +129,10 @@
         self.metrics = session_metrics.SessionMetrics()
         self.catalog = catalog.Catalog()
         self.configuration_age = configuration_age.ConfigurationAge(
-            settings.revocation_seconds, loop.clock.now(), _spread_of(settings.name)
+            settings.revocation_seconds,
+            loop.clock.now(),
+            _spread_of(settings.name),
+            settings.change_seconds,
         )
         own_member = heartbeats.Member(
             settings.name,
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -199,6 +199,7 @@
             memory_fleet.revocation_seconds,
             loop.clock.now(),
             random.Random(f"spread of {name}").random(),
+            memory_fleet.change_seconds,
         )
         self.fleet = session_fleet.SessionFleet(
             loop,
--- a/tests/test_adapter_documents.py
+++ b/tests/test_adapter_documents.py
@@ -3,7 +3,7 @@
 import math
 import unittest
 
-from cassiahill import errors
+from cassiahill import errors, session_proxy
 from cassiahill.catalog import Consistency
 from cassiahill.rate_limits import RateTolerance
 from cassiahill.tenants import digest_key
@@ -235,6 +235,21 @@
             decoded = settings.decode({**SETTINGS_DOCUMENT, "bounds": bounds})
             self.assertEqual(decoded.proxy.revocation_seconds, seconds, bounds)
 
+    def test_time_in_which_a_change_must_be_in_force(self):
+        """Guards against proofs of the configuration that are sought too late."""
+        bounds_and_seconds = (
+            ({}, session_proxy.DEFAULT_CHANGE_SECONDS),
+            ({"configApplyMs": 3000}, 3.0),
+        )
+        for bounds, seconds in bounds_and_seconds:
+            decoded = settings.decode({**SETTINGS_DOCUMENT, "bounds": bounds})
+            self.assertEqual(decoded.proxy.change_seconds, seconds, bounds)
+        for milliseconds in (0, -1, True, "3000"):
+            bounds = {"configApplyMs": milliseconds}
+            with self.assertRaises(errors.InvalidSettings) as raised:
+                settings.decode({**SETTINGS_DOCUMENT, "bounds": bounds})
+            self.assertIn("milliseconds", str(raised.exception))
+
     def test_strict_revocation_without_a_valid_bound_is_reported(self):
         """Guards against a process that accepts keys for longer than is allowed."""
         for bounds in (
