Let a promoter learn the primary's position from its status

Cause: what a successor must have is known from the primary's first answer to a statement. A promoter that never got one, because unanswered writes held its connections, still had the position of the former primary, and gave up what only the present one had. The status that it reads before it gives up commits states the position, and was not used for this.

--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -455,11 +455,15 @@
         catch_up_seconds = FAILOVER_CATCH_UP_SECONDS
         old_primary = ReplicaStatus(primary, False, None)
         if primary in self._group.pools_by_id:
+            asked_at = self._loop.clock.now()
             old_primary = yield from self._statuses.ask(
                 primary, statements.ReadStatus()
             )
             if old_primary.received is not None:
                 catch_up_seconds = SWITCHOVER_CATCH_UP_SECONDS
+                self._group.sole_copies.record_primary_position(
+                    primary, asked_at, old_primary.received
+                )
         positions = [
             *(status.received for status in paused_statuses),
             old_primary.received,
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,7 +1,9 @@
 """Tests of ``cassiahill.takeover``: which server is promoted, and when."""
 
+import copy
 import itertools
 import unittest
+from unittest import mock
 
 from cassiahill import takeover
 from cassiahill.loop import completed_future
@@ -285,6 +287,21 @@
         self.assert_nothing_acknowledged_is_lost()
         self.assertIsNone(self.fixture.write(self.fixture.session()).code)
 
+    def test_promoter_that_got_no_answer_of_the_primary_keeps_its_commits(self):
+        """Guards against a promoter that relies on the former primary's position."""
+        self.set_up_group()
+        self.run_for(0.5)
+        group = self.fixture.group
+        known_of_former_primary = copy.copy(group.sole_copies)
+        self.lose_primary_with_a_replica_behind()
+        group.remove_server("a")
+        # Unanswered writes hold the connections of this process; a status is answered.
+        group.sole_copies = known_of_former_primary
+        with mock.patch.object(group, "confirm_primary"):
+            self.write_and_run(6.0)
+        self.assertEqual([server_id for server_id, _ in self.orders.promotions], ["c"])
+        self.assert_nothing_acknowledged_is_lost()
+
     def test_promoted_primary_with_the_only_copy_is_awaited_when_it_crashes(self):
         """Guards against the loss of its commits to a replica that is behind."""
         self.set_up_group()
