Hold back commits that a partition may undo until it can be ruled out

Cause: a partition is noticed after 0.7 s. Until then a proxy on the primary's side passed on what a replica acknowledged that had just started there. The other side does not know this replica and promotes without it. The record shows both commits sent 0.19 and 0.32 s after the cut, acknowledged when the replica started, and the proxies' cut_off 0.14 s later.

Change: a commit whose primary is in the proxy's own failure domain, without a known replica there, is passed on only if a server of the group elsewhere has answered in the last 0.1 s, or answers a probe after the acknowledgement; if the partition is noticed first, the outcome is called unknown. The guard for writes that are sent after the partition was noticed stays.

--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -327,13 +327,35 @@
         return (
             not self.partitioned
             or not self.synchronous
-            or any(
-                pool.server.failure_domain == self._own_domain
-                and server_id != self.primary.server_id
-                for server_id, pool in self.pools_by_id.items()
-            )
+            or self.has_replica_in_own_domain
         )
 
+    @property
+    def has_replica_in_own_domain(self):
+        """Whether a known replica is in the failure domain of this process."""
+        return any(
+            pool.server.failure_domain == self._own_domain
+            and server_id != self.primary.server_id
+            for server_id, pool in self.pools_by_id.items()
+        )
+
+    @property
+    def elsewhere_answered_at(self):
+        """Instant at which a server in another failure domain last answered.
+
+        Infinite if the group has none.
+        """
+        return reachability.last_answer_elsewhere(
+            self._own_domain, self.contacts(self._loop.clock.now())
+        )
+
+    def probe_elsewhere(self):
+        """Probe the servers in other failure domains."""
+        now = self._loop.clock.now()
+        for server_id, pool in self.pools_by_id.items():
+            if pool.server.failure_domain != self._own_domain:
+                self._probes.probe_server(server_id, now)
+
     def read_requirement(self, fresh_since, own_commit):
         """Return what a read requires of a server.
 
--- a/cassiahill/server_probes.py
+++ b/cassiahill/server_probes.py
@@ -37,13 +37,13 @@
         if primary_id is not None and (
             latest is None or now - latest.asked_at > self._sample_interval(now)
         ):
-            self._probe_server(primary_id, now)
+            self.probe_server(primary_id, now)
         for server_id, pool in group.pools_by_id.items():
             if (
                 primary_id is None
                 or now - pool.answered_at > SERVER_PROBE_INTERVAL_SECONDS
             ):
-                self._probe_server(server_id, now)
+                self.probe_server(server_id, now)
 
     def _sample_interval(self, now):
         """Return the time after which the primary's newest sample is renewed.
@@ -58,7 +58,7 @@
             PRIMARY_PROBE_INTERVAL_SECONDS, SERVER_PROBE_INTERVAL_SECONDS, now
         )
 
-    def _probe_server(self, server_id, now):
+    def probe_server(self, server_id, now):
         """Probe a server unless a probe is under way or no connection is idle."""
         pool = self._group.pools_by_id.get(server_id)
         if pool is None or server_id in self._probed_server_ids:
--- a/cassiahill/session_executor.py
+++ b/cassiahill/session_executor.py
@@ -8,7 +8,13 @@
 
 import attrs
 
-from cassiahill import event_log, placement, request_queue, statements
+from cassiahill import (
+    commit_confirmation,
+    event_log,
+    placement,
+    request_queue,
+    statements,
+)
 from cassiahill.catalog import Consistency
 from cassiahill.statement_sender import RetryableFailure, StatementSender
 from cassiahill.statements import NOT_RUN_CODES, Access, Code, Reply, TransactionState
@@ -135,10 +141,22 @@
             return RetryableFailure(reply.code.value)
         if reply.code is None:
             self._group.confirm_primary(lease.connection, asked_at, reply)
-            self._session_state.last_commit = (
-                reply.position or self._session_state.last_commit
-            )
         self._sender.release(lease)
+        if reply.code is None:
+            return (yield from self._confirm_commit(reply, request))
+        return reply
+
+    def _confirm_commit(self, reply, request):
+        """Return the reply to an acknowledged commit; a task."""
+        confirmed = yield from commit_confirmation.confirm_commit(
+            self._loop, self._group, request.deadline
+        )
+        if not confirmed:
+            event_log.event("commit_unconfirmed", request=request.request_id)
+            return Reply(code=Code.OUTCOME_UNKNOWN, detail="a partition began")
+        self._session_state.last_commit = (
+            reply.position or self._session_state.last_commit
+        )
         return reply
 
     def _run_hedged_read(self, lease, request, queued_request):
@@ -390,16 +408,16 @@
             if transaction.wrote:
                 return Reply(code=Code.OUTCOME_UNKNOWN, detail="no answer to a commit")
             return Reply(code=Code.ABORTED, detail="no answer to an empty commit")
-        if reply.code is None and transaction.wrote:
+        has_committed = reply.code is None and transaction.wrote
+        if has_committed:
             self._group.confirm_primary(lease.connection, asked_at, reply)
-            self._session_state.last_commit = (
-                reply.position or self._session_state.last_commit
-            )
         elif transaction.values_changed:
             lease.connection.values_by_name = None
         if reply.code in NOT_RUN_CODES:
             self._group.record_refusal(lease.connection, reply.code)
         self._sender.release(lease)
+        if has_committed:
+            reply = yield from self._confirm_commit(reply, request)
         return attrs.evolve(reply, state=TransactionState.IDLE)
 
     def _fail_transaction(self, transaction, code, detail):
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -6,6 +6,7 @@
     Contact,
     PeerContacts,
     is_partitioned,
+    last_answer_elsewhere,
     partitioned_since,
     relevant_contacts,
 )
@@ -24,6 +25,12 @@
         contacts = [Contact("y", 9.0, True), Contact("z", 9.9, False)]
         self.assertFalse(is_partitioned("x", contacts, 10.0))
 
+    def test_last_answer_from_another_domain(self):
+        """Guards against an answer inside the own domain that hides a partition."""
+        contacts = [Contact("x", 9.9, False), Contact("y", 9.0, True)]
+        self.assertEqual(last_answer_elsewhere("x", contacts), 9.0)
+        self.assertEqual(last_answer_elsewhere("x", contacts[:1]), float("inf"))
+
     def test_servers_that_were_not_asked_are_not_unreachable(self):
         """Guards against a partition detected where nothing was sent."""
         self.assertFalse(is_partitioned("x", [Contact("y", 1.0, False)], 10.0))
