End a client's line at CR LF, not at a line feed in its data

Cause: sessions split what they receive at each LF, while lines end with CR LF, as the readers of servers and relays already have it. Log lines are JSON, so a text cannot forge one.

Measured: both tests failed before in own and relayed sessions ("Flat 3" and a second statement ran); also with the line cut at every byte.

--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -136,13 +136,13 @@
     def _on_data(self, data):
         if self._announced_close or self._stream.closing:
             return
-        *lines, self._buffer = (self._buffer + data).split(b"\n")
+        *lines, self._buffer = (self._buffer + data).split(LINE_END)
         arrived_at = self.last_active_at = self._loop.clock.now()
         if len(self._buffer) > MAX_LINE_BYTES:
             self._refuse_and_close(Code.TOO_LARGE, "the line is too long")
             return
         for line in lines:
-            self._pending_lines.append((line.removesuffix(b"\r"), arrived_at))
+            self._pending_lines.append((line, arrived_at))
         if len(self._pending_lines) > MAX_PENDING_LINES:
             self._stream.set_reading_paused(True)
         self._process_lines()
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -49,6 +49,23 @@
         self.assertEqual(read[0], b"COMPLETE signature")
         self.assertEqual(self.executed_texts(), ["WRITE a x", "READ a"])
 
+    def test_line_feed_in_data_is_no_end_of_a_line(self):
+        """Guards against data that is cut off, or that runs as another statement."""
+        text = b"WRITE a Flat 3\nQUERY 2 WRITE b other\r"
+        client = self.client()
+        (answer,) = client.exchange(b"QUERY 1 " + text)
+        self.assertEqual(answer[0], b"COMPLETE signature")
+        client.exchange(b"QUERY 3 READ a")
+        self.assertEqual(self.executed_texts(), [text.decode(), "READ a"])
+
+    def test_line_that_arrives_in_pieces_is_one_statement(self):
+        """Guards against a line end that is missed because it is cut in two."""
+        client = self.client()
+        for byte in b"QUERY 1 WRITE a x\ny\r\n":
+            client.send_bytes(bytes([byte]))
+        self.assertEqual(client.read_answer()[0], b"COMPLETE signature")
+        self.assertEqual(self.executed_texts(), ["WRITE a x\ny"])
+
     def test_answers_state_the_transaction_state(self):
         """Guards against a wrong transaction state in an answer."""
         client = self.client()
