--- a/cassiahill/errors.py
+++ b/cassiahill/errors.py
@@ -253,6 +253,12 @@
     http_status = 502
 
 
+class ResponseTooLarge(ConnectionLost):
+    """A response is larger than this process accepts."""
+
+    code = "response_too_large"
+
+
 class Conflict(NotRunError):
     """A conditional update found another version than expected."""
 
@@ -268,6 +274,12 @@
     retry_after = 1.0
 
 
+class AnswerTooLarge(PlatformUnavailable):
+    """The platform's answer is larger than this process accepts."""
+
+    code = "answer_too_large"
+
+
 class HistoryLost(NotRunError):
     """The shared store no longer keeps the changes that follow a revision."""
 
--- a/cassiahill/http1.py
+++ b/cassiahill/http1.py
@@ -435,8 +435,20 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, errors.CassiahillError):
+            self._fail_too_large()
             self._stream.close()
 
+    def _fail_too_large(self):
+        """Fail the request if its response exceeds a limit; a retry would fail too."""
+        is_too_large = (
+            len(self.body) > MAX_BODY_BYTES or self.header_bytes > MAX_HEADER_BYTES
+        )
+        response_future = self._take_pending_response() if is_too_large else None
+        if response_future is not None:
+            response_future.set_exception(
+                errors.ResponseTooLarge("the response is too large")
+            )
+
     def _on_closed(self):
         response_future = self._take_pending_response()
         if response_future is not None:
--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from cassiahill import clock, errors
+from cassiahill import clock, errors, http1
 from cassiahill.loop import EventLoop
 from cassiahill.shared_store import MemorySharedStore
 from tests import adapter_path
@@ -154,6 +154,35 @@
         self.store.available = False
 
 
+class LongAnswersTest(unittest.TestCase):
+    """Changes in quick succession whose sum exceeds the limit of an answer."""
+
+    def setUp(self):
+        self.loop = EventLoop(clock.SystemClock())
+        self.addCleanup(self.loop.close)
+        self.server = stand_in.Store(self.loop, random.Random(1))
+        self.store = platform_store.PlatformStore(self.loop, self.server.address)
+        self.server.put("kind", "a", {"n": 0})
+        self.revision = self.result(self.store.list("kind")).revision
+        for number in range(4):
+            text = "x" * (http1.MAX_BODY_BYTES // 3)
+            self.server.put("kind", "a", {"n": number, "text": text})
+
+    def result(self, future):
+        while not future.done():
+            self.loop._run_once()
+        return future.result()
+
+    def test_watch_with_a_long_answer_is_a_lost_history(self):
+        """Guards against a watch that asks for more and more changes for ever."""
+        with self.assertRaises(errors.HistoryLost):
+            self.result(self.store.watch("kind", self.revision))
+        with self.assertRaises(errors.HistoryLost):
+            self.result(self.store.changes_since("kind", self.revision))
+        (stored,) = self.result(self.store.list("kind")).objects
+        self.assertEqual(stored.value["n"], 3)
+
+
 class PlatformStoreTest(SharedStoreContract, unittest.TestCase):
     def setUp(self):
         self.loop = EventLoop(clock.SystemClock())
