--- a/cassiahill/platform_link.py
+++ b/cassiahill/platform_link.py
@@ -12,7 +12,9 @@
 from cassiahill.loop import failed_future
 
 EXECUTOR_THREADS = 4
-WATCH_TIMEOUT_SECONDS = 20.0
+# A watch may be lost while its connection lives on, and then hides a change, which must
+# be in effect everywhere within 5 s.
+WATCH_TIMEOUT_SECONDS = 3.0
 READ_TIMEOUT_SECONDS = 3.0
 # Pause before a process that is not a reader checks again whether it has become one,
 # and before a failed read is repeated.
