Move the choice of candidate servers out of the server group

server_group was the largest module. Which of a group's servers may take a request is a job of its own; behaviour is unchanged, and the test that replaces the number of urgent statements names the new module.

--- a/cassiahill/group_dump.py
+++ b/cassiahill/group_dump.py
@@ -17,7 +17,7 @@
     -------
     dict
     """
-    expected_loads_by_id = group.expected_loads(now)
+    expected_loads_by_id = group.candidates.expected_loads(now)
     latest = group.primary_positions.latest_sample
     return {
         "primary": group.primary.server_id,
@@ -26,7 +26,7 @@
         "waiting": waiting_count,
         "demand": group.slot_share.demand,
         "total_demand": group.slot_share.total_demand,
-        "load_spread": group.load_spread(now),
+        "load_spread": group.candidates.load_spread(now),
         "connections": attrs.asdict(group.connection_counts),
         "tenants_waiting_most": group.tenant_waits.dump(now),
         "servers": {
--- a/cassiahill/proxy_dump.py
+++ b/cassiahill/proxy_dump.py
@@ -70,7 +70,7 @@
         ),
         "server_load_spread": max(
             (
-                group.load_spread(now)
+                group.candidates.load_spread(now)
                 for group in groups
                 if group.active and group.pools_by_id
             ),
--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -25,6 +25,7 @@
     removed_replicas,
     request_queue,
     sample_demand,
+    server_candidates,
     server_load,
     server_pool,
     server_probes,
@@ -43,13 +44,6 @@
 # more would take connections from other proxies.
 MIN_IDLE_CONNECTIONS = 1
 REPLICA_READS_WITHOUT_PRIMARY_SECONDS = 1.5
-# Statements beyond the limit that the most urgent requests may have at a server.
-# They do not wait for a statement of a less urgent request to end.
-URGENT_STATEMENTS = 1
-MOST_URGENT_PRIORITY = 0
-# Time for which a draining primary gets new requests. Its process stays up for much
-# longer.
-DRAINING_PRIMARY_SERVICE_SECONDS = 5.0
 
 
 class ServerGroup:
@@ -96,6 +90,8 @@
     read_durations : read_durations.ReadDurations
     removed_replicas : removed_replicas.RemovedReplicas
     sole_copies : sole_copies.SoleCopies
+    candidates : server_candidates.ServerCandidates
+    quotas : connection_quotas.ConnectionQuotas
     slot_share : slot_shares.SlotShare
     tenant_waits : tenant_waits.TenantWaits
     """
@@ -115,15 +111,17 @@
         self._dialect = dialect
         self._own_name = own_name
         self._own_domain = own_domain
-        self._draining_since = draining_since
         self._connect = connect
         self._regions = regions or Regions(own_domain)
         self._former_crossing_statements = 0
         self._queue = request_queue.RequestQueue()
-        self._quotas = connection_quotas.ConnectionQuotas()
+        self.quotas = connection_quotas.ConnectionQuotas()
         self._removed_pools_counts = connection_leases.ConnectionCounts()
         rng = random.Random(f"{own_name} {group}")
         self._busy_servers = busy_servers.BusyServers(rng)
+        self.candidates = server_candidates.ServerCandidates(
+            self, own_domain, draining_since, self._busy_servers, self._regions
+        )
         self._serve_scheduled = False
         self._probes = server_probes.ServerProbes(loop, self)
         self.name = group
@@ -180,11 +178,11 @@
                 self._dialect,
                 server,
                 self._own_name,
-                self._quotas.per_process,
+                self.quotas.per_process,
                 self._schedule_serve_queue,
                 self._connect,
             )
-            pool.tenant_limit = self._quotas.per_tenant
+            pool.tenant_limit = self.quotas.per_tenant
             self.pools_by_id[server.server_id] = pool
             self.progress_by_id[server.server_id] = position_samples.ReplicaProgress()
         else:
@@ -228,7 +226,7 @@
             None in a deployment without tenants.
         """
         self.synchronous = limits.synchronous
-        self._quotas = connection_quotas.ConnectionQuotas(
+        self.quotas = connection_quotas.ConnectionQuotas(
             limits.connections, max(1, proxy_count), tenants is not None
         )
         self._queue.weights_by_tenant = None
@@ -236,8 +234,8 @@
             self._queue.weights_by_tenant = fair_queueing.weights(tenants)
             self.tenant_waits.forget_others(tenants.by_name)
         for pool in self.pools_by_id.values():
-            pool.quota = self._quotas.per_process
-            pool.tenant_limit = self._quotas.per_tenant
+            pool.quota = self.quotas.per_process
+            pool.tenant_limit = self.quotas.per_tenant
 
     def close(self):
         """Close all connections."""
@@ -565,88 +563,6 @@
 
     # Serving the queue
 
-    def _statement_limit(self, server):
-        """Return how many statements this process may have running at a server."""
-        return self.slot_share.statement_limit(
-            server.slots, self._quotas.proxy_count, self._loop.clock.now()
-        )
-
-    def expected_loads(self, now):
-        """Return the ``server_load.ExpectedLoad`` of each server, by its id."""
-        return self.server_load.expected(
-            {
-                server_id: max(1, pool.server.slots)
-                for server_id, pool in self.pools_by_id.items()
-            },
-            self.primary.server_id,
-            self.slot_share,
-            now,
-        )
-
-    def load_spread(self, now):
-        """Return the highest expected level of the servers divided by the mean."""
-        loads_by_id = self.expected_loads(now)
-        return server_load.load_spread(
-            {
-                server_id: (
-                    pool.running_statements + loads_by_id[server_id].other_statements
-                )
-                / max(1, pool.server.slots)
-                for server_id, pool in self.pools_by_id.items()
-            }
-        )
-
-    def _server_candidates(self, requirement, request, expected_loads_by_id, now):
-        """Yield a ``ServerCandidate`` for each server that takes the request.
-
-        In a partition these are the servers of the own failure domain only.
-        """
-        reserved_statements = (
-            URGENT_STATEMENTS if request.priority == MOST_URGENT_PRIORITY else 0
-        )
-        for server_id, pool in self.pools_by_id.items():
-            is_primary = server_id == self.primary.server_id
-            same_domain = pool.server.failure_domain == self._own_domain
-            if not self._accepts_requests(pool, is_primary, now) or (
-                self.partitioned and not same_domain
-            ):
-                continue
-            position = (
-                requirement.position
-                if isinstance(requirement, placement.AtPosition)
-                else None
-            )
-            yield placement.ServerCandidate(
-                server_id=server_id,
-                is_primary=is_primary,
-                has_connection=pool.idle_count_for(request.tenant) > 0,
-                has_slot=pool.running_statements
-                < self._statement_limit(pool.server) + reserved_statements
-                and not self._busy_servers.is_paused(server_id, now),
-                may_have_position=position is None
-                or self.progress_by_id[server_id].may_have_position(position, now),
-                latency_seconds=expected_loads_by_id[server_id].latency_seconds,
-                running_statements=pool.running_statements,
-                network_seconds=network_delays.network_seconds(
-                    self._regions.distance(pool.server.failure_domain),
-                    pool.round_trip.seconds,
-                ),
-                may_be_unreachable=server_id in request.failed_server_ids
-                or pool.may_be_unreachable(now),
-                opening=pool.opening_for(request.tenant, now),
-                other_statements=expected_loads_by_id[server_id].other_statements,
-            )
-
-    def _accepts_requests(self, pool, is_primary, now):
-        """Return whether a server, which may be draining, gets new requests."""
-        if not pool.server.draining:
-            return True
-        draining_since = self._draining_since(pool.server.server_id)
-        return (
-            is_primary
-            and now - (draining_since or now) < DRAINING_PRIMARY_SERVICE_SECONDS
-        )
-
     def _schedule_serve_queue(self):
         """Serve the queue in the next turn of the event loop."""
         if not self._serve_scheduled:
@@ -659,11 +575,15 @@
         now = self._loop.clock.now()
         self._queue.mark_late(now)
         wanted_connections = collections.Counter()
-        expected_loads_by_id = self.expected_loads(now) if len(self._queue) else {}
+        expected_loads_by_id = {}
+        if len(self._queue):
+            expected_loads_by_id = self.candidates.expected_loads(now)
         for request in self._queue:
             requirement = request.requirement()
             candidates = list(
-                self._server_candidates(requirement, request, expected_loads_by_id, now)
+                self.candidates.servers_for(
+                    requirement, request, expected_loads_by_id, now
+                )
             )
             choice = placement.choose_server(requirement, candidates)
             if self.partitioned and not placement.may_serve(requirement, candidates):
--- a/tests/test_slot_shares.py
+++ b/tests/test_slot_shares.py
@@ -4,7 +4,7 @@
 import unittest
 from unittest import mock
 
-from cassiahill import server_group
+from cassiahill import server_candidates
 from cassiahill.slot_shares import (
     STATEMENTS_PER_SLOT,
     STATEMENTS_PER_SLOT_IN_OVERLOAD,
@@ -133,9 +133,9 @@
     def test_urgent_requests_do_not_wait_for_others(self):
         """Guards against urgent requests behind less urgent ones that run."""
         shares = []
-        for urgent_statements in (server_group.URGENT_STATEMENTS, 0):
+        for urgent_statements in (server_candidates.URGENT_STATEMENTS, 0):
             with mock.patch.object(
-                server_group, "URGENT_STATEMENTS", urgent_statements
+                server_candidates, "URGENT_STATEMENTS", urgent_statements
             ):
                 outcomes = LoadSimulation(
                     2,
