Process pipelined statements in a loop, not in one another

Cause: a statement that ends at once processed the next line inside itself. Change: lines are processed by one loop, which the end of a statement only lets go on.

--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -49,6 +49,7 @@
         self._buffer = b""
         self._pending_lines = collections.deque()
         self._running_id = None
+        self._processing_lines = False
         self._session_state = SessionState()
         self._transaction = None
         self._executor = None
@@ -161,16 +162,28 @@
             self._executor.roll_back(self._transaction)
 
     def _process_lines(self):
-        """Process received lines until a request runs."""
-        while (
-            self._pending_lines and self._running_id is None and not self._stream.closed
-        ):
-            line, arrived_at = self._pending_lines.popleft()
-            if len(self._pending_lines) == MAX_PENDING_LINES // 2:
-                self._stream.set_reading_paused(False)
-            self._process_line(line, arrived_at)
+        """Process received lines until a request runs.
+
+        A request that ends at once calls this again, which must not nest.
+        """
+        if self._processing_lines:
+            return
+        self._processing_lines = True
+        try:
+            while self._may_process_line():
+                line, arrived_at = self._pending_lines.popleft()
+                if len(self._pending_lines) == MAX_PENDING_LINES // 2:
+                    self._stream.set_reading_paused(False)
+                self._process_line(line, arrived_at)
+        finally:
+            self._processing_lines = False
         self._close_at_rest()
 
+    def _may_process_line(self):
+        return (
+            self._pending_lines and self._running_id is None and not self._stream.closed
+        )
+
     def _close_at_rest(self):
         """Close the session if it is idle and the proxy stops."""
         if (
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -49,6 +49,12 @@
         self.assertEqual(read[0], b"COMPLETE signature")
         self.assertEqual(self.executed_texts(), ["WRITE a x", "READ a"])
 
+    def test_many_pipelined_statements_are_all_answered(self):
+        """Guards against a session that hangs after statements that end at once."""
+        client = self.client()
+        answers = client.exchange(*[b"QUERY %d READ a" % n for n in range(1000)])
+        self.assertEqual(len([answer for answer in answers if answer]), 1000)
+
     def test_line_feed_in_data_is_no_end_of_a_line(self):
         """Guards against data that is cut off, or that runs as another statement."""
         text = b"WRITE a Flat 3\nQUERY 2 WRITE b other\r"
