--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -11,12 +11,11 @@
     statements,
     transport,
 )
+from cassiahill.line_reader import LINE_END, LineReader
 from cassiahill.session_executor import SessionExecutor, Transaction
 from cassiahill.statement_sender import SessionRequest, SessionState
 from cassiahill.statements import Code, Reply, TransactionState
 
-LINE_END = b"\r\n"
-MAX_LINE_BYTES = 1024 * 1024
 MAX_PENDING_LINES = 64  # Reading pauses when a client pipelines more.
 CLOSE_TIMEOUT_SECONDS = 0.5  # Time for another proxy to close an ended relay.
 # Sessions are closed only after this idle time, which is longer than a client takes to
@@ -46,7 +45,7 @@
         self._relay = None
         self._owner_domain = None
         self._loop = server.loop
-        self._buffer = b""
+        self._reader = LineReader()
         self._pending_lines = collections.deque()
         self._running_id = None
         self._processing_lines = False
@@ -68,7 +67,7 @@
         return (
             self._running_id is None
             and not self._pending_lines
-            and not self._buffer
+            and not self._reader.is_in_line
             and self._transaction is None
             and (self._relay is None or self._relay.is_idle)
         )
@@ -137,10 +136,11 @@
     def _on_data(self, data):
         if self._announced_close or self._stream.closing:
             return
-        *lines, self._buffer = (self._buffer + data).split(LINE_END)
         arrived_at = self.last_active_at = self._loop.clock.now()
-        if len(self._buffer) > MAX_LINE_BYTES:
-            self._refuse_and_close(Code.TOO_LARGE, "the line is too long")
+        try:
+            lines = self._reader.feed(data)
+        except errors.RequestTooLarge as error:
+            self._refuse_and_close(Code.TOO_LARGE, error.detail)
             return
         for line in lines:
             self._pending_lines.append((line, arrived_at))
