Keep the other entries when one is nested too deeply or has absurd slots

Cause: arithmetic with any integer, and a decoder that fails as a whole with a RecursionError, which nothing here took for a damaged part. Change: such a number names no server; what is nested beyond 100 levels is cut out of a body that could not be decoded, outside of texts. Measured: the list with a deep entry raised RecursionError before, and is read now.

--- a/tests/test_adapter_documents.py
+++ b/tests/test_adapter_documents.py
@@ -57,6 +57,12 @@
         for entry in (None, "x", [], {}):
             self.assertIsNone(documents.decode_server("i-1", entry))
 
+    def test_absurd_number_of_slots_gives_none(self):
+        """Guards against arithmetic that fails and ends the service of a group."""
+        for slots in (documents.MAX_SERVER_SLOTS + 1, 10**400):
+            entry = {**SERVER_ENTRY, "slots": slots}
+            self.assertIsNone(documents.decode_server("i-1", entry))
+
 
 class DecodeConfigurationTest(unittest.TestCase):
     def test_routes_and_limits(self):
--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -9,6 +9,7 @@
 from tests import adapter_path
 
 with adapter_path.importable():
+    from adapter import lenient_json
     from adapter import store as platform_store
     from soak import store as stand_in
 
@@ -234,7 +235,7 @@
         unreadable_list += (
             b'{"meta":{"name":"a","revision":3},"spec":{}}],"storeRevision":9}'
         )
-        answer = platform_store._decode_json(unreadable_list)
+        answer = lenient_json.decode(unreadable_list)
         names = [
             stored.name for stored in platform_store._stored_all(answer["items"], 1)
         ]
