Treat a lack of descriptors as a connection that cannot be opened

Change: it is the error that callers of transport.connect handle already. Measured: the new test failed before with OSError and passes.

--- a/cassiahill/transport.py
+++ b/cassiahill/transport.py
@@ -288,9 +288,12 @@
     Raises
     ------
     errors.BackendUnavailable
-        When the operating system refuses the address at once.
+        When the operating system refuses the address at once, or has no descriptor.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        raise errors.BackendUnavailable(f"no socket: {error.strerror}") from error
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     enable_keepalive(sock)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,11 +1,14 @@
 """Tests of ``cassiahill.transport``."""
 
+import errno
 import socket
 import unittest
+from unittest import mock
 
 from cassiahill import transport
 from cassiahill.clock import SystemClock
 from cassiahill.loop import EventLoop
+from tests.session_builders import GroupFixture
 
 
 class AbortTest(unittest.TestCase):
@@ -24,5 +27,24 @@
         self.assertTrue(stream.closed)
 
 
+class DescriptorsTest(unittest.TestCase):
+    def test_lack_of_descriptors_is_an_error_of_the_connection(self):
+        """Guards against a pool that counts an opening for ever, and opens no more."""
+        fixture = GroupFixture()
+        pool = fixture.group.pools_by_id["b"]
+        no_descriptor = OSError(errno.EMFILE, "Too many open files")
+        connect, pool._connect = pool._connect, transport_connection
+        with mock.patch.object(socket, "socket", side_effect=no_descriptor):
+            fixture.loop.result(pool._open_connection(None))
+        pool._connect = connect
+        self.assertEqual(pool.failed_openings, 1)
+        self.assertEqual(sum(pool._openings_by_tenant.values()), 0)
+
+
+def transport_connection(loop, _dialect, server, on_closed):
+    """Open a real connection to a server, as ``line_connections`` does."""
+    return transport.connect(loop, server.address, lambda _data: None, on_closed)
+
+
 if __name__ == "__main__":
     unittest.main()
