--- a/cassiahill/request_queue.py
+++ b/cassiahill/request_queue.py
@@ -110,6 +110,9 @@
     def __iter__(self):
         return iter(list(self._requests))
 
+    def __contains__(self, request):
+        return request in self._requests
+
     def waiting_tenants(self):
         """Return the tenants with queued requests."""
         return {request.tenant for request in self._requests}
--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -579,6 +579,9 @@
         if len(self._queue):
             expected_loads_by_id = self.candidates.expected_loads(now)
         for request in self._queue:
+            if request not in self._queue:
+                # A task that this pass has resumed asked for a connection, too.
+                continue
             requirement = request.requirement()
             candidates = list(
                 self.candidates.servers_for(
@@ -602,6 +605,8 @@
         for request in self._queue.overdue(
             now, next_primary_expected_at, _needs_primary
         ):
+            if request not in self._queue:
+                continue
             self._queue.remove(request)
             if self._reaches_primary:
                 self._queue.record_starved(request)
