--- a/tests/test_store_readers.py
+++ b/tests/test_store_readers.py
@@ -11,7 +11,8 @@
     choose_readers,
 )
 from tests import region_builders
-from tests.memory_fleet import WATCH_SECONDS, MemoryFleet
+from tests.fleet_store import WATCH_SECONDS
+from tests.memory_fleet import MemoryFleet
 
 CONFIGURATION_BOUND_SECONDS = 6.0  # Of the users' large deployment.
 
@@ -131,9 +132,7 @@
 
     def test_calls_of_a_started_fleet_do_not_grow(self):
         """Guards against watches of every proxy that every change ends."""
-        fleets = {
-            count: MemoryFleet(count, change_seconds=5.0) for count in (30, 195)
-        }
+        fleets = {count: MemoryFleet(count, change_seconds=5.0) for count in (30, 195)}
         calls = {}
         for count, fleet in fleets.items():
             fleet.loop.advance(10.0)
