Log what a promotion knew, and when it took effect

Change: the takeover's lines state the newest acknowledged commit that the process has seen and the position that a successor must have; replicas_not_paused names the replicas that the last check found without the pause; promotion_took_effect names the replicas that were asked and the servers known then. No decision changes.

--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -8,6 +8,7 @@
 import random
 
 from cassiahill import (
+    acknowledged_commits,
     busy_servers,
     connection_leases,
     connection_quotas,
@@ -90,6 +91,7 @@
     read_durations : read_durations.ReadDurations
     removed_replicas : removed_replicas.RemovedReplicas
     sole_copies : sole_copies.SoleCopies
+    acknowledged_commits : acknowledged_commits.AcknowledgedCommits
     candidates : server_candidates.ServerCandidates
     quotas : connection_quotas.ConnectionQuotas
     slot_share : slot_shares.SlotShare
@@ -139,6 +141,7 @@
         self.progress_by_id = {}
         self.removed_replicas = removed_replicas.RemovedReplicas()
         self.sole_copies = sole_copies.SoleCopies()
+        self.acknowledged_commits = acknowledged_commits.AcknowledgedCommits()
         self.primary_unreachable_since = None
         self.read_durations = read_durations.ReadDurations()
         self.outstanding_writes = outstanding_writes.OutstandingWrites(loop.clock)
--- a/cassiahill/session_executor.py
+++ b/cassiahill/session_executor.py
@@ -148,6 +148,7 @@
 
     def _confirm_commit(self, reply, request):
         """Return the reply to an acknowledged commit; a task."""
+        self._group.acknowledged_commits.record(reply.position, self._loop.clock.now())
         confirmed = yield from commit_confirmation.confirm_commit(
             self._loop, self._group, request.deadline
         )
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -376,14 +376,30 @@
         prepared = yield from self._prepare_successor(
             primary, successor, other_replicas, term
         )
-        if prepared is None or not (
-            yield from self._are_paused(replicas, prepared, term)
-        ):
+        if prepared is None:
+            self._log_decision("takeover_unsafe", reason, primary, statuses)
+            return False
+        unsafe_replicas = yield from self._list_unsafe(replicas, prepared, term)
+        if unsafe_replicas:
+            event_log.event(
+                "replicas_not_paused",
+                group=self._group.name,
+                term=term,
+                successor=prepared.server_id,
+                received=prepared.received,
+                replicas=" ".join(
+                    f"{status.server_id}={status.received}/{status.paused_term}"
+                    for status in unsafe_replicas
+                ),
+            )
             self._log_decision("takeover_unsafe", reason, primary, statuses)
             return False
         successor = prepared.server_id
         self._log_decision("takeover", reason, primary, statuses, successor, token)
+        ordered_at = self._loop.clock.now()
         promoted = yield from self._order_promotion(successor, token)
+        if promoted:
+            self._log_effect(prepared, ordered_at, statuses)
         if promoted and prepared.received is not None:
             self._group.sole_copies.record_promotion(successor, prepared.received)
         return promoted
@@ -409,23 +425,24 @@
         self._check_pauses_at = math.inf if ended else retry_at
         return False
 
-    def _are_paused(self, replicas, successor, term):
-        """Return whether other replicas are still paused and have no later entries.
+    def _list_unsafe(self, replicas, successor, term):
+        """Return the statuses of replicas that are not paused or have later entries.
 
         A replica may have restarted since, or another promoter may have resumed it.
         """
         if not self._group.synchronous or successor.received is None:
-            return True
+            return []
         others = [
             server_id for server_id in replicas if server_id != successor.server_id
         ]
         statuses = yield from self._statuses.ask_all(others, statements.ReadStatus())
-        return all(
-            status.received is not None
-            and status.paused_term == term
-            and status.received <= successor.received
+        return [
+            status
             for status in statuses
-        )
+            if status.received is None
+            or status.paused_term != term
+            or status.received > successor.received
+        ]
 
     def _prepare_successor(self, primary, successor, other_replicas, term):
         """Pause the other replicas and let the successor receive all that they have.
@@ -590,6 +607,18 @@
                 )
         return False
 
+    def _log_effect(self, prepared, ordered_at, statuses):
+        """Log that a promotion took effect, and what was known shortly before."""
+        event_log.event(
+            "promotion_took_effect",
+            group=self._group.name,
+            server=prepared.server_id,
+            received=prepared.received,
+            after=self._loop.clock.now() - ordered_at,
+            asked=" ".join(status.server_id for status in statuses),
+            servers=" ".join(sorted(self._group.pools_by_id)),
+        )
+
     def _log_decision(
         self, event_name, reason, primary, statuses, successor=None, token=None
     ):
@@ -605,4 +634,6 @@
             replicas=positions,
             successor=successor,
             token=token,
+            acknowledged=self._group.acknowledged_commits.position,
+            required=self._group.sole_copies.required_position,
         )
