--- /dev/null
+++ b/tests/promotion_builders.py
@@ -0,0 +1,151 @@
+"""Builders of a group that one process serves while another one promotes."""
+
+import itertools
+
+from cassiahill import takeover
+from cassiahill.catalog import GroupLimits
+from cassiahill.loop import completed_future
+from cassiahill.server_group import ServerGroup
+from cassiahill.statements import Access, Run
+from cassiahill.takeover import OrderResult
+from tests.line_group import InMemoryDialect
+from tests.session_builders import GroupFixture
+
+EFFECT_SECONDS = 1.0  # Time from an accepted order to the new primary.
+
+
+class MemoryPlatform(takeover.PromotionOrders):
+    """Carries promotion orders out as the platform does: fenced, and after a while.
+
+    Attributes
+    ----------
+    orders : list of tuple
+        Server id and token of each order.
+    unanswered_count : int
+        Number of next orders that are neither answered nor carried out yet.
+    lost_commits : list of LogPosition
+        Acknowledged commits that the log of a new primary lacked.
+    """
+
+    def __init__(self, fixture):
+        self._fixture = fixture
+        self._seen_token = 0
+        self._late_orders = []
+        self.orders = []
+        self.unanswered_count = 0
+        self.lost_commits = []
+
+    @property
+    def promoted_ids(self):
+        """Ids of the servers of all orders."""
+        return [server_id for server_id, _ in self.orders]
+
+    def promote(self, group, server_id, token):
+        self.orders.append((server_id, token))
+        if self.unanswered_count:
+            self.unanswered_count -= 1
+            self._late_orders.append((server_id, token))
+            return completed_future(OrderResult.UNANSWERED)
+        return completed_future(self._carry_out(server_id, token))
+
+    def carry_out_late_orders(self):
+        """Carry out the orders that were not answered, if their tokens still hold."""
+        late_orders, self._late_orders = self._late_orders, []
+        for server_id, token in late_orders:
+            self._carry_out(server_id, token)
+
+    def _carry_out(self, server_id, token):
+        if token < self._seen_token:
+            return OrderResult.REFUSED
+        self._seen_token = token
+        if self._fixture.servers.by_id[server_id].unreachable:
+            return OrderResult.REFUSED
+        if server_id != self._fixture.servers.primary:
+            loop = self._fixture.loop
+            loop.call_at(
+                loop.clock.now() + EFFECT_SECONDS, lambda: self._take_effect(server_id)
+            )
+        return OrderResult.ACCEPTED
+
+    def _take_effect(self, server_id):
+        servers = self._fixture.servers
+        if servers.primary == server_id:
+            return
+        log = servers.by_id[server_id].log
+        self.lost_commits += [
+            position for position in servers.acknowledged if position not in log
+        ]
+        servers.promote(server_id)
+
+
+class PromoterFixture:
+    """A promoter beside the process that serves the clients; ``a`` is the primary.
+
+    Attributes
+    ----------
+    fixture : GroupFixture
+        The process that serves the clients, and the group in memory.
+    group : server_group.ServerGroup
+        What the promoter knows of the group.
+    platform : MemoryPlatform
+    """
+
+    def __init__(self):
+        self.fixture = GroupFixture()
+        self.platform = MemoryPlatform(self.fixture)
+        self._tokens = itertools.count(1)
+        self.group = None
+        self._takeover = None
+
+    @property
+    def servers(self):
+        """The servers in memory, by id."""
+        return self.fixture.servers.by_id
+
+    def start_promoter(self, server_ids):
+        """Start a promoter that finds these servers in the list of servers."""
+        if self.group is not None:
+            self.group.close()
+        fixture = self.fixture
+        self.group = ServerGroup(
+            fixture.loop,
+            InMemoryDialect(),
+            "orders",
+            "proxy-2",
+            "domain-b",
+            lambda _server_id: None,
+            fixture.servers.connect,
+        )
+        self.group.active = True
+        self.group.set_limits(GroupLimits("orders", 20, True), 1)
+        for server_id in server_ids:
+            self.register(server_id)
+        self._takeover = takeover.Takeover(
+            fixture.loop,
+            self.group,
+            self.platform,
+            lambda: next(self._tokens),
+            lambda: completed_future(True),
+            lambda: None,
+        )
+
+    def register(self, server_id, **changes):
+        """Let the promoter learn of a server's entry."""
+        pool = self.group.pools_by_id.get(server_id)
+        previous = None if pool is None else pool.server
+        entry = self.fixture.servers.registered(server_id, **changes)
+        self.group.put_server(entry, previous)
+
+    def write(self, count=1):
+        """Let the other process write; the commits are acknowledged or not."""
+        for _ in range(count):
+            request = self.fixture.make_request(Run(Access.WRITE, "w"), Access.WRITE)
+            self.fixture.loop.spawn(self.fixture.session().run(request))
+            self.fixture.loop.advance(0.05)
+
+    def run_for(self, seconds):
+        """Advance the time; the promoter looks at the symptoms every 50 ms."""
+        for _ in range(round(seconds / 0.05)):
+            now = self.fixture.loop.clock.now()
+            self._takeover.start_if_needed(self.group.primary_symptoms(now))
+            self.fixture.loop.advance(0.05)
