Ask other proxies for acknowledged commits before a promotion

Cause: what a new primary must have was known only to a process that had been there: which replicas had been removed, and which position the lost primary last stated. A promoter that had just started took 'nothing known' for 'nothing missing' and promoted the only replica that it found, although all other proxies had seen the commits acknowledged.

Change: each proxy keeps the position of the newest commit whose acknowledgement it has seen. After the replicas are paused, the promoter asks all proxies that are connected to the group for it; nothing but the successor can acknowledge commits later. A successor that lacks it is not promoted while the primary answers, nor for 30 s after that.

Why this works: each acknowledgement that a client gets has passed a proxy, whichever replica gave it and whether or not the promoter knows this replica.

The check of the broken version of sole copies now takes both guards out, and shows that either one is enough in its history.

--- a/cassiahill/catalog_feed.py
+++ b/cassiahill/catalog_feed.py
@@ -267,6 +267,25 @@
             return False
         return True
 
+    def update_servers(self, deadline):
+        """Apply the servers that the store lists now, whatever the watch knows; a task.
+
+        Parameters
+        ----------
+        deadline : float
+
+        Returns
+        -------
+        bool
+            Whether the store answered in time.
+        """
+        try:
+            yield from self._server_watcher.catch_up(deadline)
+        except errors.CassiahillError as error:
+            event_log.event("servers_unverified", cause=error.detail)
+            return False
+        return True
+
     def set_server_watch_pause(self, short):
         """Set how soon changes of servers are read.
 
--- a/cassiahill/heartbeat_reports.py
+++ b/cassiahill/heartbeat_reports.py
@@ -54,6 +54,14 @@
             if group in heartbeat.demand_by_group
         }
 
+    def watchers_of(self, group):
+        """Return the names of the proxies that are connected to a group's servers."""
+        return {
+            name
+            for name, (_, heartbeat) in self._heartbeats_by_member.items()
+            if group in heartbeat.watched
+        }
+
     def primary_unreachable_since(self, group):
         """Return the instant since which many proxies do not reach a group's primary.
 
--- a/cassiahill/heartbeats.py
+++ b/cassiahill/heartbeats.py
@@ -6,11 +6,13 @@
 import msgspec
 
 from cassiahill import errors, event_log
+from cassiahill.positions import LogPosition
 from cassiahill.shared_store import Revision
 
 MEMBER_PREFIX = "proxy."  # Prefix of the members' object names.
 HEARTBEAT_PATH = "/v1/pulse"
 VIEW_PATH = "/v1/view"
+COMMIT_PATH = "/v1/commit"
 
 
 class _CopiesOfStore:
@@ -164,6 +166,26 @@
     rate_answer: RateAnswer | msgspec.UnsetType = msgspec.UNSET
 
 
+class NewestCommit(msgspec.Struct):
+    """The newest commit of a group that a proxy has seen acknowledged.
+
+    Attributes
+    ----------
+    term, number : int or None
+        Its position; None if there is none.
+    """
+
+    term: int | None = None
+    number: int | None = None
+
+    @property
+    def position(self):
+        """The ``positions.LogPosition``, or None."""
+        if self.term is None or self.number is None:
+            return None
+        return LogPosition(self.term, self.number)
+
+
 class StoredPromoter(msgspec.Struct):
     """The stored object that names the promoter."""
 
@@ -278,6 +300,7 @@
 _heartbeat_decoder = msgspec.json.Decoder(Heartbeat)
 _heartbeat_answer_decoder = msgspec.json.Decoder(HeartbeatAnswer)
 _view_decoder = msgspec.json.Decoder(View)
+_commit_decoder = msgspec.json.Decoder(NewestCommit)
 
 
 def decode_heartbeat(body):
@@ -334,6 +357,36 @@
     return field.metadata.get("query", field.name)
 
 
+def encode_commit_path(group):
+    """Return the path and query to ask a proxy for its newest commit of a group."""
+    return f"{COMMIT_PATH}?{urllib.parse.urlencode({'group': group})}"
+
+
+def decode_commit_query(query):
+    """Return the group in the query of a request for a commit.
+
+    Raises
+    ------
+    errors.MalformedRequest
+    """
+    fields = dict(urllib.parse.parse_qsl(query))
+    if "group" not in fields:
+        raise errors.MalformedRequest("no group is named")
+    return fields["group"]
+
+
+def encode_commit(position):
+    """Return the ``NewestCommit`` at a position, which may be None."""
+    if position is None:
+        return NewestCommit()
+    return NewestCommit(position.term, position.number)
+
+
+def decode_commit(body):
+    """Return the newest commit in a response; raises as ``decode_heartbeat`` does."""
+    return _decode(_commit_decoder, body)
+
+
 def decode_view(body):
     """Return the view in a response body; raises as ``decode_heartbeat`` does."""
     return _decode(_view_decoder, body)
--- a/cassiahill/member_client.py
+++ b/cassiahill/member_client.py
@@ -67,6 +67,32 @@
         finally:
             connection.close()
 
+    def fetch_commit(self, address, group, deadline):
+        """Ask a member for the newest acknowledged commit of a group; a task.
+
+        Parameters
+        ----------
+        address : tuple of (str, int)
+        group : str
+        deadline : float
+
+        Returns
+        -------
+        positions.LogPosition or None
+
+        Raises
+        ------
+        errors.CassiahillError
+        """
+        connection = http1.ClientConnection(self._loop, address)
+        try:
+            response = yield connection.request(
+                "GET", heartbeats.encode_commit_path(group), b"", (), deadline
+            )
+            return heartbeats.decode_commit(response.body).position
+        finally:
+            connection.close()
+
     def close(self):
         """Close the kept connections."""
         for connection in self._connections_by_address.values():
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -221,6 +221,27 @@
         demand_by_domain[self._own_member.failure_domain] += own_demand
         return dict(demand_by_domain)
 
+    def other_members(self, names):
+        """Return the registered members with these names, without this process."""
+        return [
+            member
+            for name, member in self.members_by_name.items()
+            if name in names and name != self._own_member.name
+        ]
+
+    def fetch_commit(self, member, group, deadline):
+        """Ask a member for the newest acknowledged commit of a group; a task.
+
+        Returns
+        -------
+        positions.LogPosition or None
+
+        Raises
+        ------
+        errors.CassiahillError
+        """
+        return self._client.fetch_commit(member.address, group, deadline)
+
     def _total_demand_for(self, heartbeat):
         """Return the demand of all proxies for the groups that a member watches."""
         if not self.election.is_promoter:
--- a/cassiahill/session_owners.py
+++ b/cassiahill/session_owners.py
@@ -114,6 +114,11 @@
             )
         return owners.connected_proxy_count
 
+    def owner_names(self, group):
+        """Return the names of the proxies that keep connections to a group."""
+        owners = self._owners_by_group.get(group)
+        return frozenset() if owners is None else owners.connected_proxy_names
+
     def names_of_all_owners(self, groups):
         """Return the proxies that own any of some groups.
 
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -16,6 +16,7 @@
     http1,
     partition_detector,
     process_state,
+    promotion_evidence,
     proxy_dump,
     rate_exchange,
     rate_limits,
@@ -177,6 +178,9 @@
             self._apply_server_change,
             self.configuration_age,
         )
+        self._promotion_evidence = promotion_evidence.FleetEvidence(
+            loop, self.catalog_feed, self.fleet, self.owners.owner_names
+        )
         # Until the fleet is known, it is not known who reads the store.
         self.catalog_feed.set_resting(True)
         self.caller_checks = caller_checks.CallerChecks(
@@ -263,6 +267,7 @@
                     former_domain,
                     self._regions,
                 ),
+                self._promotion_evidence,
             )
             self._update_limits()
         return group
@@ -487,6 +492,12 @@
             case ("GET", heartbeats.VIEW_PATH):
                 known = heartbeats.decode_known_versions(request.query)
                 return http1.json_response(self.fleet.view(known))
+            case ("GET", heartbeats.COMMIT_PATH):
+                group = self.groups_by_name.get(
+                    heartbeats.decode_commit_query(request.query)
+                )
+                position = group and group.acknowledged_commits.position
+                return http1.json_response(heartbeats.encode_commit(position))
             case ("GET", path) if path == METRICS_PATH:
                 body = self.metrics.render(
                     proxy_dump.gauge_values(self, self._loop.clock.now())
--- a/cassiahill/store_watcher.py
+++ b/cassiahill/store_watcher.py
@@ -158,6 +158,40 @@
             lambda: self._abandon_if_missed(began_at, revision),
         )
 
+    def catch_up(self, deadline):
+        """Report what the store holds now, also while a watch waits; a task.
+
+        Parameters
+        ----------
+        deadline : float
+
+        Raises
+        ------
+        errors.CassiahillError
+            If the store does not answer by the deadline.
+        """
+        timeout_error = errors.PlatformUnavailable("no answer in time")
+        began_at_revision = self.revision
+        try:
+            if not self._can_watch():
+                raise errors.HistoryLost("the objects were not listed before")
+            batch = yield self._loop.with_deadline(
+                self._store.changes_since(self._kind, began_at_revision),
+                deadline,
+                timeout_error,
+            )
+            if batch.changes and self.revision == began_at_revision:
+                self.revision = self.changed_revision = batch.revision
+                self._on_changes(batch.changes)
+        except errors.HistoryLost:
+            snapshot = yield self._loop.with_deadline(
+                self._store.list(self._kind), deadline, timeout_error
+            )
+            if snapshot.revision >= self.changed_revision:
+                self._has_objects = True
+                self.revision = self.changed_revision = snapshot.revision
+                self._on_snapshot(snapshot)
+
     def _abandon_if_missed(self, began_at, revision):
         """Abandon a watch that still waits although the objects have changed."""
         self._check_scheduled = False
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from cassiahill import event_log, replica_statuses, statements
+from cassiahill import event_log, promotion_evidence, replica_statuses, statements
 from cassiahill.replica_statuses import POLL_INTERVAL_SECONDS, ReplicaStatus
 from cassiahill.successor_nearness import Nearness
 
@@ -46,6 +46,8 @@
 # Longer than a network partition around the primary and a replica is expected to last;
 # both answer again after it.
 REMOVED_REPLICA_WAIT_SECONDS = 10.0
+# Longer than a server that has crashed takes to come back with its log.
+MISSING_COMMIT_WAIT_SECONDS = 30.0
 # After this many blocked attempts, the promoter resigns, because another proxy may
 # reach the replicas that did not answer.
 BLOCKED_ATTEMPTS_UNTIL_RESIGNING = 2
@@ -219,6 +221,8 @@
     nearness : callable or None
         Takes the failure domains of a replica and of the former primary, which may be
         None, and returns the replica's ``successor_nearness.Nearness``.
+    evidence : promotion_evidence.PromotionEvidence or None
+        None if nobody else knows anything of the group.
     """
 
     def __init__(
@@ -230,6 +234,7 @@
         confirm_promoter,
         resign,
         nearness=None,
+        evidence=None,
     ):
         self._loop = loop
         self._group = group
@@ -238,7 +243,9 @@
         self._confirm_promoter = confirm_promoter
         self._resign = resign
         self._nearness = nearness or (lambda _domain, _former_domain: Nearness())
+        self._evidence = evidence or promotion_evidence.PromotionEvidence()
         self._former_domain = None
+        self._commits_missing_since = None
         self._statuses = replica_statuses.ReplicaStatuses(loop, group)
         self._blocked_attempts = 0
         self._in_progress = False
@@ -379,7 +386,9 @@
         if prepared is None:
             self._log_decision("takeover_unsafe", reason, primary, statuses)
             return False
-        unsafe_replicas = yield from self._list_unsafe(replicas, prepared, term)
+        unsafe_replicas = yield from self._list_unsafe(
+            primary, replicas, prepared, term
+        )
         if unsafe_replicas:
             event_log.event(
                 "replicas_not_paused",
@@ -425,15 +434,18 @@
         self._check_pauses_at = math.inf if ended else retry_at
         return False
 
-    def _list_unsafe(self, replicas, successor, term):
+    def _list_unsafe(self, primary, replicas, successor, term):
         """Return the statuses of replicas that are not paused or have later entries.
 
-        A replica may have restarted since, or another promoter may have resumed it.
+        A replica may have started or restarted since, or another promoter may have
+        resumed it.
         """
         if not self._group.synchronous or successor.received is None:
             return []
         others = [
-            server_id for server_id in replicas if server_id != successor.server_id
+            server_id
+            for server_id in {*replicas, *self._group.pools_by_id}
+            if server_id not in {primary, successor.server_id}
         ]
         statuses = yield from self._statuses.ask_all(others, statements.ReadStatus())
         return [
@@ -469,6 +481,8 @@
         paused_statuses = [status for status in statuses if status.received is not None]
         if self._group.synchronous and len(paused_statuses) < len(statuses):
             return None
+        # All acknowledgements but the successor's own are older than this question.
+        seen_by_others = self._evidence.newest_acknowledged_commits(self._group.name)
         catch_up_seconds = FAILOVER_CATCH_UP_SECONDS
         old_primary = ReplicaStatus(primary, False, None)
         if primary in self._group.pools_by_id:
@@ -481,10 +495,13 @@
                 self._group.sole_copies.record_primary_position(
                     primary, asked_at, old_primary.received
                 )
+        for position in (yield seen_by_others):
+            self._group.acknowledged_commits.record(position, self._loop.clock.now())
         positions = [
             *(status.received for status in paused_statuses),
             old_primary.received,
             self._group.sole_copies.required_position,
+            self._group.acknowledged_commits.position,
         ]
         required_position = max(
             (position for position in positions if position is not None), default=None
@@ -503,12 +520,13 @@
         if last_status.received is None:
             return None
         best_successor = replica_with_longest_log([*paused_statuses, last_status])
-        if self._may_lack_sole_copies(best_successor, old_primary.received is not None):
+        if self._may_lack_commits(best_successor, old_primary.received is not None):
             event_log.event(
                 "takeover_lacks_commits",
                 group=self._group.name,
                 primary=primary,
                 required=self._group.sole_copies.required_position,
+                acknowledged=self._group.acknowledged_commits.position,
                 received=best_successor.received,
             )
             return None
@@ -560,16 +578,35 @@
             return None
         return successor
 
-    def _may_lack_sole_copies(self, successor, primary_answers):
-        """Return whether only the primary may have some acknowledged commits.
+    def _may_lack_commits(self, successor, primary_answers):
+        """Return whether a successor may lack acknowledged commits.
 
         While the primary answers, it keeps its role until the others have received
-        them. Otherwise it may come back with them for some time.
+        them. Otherwise it, or a replica, may come back with them for some time.
         """
+        if not self._group.synchronous:
+            return False
+        is_missing = self._group.acknowledged_commits.may_be_beyond(successor.received)
+        if is_missing and primary_answers:
+            return True
+        return self._awaits_missing_commits(is_missing) or self._may_lack_sole_copies(
+            successor, primary_answers
+        )
+
+    def _awaits_missing_commits(self, is_missing):
+        """Return whether a server that has acknowledged commits may still come back."""
+        if not is_missing:
+            self._commits_missing_since = None
+            return False
+        now = self._loop.clock.now()
+        if self._commits_missing_since is None:
+            self._commits_missing_since = now
+        return now - self._commits_missing_since <= MISSING_COMMIT_WAIT_SECONDS
+
+    def _may_lack_sole_copies(self, successor, primary_answers):
+        """Return whether only the primary may have some acknowledged commits."""
         sole_copies = self._group.sole_copies
-        if not self._group.synchronous or not sole_copies.may_be_beyond(
-            successor.received
-        ):
+        if not sole_copies.may_be_beyond(successor.received):
             return False
         if primary_answers:
             return True
--- a/tests/promotion_builders.py
+++ b/tests/promotion_builders.py
@@ -4,7 +4,10 @@
 
 from cassiahill import takeover
 from cassiahill.catalog import GroupLimits
+from cassiahill.heartbeat_reports import HeartbeatReports
+from cassiahill.heartbeats import Member
 from cassiahill.loop import completed_future
+from cassiahill.promotion_evidence import PromotionEvidence
 from cassiahill.server_group import ServerGroup
 from cassiahill.statements import Access, Run
 from cassiahill.takeover import OrderResult
@@ -78,6 +81,44 @@
         servers.promote(server_id)
 
 
+class AnsweringMembers:
+    """Members that answer a request for a commit with given futures, by name."""
+
+    def __init__(self, futures_by_name):
+        self._futures_by_name = futures_by_name
+        self.reports = HeartbeatReports()
+
+    def other_members(self, _names):
+        return [
+            Member(name, (name, 1), (name, 2), "domain-a")
+            for name in self._futures_by_name
+        ]
+
+    def fetch_commit(self, member, _group, _deadline):
+        return (yield self._futures_by_name[member.name])
+
+
+class KnownToOthers(PromotionEvidence):
+    """What the store and the process that serves the clients know.
+
+    The store lists the servers that run.
+    """
+
+    def __init__(self, promoter):
+        self._promoter = promoter
+
+    def update_servers(self):
+        known_ids = set(self._promoter.group.pools_by_id)
+        for server_id, server in self._promoter.servers.items():
+            if server_id not in known_ids and not server.unreachable:
+                self._promoter.register(server_id)
+        return completed_future(True)
+
+    def newest_acknowledged_commits(self, group):
+        position = self._promoter.fixture.group.acknowledged_commits.position
+        return completed_future([] if position is None else [position])
+
+
 class PromoterFixture:
     """A promoter beside the process that serves the clients; ``a`` is the primary.
 
@@ -88,11 +129,13 @@
     group : server_group.ServerGroup
         What the promoter knows of the group.
     platform : MemoryPlatform
+    evidence : promotion_evidence.PromotionEvidence
     """
 
     def __init__(self):
         self.fixture = GroupFixture()
         self.platform = MemoryPlatform(self.fixture)
+        self.evidence = KnownToOthers(self)
         self._tokens = itertools.count(1)
         self.group = None
         self._takeover = None
@@ -127,6 +170,7 @@
             lambda: next(self._tokens),
             lambda: completed_future(True),
             lambda: None,
+            evidence=self.evidence,
         )
 
     def register(self, server_id, **changes):
--- a/tests/test_takeover_search.py
+++ b/tests/test_takeover_search.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cassiahill import sole_copies, takeover
+from cassiahill import acknowledged_commits, sole_copies, takeover
 from cassiahill.loop import completed_future
 from cassiahill.statements import Access, Run
 from cassiahill.takeover import OrderResult
@@ -59,9 +59,14 @@
     """Runs actions on a group in memory while the promoter watches it."""
 
     def __init__(
-        self, takeover_class=takeover.Takeover, sole_copies_class=sole_copies.SoleCopies
+        self,
+        takeover_class=takeover.Takeover,
+        sole_copies_class=sole_copies.SoleCopies,
+        acknowledged_commits_class=acknowledged_commits.AcknowledgedCommits,
     ):
         self.fixture = GroupFixture()
+        # Other proxies tell a new promoter what they have seen.
+        self.fixture.group.acknowledged_commits = acknowledged_commits_class()
         self.orders = DelayedOrders(self.fixture)
         self._takeover_class = takeover_class
         self._sole_copies_class = sole_copies_class
@@ -187,6 +192,13 @@
         return False
 
 
+class NothingSeen(acknowledged_commits.AcknowledgedCommits):
+    """Broken version that takes no notice of acknowledgements."""
+
+    def record(self, position, now):
+        pass
+
+
 class LongestAnsweringLog(takeover.Takeover):
     """Broken version that promotes the longest log among the replicas that answer."""
 
@@ -245,7 +257,17 @@
             *[("write", 2), ("wait", 5)] * 8,
         ]
         self.assertEqual(FaultHistory().run_actions(history), [])
-        broken = FaultHistory(sole_copies_class=GivesUpSoleCopies)
+        # Either of the two guards is enough here.
+        for broken_parts in (
+            {"sole_copies_class": GivesUpSoleCopies},
+            {"acknowledged_commits_class": NothingSeen},
+        ):
+            guarded = FaultHistory(**broken_parts)
+            self.assertEqual(guarded.run_actions(history), [])
+        broken = FaultHistory(
+            sole_copies_class=GivesUpSoleCopies,
+            acknowledged_commits_class=NothingSeen,
+        )
         self.assertTrue(broken.run_actions(history))
 
     def test_broken_version_loses_commits(self):
