Read the list of servers in the store for each promotion

Cause: the list of servers is told by a watch. If that is lost without a sign, which is noticed within 8.8 s, the promoter does not pause and ask a replica that has registered since, and promotes one that lacks its commits.

Change: the store's list is read when an attempt starts, beside the check of the promoter's role, and once more before the order. Each server in it must be paused and have nothing that the successor lacks.

--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -298,8 +298,10 @@
     def _replace_primary(self, primary, reason):
         """Promote a replica if that is safe; return whether it became the primary."""
         token = self._next_token()
+        servers_updated = self._evidence.update_servers()
         if token is None or not (yield self._confirm_promoter()):
             return False
+        yield servers_updated
         replicas = [
             server_id for server_id in self._group.pools_by_id if server_id != primary
         ]
@@ -442,6 +444,7 @@
         """
         if not self._group.synchronous or successor.received is None:
             return []
+        yield self._evidence.update_servers()
         others = [
             server_id
             for server_id in {*replicas, *self._group.pools_by_id}
