Close earlier orders before replicas acknowledge commits again

Cause: an order that was not answered may be carried out 12 s later, and one that was accepted takes effect a second later, while its attempt, or its promoter, has ended. An attempt whose repeated order was refused, because the server was down, let the replicas receive again; a new promoter paused them under its own term and resumed them. The server of the order then lacked what they acknowledged.

Change: an attempt that leaves such an order, and a promoter that finds pauses of another one, first give an order for the present primary. It changes nothing, but its token makes the platform refuse all earlier orders. After the time that an accepted one takes, the primary must still be the same. Until then the replicas stay paused. While the primary does not answer, nobody acknowledges commits, and the next order closes the earlier ones.

--- a/cassiahill/replica_statuses.py
+++ b/cassiahill/replica_statuses.py
@@ -24,6 +24,8 @@
         Highest term that it has heard of.
     paused_term : int
         Term of the pause in which it receives no log entries; 0 outside a pause.
+    is_primary : bool
+        Whether it is the primary, as it sees itself.
     """
 
     server_id: str
@@ -31,6 +33,7 @@
     received: object
     term: int = 0
     paused_term: int = 0
+    is_primary: bool = False
 
 
 class ReplicaStatuses:
@@ -67,6 +70,7 @@
                     report.received,
                     report.term,
                     report.paused_term,
+                    report.is_primary,
                 )
             yield self._loop.sleep_until(self._loop.clock.now() + POLL_INTERVAL_SECONDS)
         return ReplicaStatus(server_id, draining, None)
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -40,6 +40,8 @@
 # An order without an answer may still be carried out some 12 s later. Until the
 # successor is the primary, the order is repeated and the other replicas stay paused.
 MAX_PROMOTION_ORDERS = 9
+# An accepted order takes about a second until the server leads.
+ACCEPTED_ORDER_SECONDS = 1.4
 # By then no order can be carried out any more that a former promoter gave.
 ABANDONED_PAUSE_SECONDS = 15.0
 ACKNOWLEDGEMENT_DELAY_SECONDS = 0.06  # Time for a sent acknowledgement to arrive.
@@ -246,6 +248,10 @@
         self._evidence = evidence or promotion_evidence.PromotionEvidence()
         self._former_domain = None
         self._commits_missing_since = None
+        self._own_pause_term = 0
+        # Whether an earlier order, of this process or of a former promoter, may still
+        # be carried out.
+        self._has_open_orders = False
         self._statuses = replica_statuses.ReplicaStatuses(loop, group)
         self._blocked_attempts = 0
         self._in_progress = False
@@ -255,6 +261,7 @@
     def record_not_promoter(self):
         """Record that another process is the promoter, which may pause replicas."""
         self._check_pauses_at = None
+        self._has_open_orders = False
 
     def start_if_needed(self, symptoms):
         """Start to replace the primary if the symptoms require it.
@@ -342,9 +349,15 @@
             )
             return False
         self._blocked_attempts = 0
+        self._has_open_orders |= any(
+            status.paused_term not in {0, self._own_pause_term} for status in statuses
+        )
+        if not (yield from self._close_orders(primary)):
+            return False
         term = 1 + max(
             status.term for status in statuses if status.received is not None
         )
+        self._own_pause_term = term
         promoted = self._loop.spawn(
             self._promote_safely(primary, successor, statuses, term, reason, token)
         )
@@ -415,11 +428,58 @@
             self._group.sole_copies.record_promotion(successor, prepared.received)
         return promoted
 
+    def _close_orders(self, primary):
+        """Make sure that no earlier order is carried out any more; a task.
+
+        An order for the present primary changes nothing, but its token makes the
+        platform refuse all earlier orders. One that it has accepted before takes effect
+        within ``ACCEPTED_ORDER_SECONDS``.
+
+        Returns
+        -------
+        bool
+            Whether an attempt may change who acknowledges commits. While the primary
+            does not answer, nobody acknowledges any.
+        """
+        if not self._has_open_orders:
+            return True
+        status = yield from self._statuses.ask(primary, statements.ReadStatus())
+        if not status.is_primary:
+            return True
+        token = self._next_token()
+        if token is None or not (yield self._confirm_promoter()):
+            return False
+        result = yield self._promotion_orders.promote(self._group.name, primary, token)
+        event_log.event(
+            "earlier_orders_refused",
+            group=self._group.name,
+            primary=primary,
+            token=token,
+            result=result.value,
+        )
+        if result is not OrderResult.ACCEPTED:
+            return False
+        yield self._loop.sleep_until(self._loop.clock.now() + ACCEPTED_ORDER_SECONDS)
+        if self._group.primary.server_id != primary:
+            return False
+        self._has_open_orders = False
+        return True
+
     def _end_own_pauses(self, replicas, term):
-        """Let the replicas receive again, unless another promoter is in charge."""
+        """Let the replicas receive again, unless another promoter is in charge.
+
+        They stay paused while an earlier order may be carried out: its server lacks
+        what they would acknowledge.
+        """
         if not (yield self._confirm_promoter()):
             event_log.event("pauses_left_to_promoter", group=self._group.name)
             return
+        if self._has_open_orders:
+            yield from self._close_orders(self._group.primary.server_id)
+        if self._has_open_orders:
+            event_log.event("pauses_left_to_orders", group=self._group.name)
+            self._check_pauses_at = self._loop.clock.now() + ABANDONED_PAUSE_SECONDS
+            return
         if not (
             yield from self._statuses.resume(replicas, lambda paused: paused == term)
         ):
@@ -638,9 +698,13 @@
             )
             if result is OrderResult.REFUSED:
                 return False
+            if result is not OrderResult.NOT_DONE:
+                self._has_open_orders = True
             deadline = self._loop.clock.now() + PROMOTION_TIMEOUT_SECONDS
             while self._loop.clock.now() < deadline:
                 if self._group.primary.server_id == successor:
+                    # All earlier orders have lower tokens, or are for this server.
+                    self._has_open_orders = False
                     return True
                 yield self._loop.sleep_until(
                     self._loop.clock.now() + POLL_INTERVAL_SECONDS
