Promise commits during a promotion only once the successor has them

Cause: an accepted promotion takes effect about a second later, and the old primary goes on until then. The other replicas are paused, but a server that starts, registers or restarts in this second is not, and acknowledges commits. If the successor receives nothing at that time, they are lost.

Change: the promoter announces the successor to all proxies that are connected to the group, with the question for the newest acknowledged commit. Until the announcement ends, a proxy passes on the acknowledgement of a commit only when the successor's status shows that it has received it; if that can no longer be told, the outcome is called unknown.

Why this works: what a client was told of before the announcement is in the answers to it, and the successor must have it; what it is told of later is in the successor's log.

Checks changed: the builders count the commits of which clients were told.

A planned replacement still serves writes until the promotion takes effect.

--- a/cassiahill/commit_confirmation.py
+++ b/cassiahill/commit_confirmation.py
@@ -4,8 +4,10 @@
 primary's side may acknowledge a commit which the other side, that does not know this
 replica, loses by a promotion. So the client is told of a commit only if a server in
 another failure domain has answered recently, or answers after the acknowledgement.
+While a promotion is about to take effect, the successor must have the commit, too.
 """
 
+from cassiahill import announced_promotion, statements
 from cassiahill.reachability import DOMAIN_UNREACHABLE_SECONDS
 
 # A commit that is acknowledged within this time after a cut has begun may be lost.
@@ -13,16 +15,21 @@
 # Longer than a partition that has begun before can stay unnoticed.
 MAX_HOLD_SECONDS = DOMAIN_UNREACHABLE_SECONDS + 0.2
 POLL_INTERVAL_SECONDS = 0.005
+STATUS_TIMEOUT_SECONDS = 0.15
 
 
-def confirm_commit(loop, group, deadline):
-    """Wait until it is known whether a commit may be lost in a partition; a task.
+def confirm_commit(loop, group, server_id, position, deadline):
+    """Wait until it is known whether a commit may be lost; a task.
 
     Parameters
     ----------
     loop : loop.EventLoop
     group : server_group.ServerGroup
         The group whose primary has just acknowledged the commit.
+    server_id : str
+        This primary.
+    position : positions.LogPosition or None
+        Position that it stated.
     deadline : float
         Instant at which the client's statement times out.
 
@@ -31,6 +38,15 @@
     bool
         Whether the client may be told of the commit.
     """
+    if not (yield from _rule_out_partition(loop, group, deadline)):
+        return False
+    return (
+        yield from _confirm_at_successor(loop, group, server_id, position, deadline)
+    )
+
+
+def _rule_out_partition(loop, group, deadline):
+    """Return whether no partition has begun around the primary; a task."""
     acknowledged_at = loop.clock.now()
     if group.has_replica_in_own_domain or not group.synchronous:
         return True
@@ -45,3 +61,25 @@
             return False
         yield loop.sleep_until(loop.clock.now() + POLL_INTERVAL_SECONDS)
     return loop.clock.now() < deadline
+
+
+def _confirm_at_successor(loop, group, server_id, position, deadline):
+    """Return whether the successor of the primary, if there is one, has a commit.
+
+    A task. The commit may be in the log of a replica only that the promotion leaves
+    behind.
+    """
+    while loop.clock.now() < deadline:
+        promotion = group.announced_promotion
+        if promotion is None or position is None or server_id == promotion.successor:
+            return True
+        status_deadline = min(deadline, loop.clock.now() + STATUS_TIMEOUT_SECONDS)
+        report = yield from group.ask_status_report(
+            promotion.successor, statements.ReadStatus(), status_deadline
+        )
+        if isinstance(report, statements.ServerReport):
+            received = announced_promotion.has_received(report, position)
+            if received is not False:
+                return received is True
+        yield loop.sleep_until(loop.clock.now() + POLL_INTERVAL_SECONDS)
+    return False
--- a/cassiahill/heartbeats.py
+++ b/cassiahill/heartbeats.py
@@ -12,7 +12,7 @@
 MEMBER_PREFIX = "proxy."  # Prefix of the members' object names.
 HEARTBEAT_PATH = "/v1/pulse"
 VIEW_PATH = "/v1/view"
-COMMIT_PATH = "/v1/commit"
+PROMOTION_PATH = "/v1/promotion"
 
 
 class _CopiesOfStore:
@@ -166,6 +166,20 @@
     rate_answer: RateAnswer | msgspec.UnsetType = msgspec.UNSET
 
 
+class PromotionNotice(msgspec.Struct):
+    """Tells a proxy which server is about to be promoted.
+
+    Attributes
+    ----------
+    group : str
+    successor : str or None
+        Id of the server; None if no promotion is about to take effect any more.
+    """
+
+    group: str
+    successor: str | None = None
+
+
 class NewestCommit(msgspec.Struct):
     """The newest commit of a group that a proxy has seen acknowledged.
 
@@ -300,6 +314,7 @@
 _heartbeat_decoder = msgspec.json.Decoder(Heartbeat)
 _heartbeat_answer_decoder = msgspec.json.Decoder(HeartbeatAnswer)
 _view_decoder = msgspec.json.Decoder(View)
+_promotion_notice_decoder = msgspec.json.Decoder(PromotionNotice)
 _commit_decoder = msgspec.json.Decoder(NewestCommit)
 
 
@@ -357,22 +372,9 @@
     return field.metadata.get("query", field.name)
 
 
-def encode_commit_path(group):
-    """Return the path and query to ask a proxy for its newest commit of a group."""
-    return f"{COMMIT_PATH}?{urllib.parse.urlencode({'group': group})}"
-
-
-def decode_commit_query(query):
-    """Return the group in the query of a request for a commit.
-
-    Raises
-    ------
-    errors.MalformedRequest
-    """
-    fields = dict(urllib.parse.parse_qsl(query))
-    if "group" not in fields:
-        raise errors.MalformedRequest("no group is named")
-    return fields["group"]
+def decode_promotion_notice(body):
+    """Return the notice in a request body; raises as ``decode_heartbeat`` does."""
+    return _decode(_promotion_notice_decoder, body)
 
 
 def encode_commit(position):
--- a/cassiahill/member_client.py
+++ b/cassiahill/member_client.py
@@ -1,5 +1,7 @@
 """Client of the requests that session proxies send one another."""
 
+import msgspec
+
 from cassiahill import heartbeats, http1
 
 
@@ -67,18 +69,19 @@
         finally:
             connection.close()
 
-    def fetch_commit(self, address, group, deadline):
-        """Ask a member for the newest acknowledged commit of a group; a task.
+    def announce_promotion(self, address, notice, deadline):
+        """Tell a member of a promotion; a task.
 
         Parameters
         ----------
         address : tuple of (str, int)
-        group : str
+        notice : heartbeats.PromotionNotice
         deadline : float
 
         Returns
         -------
         positions.LogPosition or None
+            Newest commit of the group that the member has seen acknowledged.
 
         Raises
         ------
@@ -87,7 +90,11 @@
         connection = http1.ClientConnection(self._loop, address)
         try:
             response = yield connection.request(
-                "GET", heartbeats.encode_commit_path(group), b"", (), deadline
+                "POST",
+                heartbeats.PROMOTION_PATH,
+                msgspec.json.encode(notice),
+                (),
+                deadline,
             )
             return heartbeats.decode_commit(response.body).position
         finally:
--- a/cassiahill/promotion_evidence.py
+++ b/cassiahill/promotion_evidence.py
@@ -5,7 +5,7 @@
 list of servers until it leaves.
 """
 
-from cassiahill import errors, event_log
+from cassiahill import errors, event_log, heartbeats
 from cassiahill.loop import completed_future
 
 # The store and reachable proxies answer in milliseconds; the group waits meanwhile.
@@ -25,18 +25,23 @@
         """
         return completed_future(True)
 
-    def newest_acknowledged_commits(self, group):
-        """Ask the other proxies for the newest acknowledged commit of a group.
+    def announce_promotion(self, group, successor):
+        """Tell the other proxies which server is about to be promoted.
+
+        From their answers on they tell clients only of commits that it has received.
 
         Parameters
         ----------
         group : str
+        successor : str or None
+            None if no promotion is about to take effect any more.
 
         Returns
         -------
         loop.LoopFuture
-            Future of a list of ``positions.LogPosition``, one for each proxy that has
-            answered and knows such a commit.
+            Future of a list of ``positions.LogPosition``: for each proxy that has
+            answered, the newest commit of the group that it has seen acknowledged
+            before.
         """
         return completed_future([])
 
@@ -64,16 +69,17 @@
         deadline = self._loop.clock.now() + EVIDENCE_TIMEOUT_SECONDS
         return self._loop.spawn(self._catalog_feed.update_servers(deadline))
 
-    def newest_acknowledged_commits(self, group):
+    def announce_promotion(self, group, successor):
         """Return the future of the newest commits that other proxies have seen."""
-        return self._loop.spawn(self._ask_proxies(group))
+        notice = heartbeats.PromotionNotice(group, successor)
+        return self._loop.spawn(self._tell_proxies(group, notice))
 
-    def _ask_proxies(self, group):
+    def _tell_proxies(self, group, notice):
         deadline = self._loop.clock.now() + EVIDENCE_TIMEOUT_SECONDS
         names = self._fleet.reports.watchers_of(group) | self._owner_names(group)
         members = self._fleet.other_members(names)
         futures = [
-            self._loop.spawn(self._ask_proxy(member, group, deadline))
+            self._loop.spawn(self._tell_proxy(member, notice, deadline))
             for member in members
         ]
         positions = []
@@ -81,9 +87,11 @@
             positions.append((yield future))
         return [position for position in positions if position is not None]
 
-    def _ask_proxy(self, member, group, deadline):
+    def _tell_proxy(self, member, notice, deadline):
         try:
-            return (yield from self._fleet.fetch_commit(member, group, deadline))
+            return (yield from self._fleet.announce_promotion(member, notice, deadline))
         except errors.CassiahillError as error:
-            event_log.event("commit_unread", peer=member.name, cause=error.detail)
+            event_log.event(
+                "promotion_unannounced", peer=member.name, cause=error.detail
+            )
             return None
--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -9,6 +9,7 @@
 
 from cassiahill import (
     acknowledged_commits,
+    announced_promotion,
     busy_servers,
     connection_leases,
     connection_quotas,
@@ -142,6 +143,7 @@
         self.removed_replicas = removed_replicas.RemovedReplicas()
         self.sole_copies = sole_copies.SoleCopies()
         self.acknowledged_commits = acknowledged_commits.AcknowledgedCommits()
+        self._announced_promotion = None
         self.primary_unreachable_since = None
         self.read_durations = read_durations.ReadDurations()
         self.outstanding_writes = outstanding_writes.OutstandingWrites(loop.clock)
@@ -378,6 +380,23 @@
             return placement.NotProvable()
         return placement.AtPosition(position)
 
+    @property
+    def announced_promotion(self):
+        """The ``AnnouncedPromotion`` that is about to take effect, or None."""
+        promotion = self._announced_promotion
+        if promotion is None or self._loop.clock.now() >= promotion.ends_at:
+            return None
+        return promotion
+
+    def announce_promotion(self, successor):
+        """Record which server is about to be promoted, or None if none is any more."""
+        self._announced_promotion = None
+        if successor is not None:
+            self._announced_promotion = announced_promotion.AnnouncedPromotion(
+                successor,
+                self._loop.clock.now() + announced_promotion.ANNOUNCEMENT_SECONDS,
+            )
+
     def removed_with_primary(self, max_age_seconds):
         """Return ids of the replicas that were removed since the primary last answered.
 
--- a/cassiahill/session_executor.py
+++ b/cassiahill/session_executor.py
@@ -143,14 +143,18 @@
             self._group.confirm_primary(lease.connection, asked_at, reply)
         self._sender.release(lease)
         if reply.code is None:
-            return (yield from self._confirm_commit(reply, request))
+            return (yield from self._confirm_commit(lease, reply, request))
         return reply
 
-    def _confirm_commit(self, reply, request):
+    def _confirm_commit(self, lease, reply, request):
         """Return the reply to an acknowledged commit; a task."""
         self._group.acknowledged_commits.record(reply.position, self._loop.clock.now())
         confirmed = yield from commit_confirmation.confirm_commit(
-            self._loop, self._group, request.deadline
+            self._loop,
+            self._group,
+            lease.connection.server.server_id,
+            reply.position,
+            request.deadline,
         )
         if not confirmed:
             event_log.event("commit_unconfirmed", request=request.request_id)
@@ -418,7 +422,7 @@
             self._group.record_refusal(lease.connection, reply.code)
         self._sender.release(lease)
         if has_committed:
-            reply = yield from self._confirm_commit(reply, request)
+            reply = yield from self._confirm_commit(lease, reply, request)
         return attrs.evolve(reply, state=TransactionState.IDLE)
 
     def _fail_transaction(self, transaction, code, detail):
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -229,18 +229,19 @@
             if name in names and name != self._own_member.name
         ]
 
-    def fetch_commit(self, member, group, deadline):
-        """Ask a member for the newest acknowledged commit of a group; a task.
+    def announce_promotion(self, member, notice, deadline):
+        """Tell a member of a ``heartbeats.PromotionNotice``; a task.
 
         Returns
         -------
         positions.LogPosition or None
+            Newest commit of the group that the member has seen acknowledged.
 
         Raises
         ------
         errors.CassiahillError
         """
-        return self._client.fetch_commit(member.address, group, deadline)
+        return self._client.announce_promotion(member.address, notice, deadline)
 
     def _total_demand_for(self, heartbeat):
         """Return the demand of all proxies for the groups that a member watches."""
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -492,11 +492,13 @@
             case ("GET", heartbeats.VIEW_PATH):
                 known = heartbeats.decode_known_versions(request.query)
                 return http1.json_response(self.fleet.view(known))
-            case ("GET", heartbeats.COMMIT_PATH):
-                group = self.groups_by_name.get(
-                    heartbeats.decode_commit_query(request.query)
-                )
-                position = group and group.acknowledged_commits.position
+            case ("POST", heartbeats.PROMOTION_PATH):
+                notice = heartbeats.decode_promotion_notice(request.body)
+                group = self.groups_by_name.get(notice.group)
+                if group is None:
+                    return http1.json_response(heartbeats.NewestCommit())
+                group.announce_promotion(notice.successor)
+                position = group.acknowledged_commits.position
                 return http1.json_response(heartbeats.encode_commit(position))
             case ("GET", path) if path == METRICS_PATH:
                 body = self.metrics.render(
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -6,12 +6,19 @@
 old primary, so no acknowledged commit is lost, however late the promotion happens.
 """
 
+import contextlib
 import enum
 import math
 
 import attrs
 
-from cassiahill import event_log, promotion_evidence, replica_statuses, statements
+from cassiahill import (
+    event_log,
+    promotion_evidence,
+    promotion_window,
+    replica_statuses,
+    statements,
+)
 from cassiahill.replica_statuses import POLL_INTERVAL_SECONDS, ReplicaStatus
 from cassiahill.successor_nearness import Nearness
 
@@ -365,6 +372,8 @@
         # Until the replicas have answered, a message that resumes one of them may still
         # be on its way, so that the next attempt could not rely on its own pauses.
         yield from self._end_own_pauses(replicas, term)
+        if not promoted.result() and not self._has_open_orders:
+            yield from self._announce(None)
         return promoted.result()
 
     def _nearness_by_id(self):
@@ -401,6 +410,11 @@
         if prepared is None:
             self._log_decision("takeover_unsafe", reason, primary, statuses)
             return False
+        if prepared.server_id != successor:
+            yield from self._announce(prepared.server_id)
+            if self._may_lack_commits(prepared, primary_answers=False):
+                self._log_decision("takeover_unsafe", reason, primary, statuses)
+                return False
         unsafe_replicas = yield from self._list_unsafe(
             primary, replicas, prepared, term
         )
@@ -421,13 +435,38 @@
         successor = prepared.server_id
         self._log_decision("takeover", reason, primary, statuses, successor, token)
         ordered_at = self._loop.clock.now()
-        promoted = yield from self._order_promotion(successor, token)
+        with self._guarded_window(primary, successor, term) as window:
+            promoted = yield from self._order_promotion(successor, token, window)
         if promoted:
             self._log_effect(prepared, ordered_at, statuses)
         if promoted and prepared.received is not None:
             self._group.sole_copies.record_promotion(successor, prepared.received)
         return promoted
 
+    def _announce(self, successor):
+        """Tell all proxies of a promotion; learn which commits it must keep; a task.
+
+        Later ones are passed on to clients only if the successor has received them.
+        """
+        self._group.announce_promotion(successor)
+        seen_by_others = yield self._evidence.announce_promotion(
+            self._group.name, successor
+        )
+        for position in seen_by_others:
+            self._group.acknowledged_commits.record(position, self._loop.clock.now())
+
+    @contextlib.contextmanager
+    def _guarded_window(self, primary, successor, term):
+        """Guard the time until a promotion takes effect."""
+        window = promotion_window.PromotionWindow(
+            self._loop, self._group, self._statuses, primary, successor, term
+        )
+        self._loop.spawn(window.watch_others())
+        try:
+            yield window
+        finally:
+            window.close()
+
     def _close_orders(self, primary):
         """Make sure that no earlier order is carried out any more; a task.
 
@@ -544,8 +583,7 @@
         paused_statuses = [status for status in statuses if status.received is not None]
         if self._group.synchronous and len(paused_statuses) < len(statuses):
             return None
-        # All acknowledgements but the successor's own are older than this question.
-        seen_by_others = self._evidence.newest_acknowledged_commits(self._group.name)
+        announced = self._loop.spawn(self._announce(successor))
         catch_up_seconds = FAILOVER_CATCH_UP_SECONDS
         old_primary = ReplicaStatus(primary, False, None)
         if primary in self._group.pools_by_id:
@@ -558,8 +596,7 @@
                 self._group.sole_copies.record_primary_position(
                     primary, asked_at, old_primary.received
                 )
-        for position in (yield seen_by_others):
-            self._group.acknowledged_commits.record(position, self._loop.clock.now())
+        yield announced
         positions = [
             *(status.received for status in paused_statuses),
             old_primary.received,
@@ -678,14 +715,22 @@
         waited_since = max(answered_at, sole_copies.lost_at)
         return self._loop.clock.now() - waited_since <= REMOVED_REPLICA_WAIT_SECONDS
 
-    def _order_promotion(self, successor, token):
+    def _order_promotion(self, successor, token, window=None):
         """Order the promotion until the successor is the primary; return whether it is.
 
         The answer to an order can be lost, so the group's known primary decides.
+
+        Parameters
+        ----------
+        successor : str
+        token : int
+        window : promotion_window.PromotionWindow or None
         """
         for repeated in range(MAX_PROMOTION_ORDERS):
-            if repeated and not (yield self._confirm_promoter()):
-                return False
+            if repeated:
+                if not (yield self._confirm_promoter()):
+                    return False
+                yield from self._announce(successor)
             result = yield self._promotion_orders.promote(
                 self._group.name, successor, token
             )
@@ -700,6 +745,8 @@
                 return False
             if result is not OrderResult.NOT_DONE:
                 self._has_open_orders = True
+            if result is OrderResult.ACCEPTED and window is not None:
+                self._loop.spawn(window.watch_successor())
             deadline = self._loop.clock.now() + PROMOTION_TIMEOUT_SECONDS
             while self._loop.clock.now() < deadline:
                 if self._group.primary.server_id == successor:
--- a/tests/promotion_builders.py
+++ b/tests/promotion_builders.py
@@ -26,8 +26,6 @@
         Server id and token of each order.
     unanswered_count : int
         Number of next orders that are neither answered nor carried out yet.
-    lost_commits : list of LogPosition
-        Acknowledged commits that the log of a new primary lacked.
     """
 
     def __init__(self, fixture):
@@ -36,7 +34,6 @@
         self._late_orders = []
         self.orders = []
         self.unanswered_count = 0
-        self.lost_commits = []
 
     @property
     def promoted_ids(self):
@@ -71,14 +68,8 @@
         return OrderResult.ACCEPTED
 
     def _take_effect(self, server_id):
-        servers = self._fixture.servers
-        if servers.primary == server_id:
-            return
-        log = servers.by_id[server_id].log
-        self.lost_commits += [
-            position for position in servers.acknowledged if position not in log
-        ]
-        servers.promote(server_id)
+        if self._fixture.servers.primary != server_id:
+            self._fixture.servers.promote(server_id)
 
 
 class AnsweringMembers:
@@ -94,7 +85,7 @@
             for name in self._futures_by_name
         ]
 
-    def fetch_commit(self, member, _group, _deadline):
+    def announce_promotion(self, member, _notice, _deadline):
         return (yield self._futures_by_name[member.name])
 
 
@@ -102,10 +93,16 @@
     """What the store and the process that serves the clients know.
 
     The store lists the servers that run.
+
+    Attributes
+    ----------
+    others_are_reachable : bool
+        Whether the other process answers the promoter.
     """
 
     def __init__(self, promoter):
         self._promoter = promoter
+        self.others_are_reachable = True
 
     def update_servers(self):
         known_ids = set(self._promoter.group.pools_by_id)
@@ -114,7 +111,10 @@
                 self._promoter.register(server_id)
         return completed_future(True)
 
-    def newest_acknowledged_commits(self, group):
+    def announce_promotion(self, group, successor):
+        if not self.others_are_reachable:
+            return completed_future([])
+        self._promoter.fixture.group.announce_promotion(successor)
         position = self._promoter.fixture.group.acknowledged_commits.position
         return completed_future([] if position is None else [position])
 
@@ -129,13 +129,16 @@
     group : server_group.ServerGroup
         What the promoter knows of the group.
     platform : MemoryPlatform
-    evidence : promotion_evidence.PromotionEvidence
+    evidence : KnownToOthers
+    promised : list of LogPosition
+        Commits of which clients were told.
     """
 
     def __init__(self):
         self.fixture = GroupFixture()
         self.platform = MemoryPlatform(self.fixture)
         self.evidence = KnownToOthers(self)
+        self.promised = []
         self._tokens = itertools.count(1)
         self.group = None
         self._takeover = None
@@ -145,6 +148,13 @@
         """The servers in memory, by id."""
         return self.fixture.servers.by_id
 
+    @property
+    def lost_commits(self):
+        """Commits of which clients were told and that the primary's log lacks."""
+        servers = self.fixture.servers
+        log = servers.by_id[servers.primary].log
+        return [position for position in self.promised if position not in log]
+
     def start_promoter(self, server_ids):
         """Start a promoter that finds these servers in the list of servers."""
         if self.group is not None:
@@ -184,9 +194,15 @@
         """Let the other process write; the commits are acknowledged or not."""
         for _ in range(count):
             request = self.fixture.make_request(Run(Access.WRITE, "w"), Access.WRITE)
-            self.fixture.loop.spawn(self.fixture.session().run(request))
+            reply = self.fixture.loop.spawn(self.fixture.session().run(request))
+            self.fixture.loop.when_done(reply, self._record_reply)
             self.fixture.loop.advance(0.05)
 
+    def _record_reply(self, future):
+        reply = future.result()
+        if reply.code is None:
+            self.promised.append(reply.position)
+
     def run_for(self, seconds):
         """Advance the time; the promoter looks at the symptoms every 50 ms."""
         for _ in range(round(seconds / 0.05)):
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -23,8 +23,8 @@
         promoter.servers[successor].not_receiving = True
         promoter.platform.carry_out_late_orders()
         promoter.run_for(2.0)
-        self.assertGreaterEqual(len(promoter.fixture.servers.acknowledged), 5)
-        self.assertEqual(promoter.platform.lost_commits, [])
+        self.assertGreaterEqual(len(promoter.promised), 5)
+        self.assertEqual(promoter.lost_commits, [])
 
 
 if __name__ == "__main__":
--- a/tests/test_promotion_evidence.py
+++ b/tests/test_promotion_evidence.py
@@ -32,11 +32,11 @@
         promoter.servers["a"].unreachable = True
         promoter.start_promoter(("a", "b"))
         promoter.run_for(5.0)
-        self.assertEqual(promoter.platform.lost_commits, [])
+        self.assertEqual(promoter.lost_commits, [])
         promoter.servers["c"].unreachable = False
         promoter.register("c")
         promoter.run_for(4.0)
-        self.assertEqual(promoter.platform.lost_commits, [])
+        self.assertEqual(promoter.lost_commits, [])
         self.assertEqual(promoter.fixture.servers.primary, "c")
 
     def test_replica_that_the_promoters_watch_has_missed_is_asked(self):
@@ -47,7 +47,7 @@
         self.write_through_c()
         promoter.servers["a"].unreachable = True
         promoter.run_for(5.0)
-        self.assertEqual(promoter.platform.lost_commits, [])
+        self.assertEqual(promoter.lost_commits, [])
         self.assertEqual(promoter.fixture.servers.primary, "c")
 
 
@@ -60,7 +60,7 @@
         evidence = FleetEvidence(loop, None, members, lambda _group: set())
 
         def wait_for_answers():
-            return (yield evidence.newest_acknowledged_commits("orders"))
+            return (yield evidence.announce_promotion("orders", "b"))
 
         return loop.result(wait_for_answers())
 
@@ -77,12 +77,9 @@
 
     def test_commit_survives_its_message(self):
         """Guards against a position that the receiving proxy reads differently."""
-        self.assertEqual(
-            heartbeats.decode_commit_query(
-                heartbeats.encode_commit_path("a b&c").partition("?")[2]
-            ),
-            "a b&c",
-        )
+        notice = heartbeats.PromotionNotice("orders", "b")
+        body = msgspec.json.encode(notice)
+        self.assertEqual(heartbeats.decode_promotion_notice(body), notice)
         for position in (LogPosition(3, 12), None):
             body = msgspec.json.encode(heartbeats.encode_commit(position))
             self.assertEqual(heartbeats.decode_commit(body).position, position)
