Move the servers of a group and their pools into a module of their own

cassiahill/server_group.py had grown to 705 lines and did several jobs. GroupServers now holds the pools, quotas, connection counts and contacts; ServerGroup keeps put_server, remove_server, set_limits and pools_by_id, and the other callers ask group.servers. A restarted server's pool still takes the place of the former one in the same order. server_group.py is down to 612 lines; the tests of the group, takeovers, sessions, regions and tenants pass.

--- a/cassiahill/commit_confirmation.py
+++ b/cassiahill/commit_confirmation.py
@@ -34,12 +34,12 @@
     acknowledged_at = loop.clock.now()
     if group.has_replica_in_own_domain or not group.synchronous:
         return True
-    if group.elsewhere_answered_at > acknowledged_at - RECENT_ANSWER_SECONDS:
+    if group.servers.elsewhere_answered_at > acknowledged_at - RECENT_ANSWER_SECONDS:
         return True
-    group.probe_elsewhere()
+    group.probes.probe_elsewhere(acknowledged_at)
     hold_until = acknowledged_at + MAX_HOLD_SECONDS
     while loop.clock.now() < min(deadline, hold_until):
-        if group.elsewhere_answered_at > acknowledged_at:
+        if group.servers.elsewhere_answered_at > acknowledged_at:
             return True
         if group.partitioned:
             return False
--- a/cassiahill/group_dump.py
+++ b/cassiahill/group_dump.py
@@ -27,11 +27,13 @@
         "demand": group.slot_share.demand,
         "total_demand": group.slot_share.total_demand,
         "load_spread": group.candidates.load_spread(now),
-        "connections": attrs.asdict(group.connection_counts),
+        "connections": attrs.asdict(group.servers.connection_counts),
         "tenants_waiting_most": group.tenant_waits.dump(now),
         "servers": {
             server_id: describe_server(
-                pool, group.progress_by_id[server_id], expected_loads_by_id[server_id]
+                pool,
+                group.servers.progress_by_id[server_id],
+                expected_loads_by_id[server_id],
             )
             for server_id, pool in group.pools_by_id.items()
         },
--- a/cassiahill/partition_detector.py
+++ b/cassiahill/partition_detector.py
@@ -36,7 +36,7 @@
             contact
             for group in groups
             if group.active
-            for contact in group.contacts(now)
+            for contact in group.servers.contacts(now)
         ]
         if contacts:
             relevant_contacts = reachability.relevant_contacts(
--- a/cassiahill/proxy_dump.py
+++ b/cassiahill/proxy_dump.py
@@ -47,9 +47,9 @@
     dict of str to float
     """
     groups = proxy.groups_by_name.values()
-    crossings = [group.crossings() for group in groups]
+    crossings = [group.servers.crossings() for group in groups]
     connections = connection_leases.ConnectionCounts.total(
-        group.connection_counts for group in groups
+        group.servers.connection_counts for group in groups
     )
     values = {
         "open_sessions": len(proxy.sessions),
--- a/cassiahill/server_candidates.py
+++ b/cassiahill/server_candidates.py
@@ -28,6 +28,7 @@
 
     def __init__(self, group, own_domain, draining_since, busy_servers, regions):
         self._group = group
+        self._servers = group.servers
         self._own_domain = own_domain
         self._draining_since = draining_since
         self._busy_servers = busy_servers
@@ -36,7 +37,7 @@
     def _statement_limit(self, server, now):
         """Return how many statements this process may have running at a server."""
         return self._group.slot_share.statement_limit(
-            server.slots, self._group.quotas.proxy_count, now
+            server.slots, self._servers.quotas.proxy_count, now
         )
 
     def expected_loads(self, now):
@@ -92,7 +93,7 @@
                 < self._statement_limit(pool.server, now) + reserved_statements
                 and not self._busy_servers.is_paused(server_id, now),
                 may_have_position=position is None
-                or self._group.progress_by_id[server_id].may_have_position(
+                or self._servers.progress_by_id[server_id].may_have_position(
                     position, now
                 ),
                 latency_seconds=expected_loads_by_id[server_id].latency_seconds,
--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -14,20 +14,18 @@
     event_log,
     fair_queueing,
     group_dump,
+    group_servers,
     known_primary,
     line_connections,
-    network_delays,
     outstanding_writes,
     placement,
     position_samples,
-    reachability,
     read_durations,
     removed_replicas,
     request_queue,
     sample_demand,
     server_candidates,
     server_load,
-    server_pool,
     server_probes,
     slot_shares,
     sole_copies,
@@ -35,7 +33,7 @@
     tenant_waits,
 )
 from cassiahill.loop import LoopFuture
-from cassiahill.regions import Distance, Regions
+from cassiahill.regions import Regions
 from cassiahill.statements import Code
 
 TICK_INTERVAL_SECONDS = 0.02
@@ -80,10 +78,9 @@
     primary : known_primary.KnownPrimary
     primary_positions : position_samples.PrimaryPositions
     sample_demand : sample_demand.SampleDemand
+    servers : group_servers.GroupServers
     pools_by_id : dict
         ``server_pool.ServerPool`` by server id.
-    progress_by_id : dict
-        ``position_samples.ReplicaProgress`` by server id.
     primary_unreachable_since : float or None
         Instant since which the known primary has not answered probes.
     outstanding_writes : outstanding_writes.OutstandingWrites
@@ -91,7 +88,7 @@
     removed_replicas : removed_replicas.RemovedReplicas
     sole_copies : sole_copies.SoleCopies
     candidates : server_candidates.ServerCandidates
-    quotas : connection_quotas.ConnectionQuotas
+    probes : server_probes.ServerProbes
     slot_share : slot_shares.SlotShare
     tenant_waits : tenant_waits.TenantWaits
     """
@@ -109,21 +106,24 @@
     ):
         self._loop = loop
         self._dialect = dialect
-        self._own_name = own_name
-        self._own_domain = own_domain
-        self._connect = connect
-        self._regions = regions or Regions(own_domain)
-        self._former_crossing_statements = 0
+        regions = regions or Regions(own_domain)
+        self.servers = group_servers.GroupServers(
+            loop,
+            dialect,
+            own_name,
+            own_domain,
+            regions,
+            connect,
+            self._schedule_serve_queue,
+        )
         self._queue = request_queue.RequestQueue()
-        self.quotas = connection_quotas.ConnectionQuotas()
-        self._removed_pools_counts = connection_leases.ConnectionCounts()
         rng = random.Random(f"{own_name} {group}")
         self._busy_servers = busy_servers.BusyServers(rng)
         self.candidates = server_candidates.ServerCandidates(
-            self, own_domain, draining_since, self._busy_servers, self._regions
+            self, own_domain, draining_since, self._busy_servers, regions
         )
         self._serve_scheduled = False
-        self._probes = server_probes.ServerProbes(loop, self)
+        self.probes = server_probes.ServerProbes(loop, self)
         self.name = group
         # Only group owners connect. If all proxies did so when they start together,
         # they would use up the servers' connection limits.
@@ -135,8 +135,7 @@
         self.primary = known_primary.KnownPrimary()
         self.primary_positions = position_samples.PrimaryPositions()
         self.sample_demand = sample_demand.SampleDemand()
-        self.pools_by_id = {}
-        self.progress_by_id = {}
+        self.pools_by_id = self.servers.pools_by_id
         self.removed_replicas = removed_replicas.RemovedReplicas()
         self.sole_copies = sole_copies.SoleCopies()
         self.primary_unreachable_since = None
@@ -163,57 +162,29 @@
         """
         now = self._loop.clock.now()
         self.removed_replicas.record_registration(server.server_id)
-        pool = self.pools_by_id.get(server.server_id)
         restarted = previous is not None and (
             previous.address != server.address
             or previous.started_at_ms != server.started_at_ms
         )
-        if pool is not None and restarted:
-            self._close_pool(pool)
-            pool = None
+        if self.servers.put_server(server, restarted):
+            self.server_load.remove_server(server.server_id)
             self.sole_copies.record_lost_log(now)
-        if pool is None:
-            pool = server_pool.ServerPool(
-                self._loop,
-                self._dialect,
-                server,
-                self._own_name,
-                self.quotas.per_process,
-                self._schedule_serve_queue,
-                self._connect,
-            )
-            pool.tenant_limit = self.quotas.per_tenant
-            self.pools_by_id[server.server_id] = pool
-            self.progress_by_id[server.server_id] = position_samples.ReplicaProgress()
-        else:
-            pool.server = server
         if self.primary.record_registration(server, previous, now):
             self._log_primary_change("registered")
         self._schedule_serve_queue()
 
     def remove_server(self, server_id):
         """Stop using a server and close its connections."""
-        pool = self.pools_by_id.pop(server_id, None)
-        self.progress_by_id.pop(server_id, None)
         now = self._loop.clock.now()
-        if pool is not None:
-            self._close_pool(pool)
+        server = self.servers.remove_server(server_id)
+        if server is not None:
+            self.server_load.remove_server(server_id)
             self.sole_copies.record_lost_log(now)
-            if not pool.server.registered_as_primary:
+            if not server.registered_as_primary:
                 self.removed_replicas.record_removal(server_id, now)
         if self.primary.record_removal(server_id, now):
             self._log_primary_change("removed")
 
-    def _close_pool(self, pool):
-        """Close the pool of a server that was removed or has restarted."""
-        if self._is_in_other_region(pool):
-            self._former_crossing_statements += pool.statement_count
-        pool.close()
-        self.server_load.remove_server(pool.server.server_id)
-        self._removed_pools_counts = connection_leases.ConnectionCounts.total(
-            (self._removed_pools_counts, pool.counts)
-        )
-
     def set_limits(self, limits, proxy_count, tenants=None):
         """Set the limits of each server and the connection quotas that follow.
 
@@ -226,37 +197,25 @@
             None in a deployment without tenants.
         """
         self.synchronous = limits.synchronous
-        self.quotas = connection_quotas.ConnectionQuotas(
-            limits.connections, max(1, proxy_count), tenants is not None
+        self.servers.set_quotas(
+            connection_quotas.ConnectionQuotas(
+                limits.connections, max(1, proxy_count), tenants is not None
+            )
         )
         self._queue.weights_by_tenant = None
         if tenants is not None:
             self._queue.weights_by_tenant = fair_queueing.weights(tenants)
             self.tenant_waits.forget_others(tenants.by_name)
-        for pool in self.pools_by_id.values():
-            pool.quota = self.quotas.per_process
-            pool.tenant_limit = self.quotas.per_tenant
 
     def close(self):
         """Close all connections."""
         self._timer.cancel()
-        for pool in self.pools_by_id.values():
-            pool.close()
+        self.servers.close()
 
     def dump(self):
         """Return the state of the group and its servers for operators."""
         return group_dump.describe_group(self, len(self._queue), self._loop.clock.now())
 
-    @property
-    def connection_counts(self):
-        """Counts of connections to all servers since the start."""
-        return connection_leases.ConnectionCounts.total(
-            [
-                self._removed_pools_counts,
-                *(pool.counts for pool in self.pools_by_id.values()),
-            ]
-        )
-
     # Queued requests and what they require of a server
 
     def acquire(self, request):
@@ -309,12 +268,6 @@
         pool = self.pools_by_id.get(self.primary.server_id)
         return None if pool is None else pool.server.failure_domain
 
-    @property
-    def is_primary_in_other_region(self):
-        """Whether the primary is known and in another region."""
-        pool = self.pools_by_id.get(self.primary.server_id)
-        return pool is not None and self._is_in_other_region(pool)
-
     @property
     def can_acknowledge_commits(self):
         """Whether a replica that acknowledges commits may be within reach.
@@ -332,28 +285,10 @@
     def has_replica_in_own_domain(self):
         """Whether a known replica is in the failure domain of this process."""
         return any(
-            pool.server.failure_domain == self._own_domain
-            and server_id != self.primary.server_id
-            for server_id, pool in self.pools_by_id.items()
+            server_id != self.primary.server_id
+            for server_id in self.servers.ids_in_own_domain()
         )
 
-    @property
-    def elsewhere_answered_at(self):
-        """Instant at which a server in another failure domain last answered.
-
-        Infinite if the group has none.
-        """
-        return reachability.last_answer_elsewhere(
-            self._own_domain, self.contacts(self._loop.clock.now())
-        )
-
-    def probe_elsewhere(self):
-        """Probe the servers in other failure domains."""
-        now = self._loop.clock.now()
-        for server_id, pool in self.pools_by_id.items():
-            if pool.server.failure_domain != self._own_domain:
-                self._probes.probe_server(server_id, now)
-
     def read_requirement(self, fresh_since, own_commit):
         """Return what a read requires of a server.
 
@@ -399,7 +334,7 @@
 
     def record_position(self, connection, reply):
         """Record the log position that a reply states."""
-        progress = self.progress_by_id.get(connection.server.server_id)
+        progress = self.servers.progress_by_id.get(connection.server.server_id)
         if progress is not None:
             progress.record_position(reply.position)
 
@@ -447,8 +382,8 @@
                 if self.primary.reject_primary(server_id, now):
                     self._log_primary_change("refused")
             case Code.NOT_CURRENT:
-                if server_id in self.progress_by_id:
-                    self.progress_by_id[server_id].record_refusal(
+                if server_id in self.servers.progress_by_id:
+                    self.servers.progress_by_id[server_id].record_refusal(
                         required_position, now
                     )
                 if self.primary.reject_primary(server_id, now):
@@ -508,34 +443,6 @@
         self.primary_unreachable_since = None
         self.outstanding_writes.reset_failure_detection()
 
-    def contacts(self, now):
-        """Return a ``reachability.Contact`` for each server."""
-        return [
-            reachability.Contact(
-                pool.server.failure_domain,
-                pool.answered_at,
-                pool.has_unanswered_requests(now),
-            )
-            for pool in self.pools_by_id.values()
-        ]
-
-    def _is_in_other_region(self, pool):
-        return (
-            self._regions.distance(pool.server.failure_domain) is Distance.OTHER_REGION
-        )
-
-    def crossings(self):
-        """Return the ``network_delays.Crossings`` of this process and group."""
-        pools = [
-            pool for pool in self.pools_by_id.values() if self._is_in_other_region(pool)
-        ]
-        return network_delays.Crossings(
-            self._former_crossing_statements
-            + sum(pool.statement_count for pool in pools),
-            max((pool.round_trip.seconds or 0.0 for pool in pools), default=0.0),
-            max((pool.round_trip.queue_seconds for pool in pools), default=0.0),
-        )
-
     def primary_symptoms(self, now, reported_unreachable_since=None):
         """Return the ``takeover.PrimarySymptoms`` that this process observes.
 
@@ -682,7 +589,7 @@
         for pool in self.pools_by_id.values():
             pool.close_idle_connections(now, MIN_IDLE_CONNECTIONS if self.active else 0)
         if self.active:
-            self._probes.send_due_probes(now)
+            self.probes.send_due_probes(now)
         return now + TICK_INTERVAL_SECONDS
 
     def _log_primary_change(self, source):
--- a/cassiahill/server_probes.py
+++ b/cassiahill/server_probes.py
@@ -52,12 +52,19 @@
         failure, so they probe it as often as without regions.
         """
         group = self._group
-        if group.supervised or not group.is_primary_in_other_region:
+        if group.supervised or not group.servers.is_in_other_region(
+            group.primary.server_id
+        ):
             return PRIMARY_PROBE_INTERVAL_SECONDS
         return group.sample_demand.sample_interval(
             PRIMARY_PROBE_INTERVAL_SECONDS, SERVER_PROBE_INTERVAL_SECONDS, now
         )
 
+    def probe_elsewhere(self, now):
+        """Probe the servers in other failure domains."""
+        for server_id in self._group.servers.ids_elsewhere():
+            self.probe_server(server_id, now)
+
     def probe_server(self, server_id, now):
         """Probe a server unless a probe is under way or no connection is idle."""
         pool = self._group.pools_by_id.get(server_id)
--- a/tests/tenant_load.py
+++ b/tests/tenant_load.py
@@ -237,7 +237,7 @@
     def counts(self, name):
         """Return a sum over the owners' ``ConnectionCounts``."""
         return sum(
-            getattr(group.connection_counts, name)
+            getattr(group.servers.connection_counts, name)
             for group in self.groups_by_owner.values()
         )
 
--- a/tests/test_reads_across_regions.py
+++ b/tests/test_reads_across_regions.py
@@ -19,11 +19,11 @@
     def test_reads_stay_and_only_probes_cross(self):
         """Guards against reads that cross while a replica in the region is idle."""
         session = self.fixture.session()
-        before = self.fixture.group.crossings().statement_count
+        before = self.fixture.group.servers.crossings().statement_count
         for _ in range(READ_COUNT):
             self.fixture.read(session)
         self.assertEqual(self.fixture.ran("read 1"), ["b"] * READ_COUNT)
-        crossed = self.fixture.group.crossings().statement_count - before
+        crossed = self.fixture.group.servers.crossings().statement_count - before
         self.assertLess(crossed, READ_COUNT)
 
     def test_reads_cross_when_the_near_replica_is_gone(self):
@@ -44,10 +44,10 @@
 
     def test_count_of_statements_survives_a_restart(self):
         """Guards against a counter that falls when a server leaves."""
-        before = self.fixture.group.crossings().statement_count
+        before = self.fixture.group.servers.crossings().statement_count
         self.assertGreater(before, 0)
         self.fixture.group.remove_server("c")
-        self.assertEqual(self.fixture.group.crossings().statement_count, before)
+        self.assertEqual(self.fixture.group.servers.crossings().statement_count, before)
 
 
 if __name__ == "__main__":
--- a/tests/test_session_executor.py
+++ b/tests/test_session_executor.py
@@ -352,7 +352,7 @@
             now = fixture.loop.clock.now()
             failing = {
                 contact.failure_domain: contact.unanswered
-                for contact in fixture.group.contacts(now)
+                for contact in fixture.group.servers.contacts(now)
             }
             self.assertTrue(failing["domain-b"])
             self.assertFalse(failing["domain-c"])
--- a/tests/test_tenant_connections.py
+++ b/tests/test_tenant_connections.py
@@ -78,7 +78,7 @@
         self.assertGreater(dump["connections"]["opened"], 0)
         opened_count = dump["connections"]["opened"]
         self.fixture.group.remove_server("b")
-        counts = self.fixture.group.connection_counts
+        counts = self.fixture.group.servers.connection_counts
         self.assertEqual(counts.opened, opened_count)
 
     def test_end_of_tenants_returns_to_the_shared_pool(self):
