Move the service of a group's queue into a module of its own

QueueService hands connections to queued requests, refuses overdue ones and opens connections; ServerGroup keeps acquire and withdraw, which sessions call, and the periodic work. The order of the passes is the same.

--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -4,15 +4,12 @@
 positions. Requests get a connection to a server that meets their requirement.
 """
 
-import collections
 import random
 
 from cassiahill import (
     busy_servers,
-    connection_leases,
     connection_quotas,
     event_log,
-    fair_queueing,
     group_dump,
     group_servers,
     known_primary,
@@ -20,9 +17,9 @@
     outstanding_writes,
     placement,
     position_samples,
+    queue_service,
     read_durations,
     removed_replicas,
-    request_queue,
     sample_demand,
     server_candidates,
     server_load,
@@ -32,11 +29,9 @@
     takeover,
     tenant_waits,
 )
-from cassiahill.loop import LoopFuture
 from cassiahill.regions import Regions
 from cassiahill.statements import Code
 
-TICK_INTERVAL_SECONDS = 0.02
 MAX_TICK_GAP_SECONDS = 0.3  # A longer gap between ticks means a suspended process.
 # Connections to keep open without requests. One saves a request the time to open it;
 # more would take connections from other proxies.
@@ -107,6 +102,7 @@
         self._loop = loop
         self._dialect = dialect
         regions = regions or Regions(own_domain)
+        self._queue_service = queue_service.QueueService(loop, self)
         self.servers = group_servers.GroupServers(
             loop,
             dialect,
@@ -114,15 +110,13 @@
             own_domain,
             regions,
             connect,
-            self._schedule_serve_queue,
+            self._queue_service.schedule,
         )
-        self._queue = request_queue.RequestQueue()
         rng = random.Random(f"{own_name} {group}")
         self._busy_servers = busy_servers.BusyServers(rng)
         self.candidates = server_candidates.ServerCandidates(
             self, own_domain, draining_since, self._busy_servers, regions
         )
-        self._serve_scheduled = False
         self.probes = server_probes.ServerProbes(loop, self)
         self.name = group
         # Only group owners connect. If all proxies did so when they start together,
@@ -171,7 +165,7 @@
             self.sole_copies.record_lost_log(now)
         if self.primary.record_registration(server, previous, now):
             self._log_primary_change("registered")
-        self._schedule_serve_queue()
+        self._queue_service.schedule()
 
     def remove_server(self, server_id):
         """Stop using a server and close its connections."""
@@ -202,9 +196,8 @@
                 limits.connections, max(1, proxy_count), tenants is not None
             )
         )
-        self._queue.weights_by_tenant = None
+        self._queue_service.set_tenants(tenants)
         if tenants is not None:
-            self._queue.weights_by_tenant = fair_queueing.weights(tenants)
             self.tenant_waits.forget_others(tenants.by_name)
 
     def close(self):
@@ -214,7 +207,9 @@
 
     def dump(self):
         """Return the state of the group and its servers for operators."""
-        return group_dump.describe_group(self, len(self._queue), self._loop.clock.now())
+        return group_dump.describe_group(
+            self, len(self._queue_service), self._loop.clock.now()
+        )
 
     # Queued requests and what they require of a server
 
@@ -232,30 +227,14 @@
             request is refused.
         """
         self.last_request_at = self._loop.clock.now()
-        future = LoopFuture()
-        request.resolve_lease = future.set_result
-        self._queue.add(request)
-        self._serve_queue()
-        if not future.done() and self._is_overloaded_for(request):
-            self._queue.remove(request)
-            future.set_result(None)
-        return future
-
-    def _is_overloaded_for(self, request):
-        """Return whether a request that has just been queued would wait in vain.
-
-        Without a primary the queue does not tell: its requests are served together as
-        soon as there is one.
-        """
-        now = self._loop.clock.now()
-        return (
-            self._reaches_primary
-            and now - request.arrived_at < TICK_INTERVAL_SECONDS
-            and not self._queue.has_room_for(request, now)
-        )
+        return self._queue_service.acquire(request)
+
+    def withdraw(self, request_id):
+        """Remove a queued request whose client has disconnected."""
+        self._queue_service.withdraw(request_id)
 
     @property
-    def _reaches_primary(self):
+    def reaches_primary(self):
         """Whether the primary is known and answers."""
         return (
             self.primary.server_id is not None
@@ -468,99 +447,6 @@
             reported_unreachable_since=reported_unreachable_since,
         )
 
-    # Serving the queue
-
-    def _schedule_serve_queue(self):
-        """Serve the queue in the next turn of the event loop."""
-        if not self._serve_scheduled:
-            self._serve_scheduled = True
-            self._loop.call_soon(self._serve_queue)
-
-    def _serve_queue(self):
-        """Hand connections to requests, refuse overdue requests, open connections."""
-        self._serve_scheduled = False
-        now = self._loop.clock.now()
-        self._queue.mark_late(now)
-        wanted_connections = collections.Counter()
-        expected_loads_by_id = {}
-        if len(self._queue):
-            expected_loads_by_id = self.candidates.expected_loads(now)
-        for request in self._queue:
-            if request not in self._queue:
-                # A task that this pass has resumed asked for a connection, too.
-                continue
-            requirement = request.requirement()
-            candidates = list(
-                self.candidates.servers_for(
-                    requirement, request, expected_loads_by_id, now
-                )
-            )
-            choice = placement.choose_server(requirement, candidates)
-            if self.partitioned and not placement.may_serve(requirement, candidates):
-                self._queue.remove(request)
-                request.resolve_lease(None)
-            elif choice.server_id is not None:
-                self._queue.take(request)
-                self._hand_over_connection(
-                    request, requirement, self.pools_by_id[choice.server_id], now
-                )
-            elif choice.open_server_id is not None:
-                wanted_connections[choice.open_server_id, request.tenant] += 1
-        next_primary_expected_at = self.primary.next_primary_expected_at(
-            now, self.primary_unreachable_since, self.partitioned
-        )
-        for request in self._queue.overdue(
-            now, next_primary_expected_at, _needs_primary
-        ):
-            if request not in self._queue:
-                continue
-            self._queue.remove(request)
-            if self._reaches_primary:
-                self._queue.record_starved(request)
-            self.tenant_waits.record(request.tenant, now - request.arrived_at, now)
-            request.resolve_lease(None)
-        self._open_connections(wanted_connections, now)
-
-    def _open_connections(self, wanted_connections, now):
-        """Open the connections that are wanted, and one to each server without any.
-
-        Parameters
-        ----------
-        wanted_connections : collections.Counter
-            Number of queued requests by the server's id and the tenant.
-        now : float
-        """
-        wanted_server_ids = {server_id for server_id, _ in wanted_connections}
-        if self.active:
-            for server_id, pool in self.pools_by_id.items():
-                if not pool.connection_count and server_id not in wanted_server_ids:
-                    wanted_connections[server_id, None] = 1
-        waiting_tenants = self._queue.waiting_tenants() if wanted_connections else ()
-        for (server_id, tenant), wanted_count in wanted_connections.items():
-            pool = self.pools_by_id.get(server_id)
-            if pool is not None:
-                pool.open_if_needed(wanted_count, now, tenant, waiting_tenants)
-
-    def _hand_over_connection(self, request, requirement, pool, now):
-        """Settle a request with an idle connection of a pool."""
-        connection = pool.acquire(request.values_by_name, now, request.tenant)
-        self.tenant_waits.record(request.tenant, now - request.arrived_at, now)
-        required_position = (
-            requirement.position
-            if isinstance(requirement, placement.AtPosition)
-            else None
-        )
-        request.resolve_lease(
-            connection_leases.ConnectionLease(connection, pool, required_position)
-        )
-
-    def withdraw(self, request_id):
-        """Remove a queued request whose client has disconnected."""
-        for request in self._queue:
-            if request.request_id == request_id:
-                self._queue.remove(request)
-                request.resolve_lease(None)
-
     # Periodic work
 
     def _run_periodic_work(self):
@@ -577,20 +463,20 @@
         )
         elapsed_seconds = now - self._last_tick_at
         self.slot_share.record_statements(
-            len(self._queue) + running_count, elapsed_seconds
+            len(self._queue_service) + running_count, elapsed_seconds
         )
         self.server_load.record_primary_only(
-            sum(map(_needs_primary, self._queue))
+            self._queue_service.primary_only_count()
             + sum(pool.primary_only_statements for pool in self.pools_by_id.values()),
             elapsed_seconds,
         )
         self._last_tick_at = now
-        self._serve_queue()
+        self._queue_service.serve()
         for pool in self.pools_by_id.values():
             pool.close_idle_connections(now, MIN_IDLE_CONNECTIONS if self.active else 0)
         if self.active:
             self.probes.send_due_probes(now)
-        return now + TICK_INTERVAL_SECONDS
+        return now + queue_service.SERVE_INTERVAL_SECONDS
 
     def _log_primary_change(self, source):
         """Log the new known primary and forget the failure symptoms of the last one."""
@@ -603,10 +489,3 @@
             source=source,
             proof=None if latest is None else str(latest.position),
         )
-
-
-def _needs_primary(request):
-    """Return whether a request needs the primary, to run it or to sample a position."""
-    return isinstance(
-        request.requirement(), placement.OnPrimary | placement.NotProvable
-    )
--- a/tests/test_server_group.py
+++ b/tests/test_queue_service.py
@@ -1,4 +1,4 @@
-"""Tests of ``cassiahill.server_group``."""
+"""Tests of ``cassiahill.queue_service``."""
 
 import unittest
 
@@ -7,7 +7,7 @@
 from tests.session_builders import TIMEOUT_SECONDS, GroupFixture
 
 
-class ServeQueueTest(unittest.TestCase):
+class QueueServiceTest(unittest.TestCase):
     def setUp(self):
         self.fixture = GroupFixture(servers=("a",))
         self.group = self.fixture.group
