Move the record of servers' replies into a module of their own

ServerReplies records which server is the primary, whether it answers and the positions that replies show; sessions and probes call it by group.replies. ServerGroup keeps confirm_primary, which a test of the takeover replaces, as a plain call.

--- a/cassiahill/partition_detector.py
+++ b/cassiahill/partition_detector.py
@@ -57,5 +57,5 @@
             event_log.event("cut_off" if partitioned else "connected")
             for group in groups:
                 # Servers that did not answer during the partition may answer now.
-                group.reset_failure_detection()
+                group.replies.reset_failure_detection()
                 group.partitioned = partitioned
--- a/cassiahill/position_samples.py
+++ b/cassiahill/position_samples.py
@@ -42,6 +42,10 @@
     def __init__(self):
         self._samples = collections.deque()
 
+    def clear(self):
+        """Drop all samples."""
+        self._samples.clear()
+
     @property
     def latest_sample(self):
         """The newest sample, or None."""
--- a/cassiahill/queue_service.py
+++ b/cassiahill/queue_service.py
@@ -62,7 +62,7 @@
         """
         now = self._loop.clock.now()
         return (
-            self._group.reaches_primary
+            self._group.replies.reaches_primary
             and now - request.arrived_at < SERVE_INTERVAL_SECONDS
             and not self._queue.has_room_for(request, now)
         )
@@ -131,7 +131,7 @@
         """Refuse the requests that cannot be served in time."""
         group = self._group
         next_primary_expected_at = group.primary.next_primary_expected_at(
-            now, group.primary_unreachable_since, group.partitioned
+            now, group.replies.primary_unreachable_since, group.partitioned
         )
         for request in self._queue.overdue(
             now, next_primary_expected_at, _needs_primary
@@ -139,7 +139,7 @@
             if request not in self._queue:
                 continue
             self._queue.remove(request)
-            if group.reaches_primary:
+            if group.replies.reaches_primary:
                 self._queue.record_starved(request)
             group.tenant_waits.record(request.tenant, now - request.arrived_at, now)
             request.resolve_lease(None)
--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -9,14 +9,11 @@
 from cassiahill import (
     busy_servers,
     connection_quotas,
-    event_log,
     group_dump,
     group_servers,
-    known_primary,
     line_connections,
     outstanding_writes,
     placement,
-    position_samples,
     queue_service,
     read_durations,
     removed_replicas,
@@ -24,19 +21,18 @@
     server_candidates,
     server_load,
     server_probes,
+    server_replies,
     slot_shares,
     sole_copies,
     takeover,
     tenant_waits,
 )
 from cassiahill.regions import Regions
-from cassiahill.statements import Code
 
 MAX_TICK_GAP_SECONDS = 0.3  # A longer gap between ticks means a suspended process.
 # Connections to keep open without requests. One saves a request the time to open it;
 # more would take connections from other proxies.
 MIN_IDLE_CONNECTIONS = 1
-REPLICA_READS_WITHOUT_PRIMARY_SECONDS = 1.5
 
 
 class ServerGroup:
@@ -76,12 +72,11 @@
     servers : group_servers.GroupServers
     pools_by_id : dict
         ``server_pool.ServerPool`` by server id.
-    primary_unreachable_since : float or None
-        Instant since which the known primary has not answered probes.
     outstanding_writes : outstanding_writes.OutstandingWrites
     read_durations : read_durations.ReadDurations
     removed_replicas : removed_replicas.RemovedReplicas
     sole_copies : sole_copies.SoleCopies
+    replies : server_replies.ServerReplies
     candidates : server_candidates.ServerCandidates
     probes : server_probes.ServerProbes
     slot_share : slot_shares.SlotShare
@@ -113,9 +108,10 @@
             self._queue_service.schedule,
         )
         rng = random.Random(f"{own_name} {group}")
-        self._busy_servers = busy_servers.BusyServers(rng)
+        paused_servers = busy_servers.BusyServers(rng)
+        self.replies = server_replies.ServerReplies(loop, self, paused_servers)
         self.candidates = server_candidates.ServerCandidates(
-            self, own_domain, draining_since, self._busy_servers, regions
+            self, own_domain, draining_since, paused_servers, regions
         )
         self.probes = server_probes.ServerProbes(loop, self)
         self.name = group
@@ -126,13 +122,12 @@
         self.synchronous = True
         self.partitioned = False
         self.last_request_at = float("-inf")
-        self.primary = known_primary.KnownPrimary()
-        self.primary_positions = position_samples.PrimaryPositions()
+        self.primary = self.replies.primary
+        self.primary_positions = self.replies.primary_positions
         self.sample_demand = sample_demand.SampleDemand()
         self.pools_by_id = self.servers.pools_by_id
         self.removed_replicas = removed_replicas.RemovedReplicas()
         self.sole_copies = sole_copies.SoleCopies()
-        self.primary_unreachable_since = None
         self.read_durations = read_durations.ReadDurations()
         self.outstanding_writes = outstanding_writes.OutstandingWrites(loop.clock)
         self.slot_share = slot_shares.SlotShare()
@@ -163,8 +158,7 @@
         if self.servers.put_server(server, restarted):
             self.server_load.remove_server(server.server_id)
             self.sole_copies.record_lost_log(now)
-        if self.primary.record_registration(server, previous, now):
-            self._log_primary_change("registered")
+        self.replies.record_registration(server, previous)
         self._queue_service.schedule()
 
     def remove_server(self, server_id):
@@ -176,8 +170,7 @@
             self.sole_copies.record_lost_log(now)
             if not server.registered_as_primary:
                 self.removed_replicas.record_removal(server_id, now)
-        if self.primary.record_removal(server_id, now):
-            self._log_primary_change("removed")
+        self.replies.record_removal(server_id)
 
     def set_limits(self, limits, proxy_count, tenants=None):
         """Set the limits of each server and the connection quotas that follow.
@@ -233,14 +226,6 @@
         """Remove a queued request whose client has disconnected."""
         self._queue_service.withdraw(request_id)
 
-    @property
-    def reaches_primary(self):
-        """Whether the primary is known and answers."""
-        return (
-            self.primary.server_id is not None
-            and self.primary_unreachable_since is None
-        )
-
     @property
     def primary_domain(self):
         """Failure domain of the known primary, or None."""
@@ -309,85 +294,9 @@
             self._loop.clock.now() - max_age_seconds,
         )
 
-    # Replies of servers
-
-    def record_position(self, connection, reply):
-        """Record the log position that a reply states."""
-        progress = self.servers.progress_by_id.get(connection.server.server_id)
-        if progress is not None:
-            progress.record_position(reply.position)
-
     def confirm_primary(self, connection, asked_at, reply):
-        """Record a reply that only a primary gives.
-
-        Parameters
-        ----------
-        connection : line_connections.LineConnection
-        asked_at : float
-            Instant before the statement was sent.
-        reply : statements.Reply
-        """
-        server_id = connection.server.server_id
-        self.primary_unreachable_since = None
-        if self.primary.confirm_primary(server_id, asked_at):
-            self._log_primary_change("proved")
-        if reply.position is not None and self.primary.server_id == server_id:
-            self.primary_positions.add_sample(
-                position_samples.PositionSample(asked_at, server_id, reply.position)
-            )
-            self.sole_copies.record_primary_position(
-                server_id, asked_at, reply.position
-            )
-
-    def record_unanswered_probe(self, server_id, asked_at):
-        """Record that a server did not answer a probe sent at ``asked_at``."""
-        if server_id == self.primary.server_id:
-            self.primary_unreachable_since = self.primary_unreachable_since or asked_at
-
-    def record_refusal(self, connection, code, required_position=None):
-        """Record that a server refused a statement without running it.
-
-        Parameters
-        ----------
-        connection : line_connections.LineConnection
-        code : statements.Code
-        required_position : positions.LogPosition or None
-            Log position that the statement required.
-        """
-        now = self._loop.clock.now()
-        server_id = connection.server.server_id
-        match code:
-            case Code.NOT_PRIMARY:
-                if self.primary.reject_primary(server_id, now):
-                    self._log_primary_change("refused")
-            case Code.NOT_CURRENT:
-                if server_id in self.servers.progress_by_id:
-                    self.servers.progress_by_id[server_id].record_refusal(
-                        required_position, now
-                    )
-                if self.primary.reject_primary(server_id, now):
-                    # A primary has every position that was sampled, unless its term
-                    # has ended or it has lost its log.
-                    self.primary_positions = position_samples.PrimaryPositions()
-                    self._log_primary_change("behind")
-            case Code.BUSY:
-                self._busy_servers.record_refusal(server_id, now)
-            case Code.UNKNOWN_STATEMENT:
-                connection.names_by_shape.clear()
-
-    def is_primary_unreachable(self, now):
-        """Return whether the primary has been unreachable or unknown for too long.
-
-        The limit is ``PRIMARY_UNREACHABLE_SECONDS``. Until it has passed, replicas
-        still serve reads by the position samples of the time before.
-        """
-        no_primary_since = self.primary_unreachable_since
-        if self.primary.server_id is None:
-            no_primary_since = self.primary.unknown_since
-        return (
-            no_primary_since is not None
-            and now - no_primary_since > REPLICA_READS_WITHOUT_PRIMARY_SECONDS
-        )
+        """Record a reply that only a primary gives; see ``ServerReplies``."""
+        self.replies.confirm_primary(connection, asked_at, reply)
 
     # Status of one server
 
@@ -417,11 +326,6 @@
             )
         )
 
-    def reset_failure_detection(self):
-        """Reset the instants since which probes and writes have not been answered."""
-        self.primary_unreachable_since = None
-        self.outstanding_writes.reset_failure_detection()
-
     def primary_symptoms(self, now, reported_unreachable_since=None):
         """Return the ``takeover.PrimarySymptoms`` that this process observes.
 
@@ -440,7 +344,7 @@
         return takeover.PrimarySymptoms(
             primary=server_id,
             draining=draining,
-            unreachable_since=self.primary_unreachable_since,
+            unreachable_since=self.replies.primary_unreachable_since,
             refuses_connections=pool is not None and pool.refuses_connections,
             primary_unknown_since=primary_unknown_since,
             writes_unacknowledged_since=self.outstanding_writes.unanswered_since,
@@ -455,7 +359,7 @@
         if now - self._last_tick_at > MAX_TICK_GAP_SECONDS:
             # This process was suspended and could not receive answers, so missing
             # answers do not show that a server is unreachable.
-            self.reset_failure_detection()
+            self.replies.reset_failure_detection()
             for pool in self.pools_by_id.values():
                 pool.record_contact(now)
         running_count = sum(
@@ -477,15 +381,3 @@
         if self.active:
             self.probes.send_due_probes(now)
         return now + queue_service.SERVE_INTERVAL_SECONDS
-
-    def _log_primary_change(self, source):
-        """Log the new known primary and forget the failure symptoms of the last one."""
-        self.reset_failure_detection()
-        latest = self.primary_positions.latest_sample
-        event_log.event(
-            "primary_changed",
-            group=self.name,
-            primary=self.primary.server_id,
-            source=source,
-            proof=None if latest is None else str(latest.position),
-        )
--- a/cassiahill/server_probes.py
+++ b/cassiahill/server_probes.py
@@ -73,7 +73,7 @@
         connection = pool.acquire_any(now)
         if connection is None:
             if pool.failed_openings:
-                self._group.record_unanswered_probe(server_id, now)
+                self._group.replies.record_unanswered_probe(server_id, now)
             return
         self._probed_server_ids.add(server_id)
         self._loop.spawn(self._probe_for_primary(pool, connection))
@@ -96,17 +96,17 @@
             pool.record_lost_answer(loop.clock.now())
             pool.record_statement_end(loop.clock.now())
             self._probed_server_ids.discard(server_id)
-            group.record_unanswered_probe(server_id, asked_at)
+            group.replies.record_unanswered_probe(server_id, asked_at)
             return
         pool.round_trip.record(loop.clock.now() - asked_at)
         pool.record_contact(loop.clock.now())
         pool.record_statement_end(loop.clock.now())
-        group.record_position(connection, reply)
+        group.replies.record_position(connection, reply)
         if reply.code is None:
             group.confirm_primary(connection, asked_at, reply)
             yield from self._roll_back_probe(connection)
         else:
-            group.record_refusal(connection, reply.code)
+            group.replies.record_refusal(connection, reply.code)
         pool.release(connection)
         yield loop.sleep_until(asked_at + SEARCH_INTERVAL_SECONDS)
         self._probed_server_ids.discard(server_id)
--- a/cassiahill/session_executor.py
+++ b/cassiahill/session_executor.py
@@ -136,7 +136,7 @@
             self._sender.discard(lease)
             return Reply(code=Code.OUTCOME_UNKNOWN, detail="no answer to a write")
         if reply.code in NOT_RUN_CODES:
-            self._group.record_refusal(lease.connection, reply.code)
+            self._group.replies.record_refusal(lease.connection, reply.code)
             self._sender.release(lease)
             return RetryableFailure(reply.code.value)
         if reply.code is None:
@@ -234,7 +234,7 @@
             return RetryableFailure("no answer to a read")
         self._sender.release(lease)
         if reply.code in NOT_RUN_CODES:
-            self._group.record_refusal(lease.connection, reply.code)
+            self._group.replies.record_refusal(lease.connection, reply.code)
             return RetryableFailure(reply.code.value)
         return attrs.evolve(reply, state=TransactionState.IDLE)
 
@@ -253,7 +253,7 @@
             self._sender.discard(lease)
             return RetryableFailure("no answer to a read")
         if reply.code in NOT_RUN_CODES:
-            self._group.record_refusal(
+            self._group.replies.record_refusal(
                 lease.connection, reply.code, lease.required_position
             )
             self._sender.release(lease)
@@ -313,7 +313,7 @@
         if reply.code is None and not transaction.read_only:
             self._group.confirm_primary(lease.connection, asked_at, reply)
         if reply.code in NOT_RUN_CODES:
-            self._group.record_refusal(lease.connection, reply.code)
+            self._group.replies.record_refusal(lease.connection, reply.code)
         if reply.state is not TransactionState.OPEN:
             transaction.failed = True
             reply = attrs.evolve(reply, state=TransactionState.FAILED)
@@ -385,7 +385,7 @@
             self._sender.discard(lease)
             return RetryableFailure("no answer to a begin")
         if reply.code is not None:
-            self._group.record_refusal(
+            self._group.replies.record_refusal(
                 lease.connection, reply.code, lease.required_position
             )
             self._sender.release(lease)
@@ -414,7 +414,7 @@
         elif transaction.values_changed:
             lease.connection.values_by_name = None
         if reply.code in NOT_RUN_CODES:
-            self._group.record_refusal(lease.connection, reply.code)
+            self._group.replies.record_refusal(lease.connection, reply.code)
         self._sender.release(lease)
         if has_committed:
             reply = yield from self._confirm_commit(reply, request)
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -386,7 +386,7 @@
 
     def _is_primary_unreachable(self, group_name):
         group = self.groups_by_name.get(group_name)
-        return group is not None and group.is_primary_unreachable(
+        return group is not None and group.replies.is_primary_unreachable(
             self._loop.clock.now()
         )
 
@@ -471,7 +471,9 @@
         elif self._refuses_keys():
             self.sessions.close_idle_with_keys()
         for name, group in self.groups_by_name.items():
-            primary_unreachable = group.active and group.is_primary_unreachable(now)
+            primary_unreachable = group.active and group.replies.is_primary_unreachable(
+                now
+            )
             if primary_unreachable and self.owners.was_recently_relayed(name, now):
                 self.sessions.close_idle(name)
 
--- a/cassiahill/statement_sender.py
+++ b/cassiahill/statement_sender.py
@@ -109,7 +109,7 @@
             reply = yield loop.with_deadline(future, deadline, timeout_error)
         except errors.CassiahillError:
             return None
-        self._group.record_position(lease.connection, reply)
+        self._group.replies.record_position(lease.connection, reply)
         return reply
 
     def send(self, lease, request, required_position=None):
@@ -131,7 +131,7 @@
             return None
         now = loop.clock.now()
         lease.record_statement_end(now, now - asked_at)
-        self._group.record_position(connection, reply)
+        self._group.replies.record_position(connection, reply)
         return reply
 
     def release(self, lease):
--- a/tests/test_session_executor.py
+++ b/tests/test_session_executor.py
@@ -340,7 +340,7 @@
         fixture.loop.advance(1.5 * primary.seconds)  # The probe's answer is on its way.
         primary.unreachable = True
         fixture.loop.advance(1.0)
-        self.assertIsNotNone(fixture.group.primary_unreachable_since)
+        self.assertIsNotNone(fixture.group.replies.primary_unreachable_since)
 
     def test_unreachable_server_stays_failing_between_probes(self):
         """Guards against assuming that a partition has ended while no probe runs."""
