End refused attempts of a session in one place

Four attempts recorded the refusal, released the connection and returned a RetryableFailure, each for itself. A lease for the primary has no required position, so passing the lease's is the same for all. The one read that released its connection first now records first, as the others do; nothing runs between the two.

--- a/cassiahill/session_executor.py
+++ b/cassiahill/session_executor.py
@@ -136,9 +136,7 @@
             self._sender.discard(lease)
             return Reply(code=Code.OUTCOME_UNKNOWN, detail="no answer to a write")
         if reply.code in NOT_RUN_CODES:
-            self._group.replies.record_refusal(lease.connection, reply.code)
-            self._sender.release(lease)
-            return RetryableFailure(reply.code.value)
+            return self._end_refused_attempt(lease, reply.code)
         if reply.code is None:
             self._group.confirm_primary(lease.connection, asked_at, reply)
         self._sender.release(lease)
@@ -232,10 +230,9 @@
         if reply is None:
             self._sender.discard(lease)
             return RetryableFailure("no answer to a read")
-        self._sender.release(lease)
         if reply.code in NOT_RUN_CODES:
-            self._group.replies.record_refusal(lease.connection, reply.code)
-            return RetryableFailure(reply.code.value)
+            return self._end_refused_attempt(lease, reply.code)
+        self._sender.release(lease)
         return attrs.evolve(reply, state=TransactionState.IDLE)
 
     def _run_read_at_position(self, lease, request):
@@ -253,11 +250,7 @@
             self._sender.discard(lease)
             return RetryableFailure("no answer to a read")
         if reply.code in NOT_RUN_CODES:
-            self._group.replies.record_refusal(
-                lease.connection, reply.code, lease.required_position
-            )
-            self._sender.release(lease)
-            return RetryableFailure(reply.code.value)
+            return self._end_refused_attempt(lease, reply.code)
         self._sender.release(lease)
         return reply
 
@@ -385,11 +378,7 @@
             self._sender.discard(lease)
             return RetryableFailure("no answer to a begin")
         if reply.code is not None:
-            self._group.replies.record_refusal(
-                lease.connection, reply.code, lease.required_position
-            )
-            self._sender.release(lease)
-            return RetryableFailure(reply.code.value)
+            return self._end_refused_attempt(lease, reply.code)
         if not transaction.read_only:
             self._group.confirm_primary(lease.connection, asked_at, reply)
         return None
@@ -428,6 +417,14 @@
 
     # Steps of statements inside and outside a transaction
 
+    def _end_refused_attempt(self, lease, code):
+        """Record a refusal, release the connection, return a ``RetryableFailure``."""
+        self._group.replies.record_refusal(
+            lease.connection, code, lease.required_position
+        )
+        self._sender.release(lease)
+        return RetryableFailure(code.value)
+
     def _requirement_getter(self, request, since, transaction=None):
         """Return a function that returns what the request needs of a server now.
 
