--- a/tests/proxy_process.py
+++ b/tests/proxy_process.py
@@ -5,7 +5,8 @@
 import threading
 
 from cassiahill import catalog_feed, clock, loop
-from cassiahill.session_proxy import SessionProxy, SessionProxySettings
+from cassiahill.session_proxy import SessionProxy
+from cassiahill.session_proxy_settings import SessionProxySettings
 from cassiahill.takeover import PromotionOrders
 from tests import adapter_path
 from tests.loopback import free_address
--- a/tests/test_adapter_documents.py
+++ b/tests/test_adapter_documents.py
@@ -3,7 +3,7 @@
 import math
 import unittest
 
-from cassiahill import errors, session_proxy
+from cassiahill import errors, session_proxy_settings
 from cassiahill.catalog import Consistency
 from cassiahill.rate_limits import RateTolerance
 from cassiahill.tenants import digest_key
@@ -244,7 +244,7 @@
     def test_time_in_which_a_change_must_be_in_force(self):
         """Guards against proofs of the configuration that are sought too late."""
         bounds_and_seconds = (
-            ({}, session_proxy.DEFAULT_CHANGE_SECONDS),
+            ({}, session_proxy_settings.DEFAULT_CHANGE_SECONDS),
             ({"configApplyMs": 3000}, 3.0),
         )
         for bounds, seconds in bounds_and_seconds:
