--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -16,22 +16,18 @@
     partition_detector,
     process_state,
     proxy_dump,
+    proxy_groups,
     rate_exchange,
     rate_limits,
     regions,
-    server_group,
     session_fleet,
     session_metrics,
     session_owners,
     session_server,
     session_shutdown,
-    successor_nearness,
-    takeover,
 )
 
 SUPERVISION_INTERVAL_SECONDS = 0.05
-# A group that was used within this time keeps its connections.
-GROUP_RECENT_USE_SECONDS = 5.0
 METRICS_PATH = "/metrics"
 STATE_PATH = "/v1/state"
 NAME_DIGEST_RANGE = 2**64
@@ -67,8 +63,6 @@
     def __init__(self, loop, settings, store, source, dialect, orders, rng):
         self._loop = loop
         self.settings = settings
-        self._dialect = dialect
-        self._promotion_orders = orders
         self.store = store
         self._regions = regions.Regions(
             settings.failure_domain, settings.region_by_domain
@@ -76,8 +70,6 @@
         self._partition = partition_detector.PartitionDetector(
             settings.failure_domain, self._regions
         )
-        self.groups_by_name = {}
-        self._takeovers_by_group = {}
         self.metrics = session_metrics.SessionMetrics()
         self.catalog = catalog.Catalog()
         self.configuration_age = configuration_age.ConfigurationAge(
@@ -102,15 +94,28 @@
             age=self.configuration_age,
             region_by_domain=settings.region_by_domain,
         )
+        self._groups = proxy_groups.ProxyGroups(
+            loop,
+            dialect,
+            settings.name,
+            settings.failure_domain,
+            self.catalog.draining_since_by_id.get,
+            self._regions,
+            self._partition,
+            self.fleet,
+            orders,
+            self._update_limits,
+        )
+        self.groups_by_name = self._groups.groups_by_name
         self.owners = session_owners.GroupOwnerRouting(
             loop,
             own_member,
             self.fleet,
             self.knows_deployment,
-            self._is_primary_unreachable,
+            self._groups.is_primary_unreachable,
             self,
             settings.region_by_domain,
-            self._primary_domain,
+            self._groups.primary_domain,
         )
         self.rate_limits = rate_limits.RateLimits(
             settings.name,
@@ -143,7 +148,7 @@
             settings.client_address,
             dialect,
             self.catalog,
-            self.get_group,
+            self._groups.get_group,
             self._record_reply,
             settings.relay_address,
             self.owners,
@@ -187,46 +192,10 @@
         """Return whether the configuration and the fleet's members are known."""
         return self.catalog.configuration is not None and self.fleet.members_known
 
-    def get_group(self, name):
-        """Return the ``ServerGroup`` of a group, created when it is first needed."""
-        group = self.groups_by_name.get(name)
-        if group is None:
-            group = server_group.ServerGroup(
-                self._loop,
-                self._dialect,
-                name,
-                self.settings.name,
-                self.settings.failure_domain,
-                self.catalog.draining_since_by_id.get,
-                regions=self._regions,
-            )
-            group.partitioned = self._partition.partitioned
-            self.groups_by_name[name] = group
-            self._takeovers_by_group[name] = takeover.Takeover(
-                self._loop,
-                group,
-                self._promotion_orders,
-                self.fleet.election.next_token,
-                self.fleet.election.confirm_promoter,
-                self.fleet.election.resign,
-                lambda domain, former_domain: successor_nearness.nearness_of(
-                    domain,
-                    self.fleet.demand_by_domain(name),
-                    former_domain,
-                    self._regions,
-                ),
-            )
-            self._update_limits()
-        return group
-
     def install_signal_handlers(self):
         """Shut down on SIGTERM and SIGINT; log SIGHUP, which needs no action."""
-        signal.signal(
-            signal.SIGTERM, lambda *_: self._loop.call_soon(self._shutdown.start)
-        )
-        signal.signal(
-            signal.SIGINT, lambda *_: self._loop.call_soon(self._shutdown.start)
-        )
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self._loop.call_soon(self._shutdown.start))
         signal.signal(
             signal.SIGHUP, lambda *_: self._loop.call_soon(event_log.event, "reload")
         )
@@ -271,33 +240,19 @@
 
     def connected_groups(self):
         """Return the groups whose servers this process is connected to."""
-        return [name for name, group in self.groups_by_name.items() if group.active]
+        return self._groups.active_names
 
     def demand_by_group(self):
         """Return the average number of statements that wait or run, by group."""
-        return {
-            name: round(group.slot_share.demand, 3)
-            for name, group in self.groups_by_name.items()
-            if group.active
-        }
+        return self._groups.demand_by_name()
 
     def apply_total_demand(self, total_demand_by_group):
         """Apply the demand of all proxies to this process's share of the slots."""
-        now = self._loop.clock.now()
-        for name, total_demand in total_demand_by_group.items():
-            if name in self.groups_by_name:
-                self.groups_by_name[name].slot_share.record_total(total_demand, now)
+        self._groups.apply_total_demand(total_demand_by_group)
 
     def groups_without_primary(self):
         """Return the connected groups whose primary this process does not reach."""
-        now = self._loop.clock.now()
-        return [
-            name
-            for name, group in self.groups_by_name.items()
-            if group.active
-            and takeover.promotion_reason(group.primary_symptoms(now), now)
-            in {takeover.PRIMARY_UNREACHABLE, takeover.WRITES_UNACKNOWLEDGED}
-        ]
+        return self._groups.names_without_primary()
 
     def rate_report(self, promoter_name):
         """Return the ``RateReport`` for a promoter; unset without tenants."""
@@ -324,7 +279,7 @@
 
         A process without connections to servers cannot detect a partition by itself.
         """
-        if any(group.active for group in self.groups_by_name.values()):
+        if self._groups.active_names:
             return None
         return self.owners.reference_owner(self.fleet.reference_failures)
 
@@ -336,32 +291,6 @@
         """Choose the owners of all groups again."""
         self._update_limits()
 
-    def _is_primary_unreachable(self, group_name):
-        group = self.groups_by_name.get(group_name)
-        return group is not None and group.replies.is_primary_unreachable(
-            self._loop.clock.now()
-        )
-
-    def _primary_domain(self, group_name):
-        """Return the failure domain of a group's known primary, or None."""
-        group = self.groups_by_name.get(group_name)
-        return None if group is None else group.primary_domain
-
-    def _update_active_groups(self, now):
-        """Mark the groups that this process owns, supervises or used recently."""
-        # The promoter's successor knows the state of all groups when it takes over.
-        watches_all = (
-            self.fleet.election.is_promoter or self.fleet.election.is_successor
-        )
-        for name, group in self.groups_by_name.items():
-            used_recently = now - group.last_request_at < GROUP_RECENT_USE_SECONDS
-            group.supervised = watches_all
-            group.active = (
-                self.owners.holds_connections(name) or watches_all or used_recently
-            )
-        any_active = any(group.active for group in self.groups_by_name.values())
-        self.catalog_feed.set_server_watch_pause(short=any_active)
-
     # Changes of catalog and fleet
 
     def _apply_configuration(self):
@@ -373,9 +302,9 @@
         self._loop.call_soon(self.fleet.announce_changes)
         match change:
             case catalog.ServerAdded(server=server, previous=previous):
-                self.get_group(server.group).put_server(server, previous)
+                self._groups.get_group(server.group).put_server(server, previous)
             case catalog.ServerRemoved(server=server):
-                self.get_group(server.group).remove_server(server.server_id)
+                self._groups.get_group(server.group).remove_server(server.server_id)
 
     def _update_limits(self):
         """Choose the owners of all groups and apply the connection limits."""
@@ -401,18 +330,12 @@
     def _supervise(self):
         """Update groups and reachability, and start promotions that are due."""
         now = self._loop.clock.now()
-        self._update_active_groups(now)
+        self._groups.update_active(self.owners.holds_connections, now)
+        self.catalog_feed.set_server_watch_pause(short=bool(self._groups.active_names))
         self._check_reachability(now)
         if self._regions.are_several:
             self.sessions.close_misplaced()
-        if self.fleet.election.is_promoter and not self._partition.partitioned:
-            for name, group in self.groups_by_name.items():
-                reported_since = self.fleet.reports.primary_unreachable_since(name)
-                symptoms = group.primary_symptoms(now, reported_since)
-                self._takeovers_by_group[name].start_if_needed(symptoms)
-        elif not self.fleet.election.is_promoter:
-            for group_takeover in self._takeovers_by_group.values():
-                group_takeover.record_not_promoter()
+        self._groups.start_due_takeovers(now)
         return now + SUPERVISION_INTERVAL_SECONDS
 
     def _check_reachability(self, now):
@@ -422,10 +345,8 @@
             self.sessions.close_idle()
         elif self._refuses_keys():
             self.sessions.close_idle_with_keys()
-        for name, group in self.groups_by_name.items():
-            primary_unreachable = group.active and group.replies.is_primary_unreachable(
-                now
-            )
+        for name in self._groups.active_names:
+            primary_unreachable = self._groups.is_primary_unreachable(name)
             if primary_unreachable and self.owners.was_recently_relayed(name, now):
                 self.sessions.close_idle(name)
 
