Take an order for open for as long as it may be carried out

Cause: a promoter took orders of others for open only if it found their pauses. A restart ends a pause, and two promoters may pause under the same term: a refused one then resumed what the newer one had paused.

Change: orders are open until a deadline: 15 s after an own order, a refused one too, and after this process took the role from another promoter. Replicas left paused are looked at again after 0.6 s instead of 15 s. If the primary is known to be unreachable, nothing is asked: nobody acknowledges commits.

--- a/cassiahill/proxy_groups.py
+++ b/cassiahill/proxy_groups.py
@@ -79,7 +79,7 @@
 
     def _make_takeover(self, group):
         """Return the ``Takeover`` that replaces a group's primary."""
-        return takeover.Takeover(
+        group_takeover = takeover.Takeover(
             self._loop,
             group,
             self._promotion_orders,
@@ -94,6 +94,9 @@
             ),
             self.promotion_evidence,
         )
+        # There may have been a promoter before this process knew the group.
+        group_takeover.record_not_promoter()
+        return group_takeover
 
     @property
     def active_names(self):
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -49,7 +49,8 @@
 MAX_PROMOTION_ORDERS = 9
 # An accepted order takes about a second until the server leads.
 ACCEPTED_ORDER_SECONDS = 1.4
-# By then no order can be carried out any more that a former promoter gave.
+OPEN_ORDERS_RETRY_SECONDS = 0.6
+# By then no earlier order can be carried out any more.
 ABANDONED_PAUSE_SECONDS = 15.0
 ACKNOWLEDGEMENT_DELAY_SECONDS = 0.06  # Time for a sent acknowledgement to arrive.
 # Longer than a network partition around the primary and a replica is expected to last;
@@ -255,10 +256,9 @@
         self._evidence = evidence or promotion_evidence.PromotionEvidence()
         self._former_domain = None
         self._commits_missing_since = None
-        self._own_pause_term = 0
-        # Whether an earlier order, of this process or of a former promoter, may still
-        # be carried out.
-        self._has_open_orders = False
+        self._follows_other_promoter = False
+        # Until then, an earlier order of any promoter may be carried out.
+        self._orders_open_until = float("-inf")
         self._statuses = replica_statuses.ReplicaStatuses(loop, group)
         self._blocked_attempts = 0
         self._in_progress = False
@@ -266,9 +266,17 @@
         self._check_pauses_at = None
 
     def record_not_promoter(self):
-        """Record that another process is the promoter, which may pause replicas."""
+        """Record that another process is the promoter.
+
+        It may pause replicas, and its orders may be carried out after its time.
+        """
         self._check_pauses_at = None
-        self._has_open_orders = False
+        self._follows_other_promoter = True
+
+    @property
+    def _has_open_orders(self):
+        """Whether an earlier order may still be carried out."""
+        return self._loop.clock.now() < self._orders_open_until
 
     def start_if_needed(self, symptoms):
         """Start to replace the primary if the symptoms require it.
@@ -285,6 +293,8 @@
             return
         if self._check_pauses_at is None:
             self._check_pauses_at = now + ABANDONED_PAUSE_SECONDS
+            if self._follows_other_promoter:
+                self._orders_open_until = now + ABANDONED_PAUSE_SECONDS
         reason = promotion_reason(symptoms, now)
         if reason is not None:
             task = self._replace_primary(symptoms.primary, reason)
@@ -356,15 +366,14 @@
             )
             return False
         self._blocked_attempts = 0
-        self._has_open_orders |= any(
-            status.paused_term not in {0, self._own_pause_term} for status in statuses
-        )
-        if not (yield from self._close_orders(primary)):
-            return False
+        if self._has_open_orders and (yield old_primary_status).is_primary:
+            # While the primary does not answer, nobody acknowledges commits.
+            yield from self._close_orders(primary)
+            if self._has_open_orders:
+                return False
         term = 1 + max(
             status.term for status in statuses if status.received is not None
         )
-        self._own_pause_term = term
         promoted = self._loop.spawn(
             self._promote_safely(primary, successor, statuses, term, reason, token)
         )
@@ -472,22 +481,20 @@
 
         An order for the present primary changes nothing, but its token makes the
         platform refuse all earlier orders. One that it has accepted before takes effect
-        within ``ACCEPTED_ORDER_SECONDS``.
-
-        Returns
-        -------
-        bool
-            Whether an attempt may change who acknowledges commits. While the primary
-            does not answer, nobody acknowledges any.
+        within ``ACCEPTED_ORDER_SECONDS``. Nothing is ordered if the server does not
+        answer as the primary.
         """
-        if not self._has_open_orders:
-            return True
-        status = yield from self._statuses.ask(primary, statements.ReadStatus())
-        if not status.is_primary:
-            return True
+        symptoms = self._group.primary_symptoms(self._loop.clock.now())
+        if symptoms.unreachable_since is not None:
+            return
+        status = yield from self._statuses.ask(
+            primary, statements.ReadStatus(), PRIMARY_RECHECK_TIMEOUT_SECONDS
+        )
+        if not status.is_primary or not (yield self._confirm_promoter()):
+            return
         token = self._next_token()
-        if token is None or not (yield self._confirm_promoter()):
-            return False
+        if token is None:
+            return
         result = yield self._promotion_orders.promote(self._group.name, primary, token)
         event_log.event(
             "earlier_orders_refused",
@@ -497,12 +504,10 @@
             result=result.value,
         )
         if result is not OrderResult.ACCEPTED:
-            return False
+            return
         yield self._loop.sleep_until(self._loop.clock.now() + ACCEPTED_ORDER_SECONDS)
-        if self._group.primary.server_id != primary:
-            return False
-        self._has_open_orders = False
-        return True
+        if self._group.primary.server_id == primary:
+            self._orders_open_until = float("-inf")
 
     def _end_own_pauses(self, replicas, term):
         """Let the replicas receive again, unless another promoter is in charge.
@@ -517,7 +522,7 @@
             yield from self._close_orders(self._group.primary.server_id)
         if self._has_open_orders:
             event_log.event("pauses_left_to_orders", group=self._group.name)
-            self._check_pauses_at = self._loop.clock.now() + ABANDONED_PAUSE_SECONDS
+            self._check_pauses_at = self._loop.clock.now() + OPEN_ORDERS_RETRY_SECONDS
             return
         if not (
             yield from self._statuses.resume(replicas, lambda paused: paused == term)
@@ -528,6 +533,11 @@
         """End the pauses of a promoter that could not do so itself; a task."""
         if not (yield self._confirm_promoter()):
             return False
+        if self._has_open_orders:
+            yield from self._close_orders(self._group.primary.server_id)
+        if self._has_open_orders:
+            self._check_pauses_at = self._loop.clock.now() + OPEN_ORDERS_RETRY_SECONDS
+            return False
         ended = yield from self._statuses.resume(
             list(self._group.pools_by_id), lambda _paused: True
         )
@@ -741,17 +751,20 @@
                 token=token,
                 result=result.value,
             )
+            if result is not OrderResult.NOT_DONE:
+                # A refusal may mean that another promoter has given an order.
+                self._orders_open_until = (
+                    self._loop.clock.now() + ABANDONED_PAUSE_SECONDS
+                )
             if result is OrderResult.REFUSED:
                 return False
-            if result is not OrderResult.NOT_DONE:
-                self._has_open_orders = True
             if result is OrderResult.ACCEPTED and window is not None:
                 self._loop.spawn(window.watch_successor())
             deadline = self._loop.clock.now() + PROMOTION_TIMEOUT_SECONDS
             while self._loop.clock.now() < deadline:
                 if self._group.primary.server_id == successor:
                     # All earlier orders have lower tokens, or are for this server.
-                    self._has_open_orders = False
+                    self._orders_open_until = float("-inf")
                     return True
                 yield self._loop.sleep_until(
                     self._loop.clock.now() + POLL_INTERVAL_SECONDS
--- a/tests/promotion_builders.py
+++ b/tests/promotion_builders.py
@@ -48,6 +48,10 @@
             return completed_future(OrderResult.UNANSWERED)
         return completed_future(self._carry_out(server_id, token))
 
+    def use_token(self, token):
+        """Let another promoter use a fencing token."""
+        self._seen_token = token
+
     def carry_out_late_orders(self):
         """Carry out the orders that were not answered, if their tokens still hold."""
         late_orders, self._late_orders = self._late_orders, []
@@ -156,8 +160,12 @@
         return [position for position in self.promised if position not in log]
 
     def start_promoter(self, server_ids):
-        """Start a promoter that finds these servers in the list of servers."""
-        if self.group is not None:
+        """Start a promoter that finds these servers in the list of servers.
+
+        A second one follows the first, which does nothing more.
+        """
+        follows_other = self.group is not None
+        if follows_other:
             self.group.close()
         fixture = self.fixture
         self.group = ServerGroup(
@@ -182,6 +190,8 @@
             lambda: None,
             evidence=self.evidence,
         )
+        if follows_other:
+            self._takeover.record_not_promoter()
 
     def register(self, server_id, **changes):
         """Let the promoter learn of a server's entry."""
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -26,6 +26,36 @@
         self.assertGreaterEqual(len(promoter.promised), 5)
         self.assertEqual(promoter.lost_commits, [])
 
+    def test_new_promoter_closes_an_accepted_order_of_its_predecessor(self):
+        """Guards against commits acknowledged while a former order takes effect."""
+        promoter = PromoterFixture()
+        promoter.start_promoter(("a", "b", "c"))
+        promoter.run_for(0.5)
+        promoter.register("a", draining=True)
+        promoter.run_for(0.3)
+        [successor] = promoter.platform.promoted_ids
+        # A restart has ended the only pause that could tell of the order.
+        promoter.servers[{"b": "c", "c": "b"}[successor]].paused_term = 0
+        promoter.start_promoter(("a", "b", "c"))
+        promoter.register("a", draining=True)
+        promoter.servers[successor].not_receiving = True
+        for _ in range(20):
+            promoter.write()
+            promoter.run_for(0.05)
+        self.assertEqual(promoter.platform.promoted_ids[1], "a")
+        self.assertEqual(promoter.lost_commits, [])
+
+    def test_refused_promoter_ends_no_pause(self):
+        """Guards against a promoter that ends pauses of a newer one by their term."""
+        promoter = PromoterFixture()
+        promoter.start_promoter(("a", "b", "c"))
+        promoter.run_for(0.5)
+        promoter.platform.use_token(100)
+        promoter.register("a", draining=True)
+        promoter.run_for(0.6)
+        paused = [server.paused_term for server in promoter.servers.values()]
+        self.assertGreater(max(paused), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -507,6 +507,7 @@
             lambda: completed_future(True),
             lambda: None,
         )
+        self.takeover.record_not_promoter()
         self.run_for(2.2)
         successor = self.orders.promotions[-1][0]
         other = self.fixture.servers.by_id[{"b": "c", "c": "b"}[successor]]
