Let each takeover start as that of a promoter with a predecessor

Cause: a process that claims the role as soon as it has started creates its takeovers afterwards. That the product told each of them of a predecessor did not hold for those who embed the class.

Tests of a promoter without a predecessor say so.

--- a/cassiahill/proxy_groups.py
+++ b/cassiahill/proxy_groups.py
@@ -79,7 +79,7 @@
 
     def _make_takeover(self, group):
         """Return the ``Takeover`` that replaces a group's primary."""
-        group_takeover = takeover.Takeover(
+        return takeover.Takeover(
             self._loop,
             group,
             self._promotion_orders,
@@ -94,9 +94,6 @@
             ),
             self.promotion_evidence,
         )
-        # There may have been a promoter before this process knew the group.
-        group_takeover.record_not_promoter()
-        return group_takeover
 
     @property
     def active_names(self):
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -256,7 +256,7 @@
         self._evidence = evidence or promotion_evidence.PromotionEvidence()
         self._former_domain = None
         self._commits_missing_since = None
-        self._follows_other_promoter = False
+        self._follows_other_promoter = True
         # Until then, an earlier order of any promoter may be carried out.
         self._orders_open_until = float("-inf")
         self._statuses = replica_statuses.ReplicaStatuses(loop, group)
--- a/tests/promotion_builders.py
+++ b/tests/promotion_builders.py
@@ -123,6 +123,12 @@
         return completed_future([] if position is None else [position])
 
 
+def without_predecessor(group_takeover):
+    """Return the takeover of a process that has been the promoter for long."""
+    group_takeover._follows_other_promoter = False
+    return group_takeover
+
+
 class PromoterFixture:
     """A promoter beside the process that serves the clients; ``a`` is the primary.
 
@@ -181,7 +187,7 @@
         self.group.set_limits(GroupLimits("orders", 20, True), 1)
         for server_id in server_ids:
             self.register(server_id)
-        self._takeover = takeover.Takeover(
+        group_takeover = takeover.Takeover(
             fixture.loop,
             self.group,
             self.platform,
@@ -190,8 +196,9 @@
             lambda: None,
             evidence=self.evidence,
         )
-        if follows_other:
-            self._takeover.record_not_promoter()
+        if not follows_other:
+            group_takeover = without_predecessor(group_takeover)
+        self._takeover = group_takeover
 
     def register(self, server_id, **changes):
         """Let the promoter learn of a server's entry."""
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -12,6 +12,7 @@
 from cassiahill.successor_nearness import Nearness
 from cassiahill.takeover import OrderResult, PrimarySymptoms, ReplicaStatus
 from tests.line_group import InMemoryServer
+from tests.promotion_builders import without_predecessor
 from tests.session_builders import GroupFixture
 
 
@@ -125,7 +126,7 @@
         self.tokens = itertools.count(1)
         self.resigned_at = []
         self.is_promoter = True
-        self.takeover = takeover.Takeover(
+        group_takeover = takeover.Takeover(
             self.fixture.loop,
             self.fixture.group,
             self.orders,
@@ -134,6 +135,7 @@
             lambda: self.resigned_at.append(self.fixture.loop.clock.now()),
             self.nearness,
         )
+        self.takeover = without_predecessor(group_takeover)
         self.near_domain = None
         self.former_domains = set()
 
@@ -507,7 +509,6 @@
             lambda: completed_future(True),
             lambda: None,
         )
-        self.takeover.record_not_promoter()
         self.run_for(2.2)
         successor = self.orders.promotions[-1][0]
         other = self.fixture.servers.by_id[{"b": "c", "c": "b"}[successor]]
