Add a model of groups whose promotions take effect a second later

The search of takeovers carried orders out at once, added no server, let no server crash or restart with its log, and gave all promoters one list of servers, so it could not find what is lost between an order and its effect. This model has these, and several promoters with their own connections and lists.

--- /dev/null
+++ b/tests/promotion_history.py
@@ -0,0 +1,317 @@
+"""Runs histories of faults on the group of ``tests.promotion_model``."""
+
+import functools
+import itertools
+
+from cassiahill import catalog, errors, takeover
+from cassiahill.catalog import GroupLimits
+from cassiahill.loop import completed_future
+from cassiahill.regions import Regions
+from cassiahill.server_group import ServerGroup
+from cassiahill.session_executor import SessionExecutor
+from cassiahill.statement_sender import SessionRequest, SessionState
+from cassiahill.statements import Access, Run
+from tests.line_group import InMemoryDialect
+from tests.promotion_model import ModelConnection, ModelGroup, SlowPlatform
+from tests.session_builders import TIMEOUT_SECONDS, make_route
+from tests.stepped_loop import SteppedLoop
+
+STEP_SECONDS = 0.1
+MAX_ABSENCE_SECONDS = 8.0  # Shorter than ``takeover.REMOVED_REPLICA_WAIT_SECONDS``.
+RESIGNATION_SECONDS = 0.4  # Until another proxy has claimed the role.
+UNNOTICED_SUCCESSION_SECONDS = 3.0
+EXPIRY_SECONDS = 2.0  # An entry that expired while the store was away is back by then.
+MAX_JOINED_SERVERS = 2
+
+
+class Promoter:
+    """One proxy that may be the promoter, with its own view of the group.
+
+    Attributes
+    ----------
+    silent_ids : set of str
+        Ids of the servers that do not answer this proxy.
+    watch_lost_until : float
+        Instant until which it learns of no change of the servers' entries.
+    believes_until : float
+        Instant until which it takes itself for the promoter.
+    """
+
+    def __init__(self, history, takeover_class):
+        self._history = history
+        self._loop = history.loop
+        self._catalog = catalog.Catalog()
+        self._known_entries_by_id = {}
+        self._tokens = iter(())
+        self.silent_ids = set()
+        self.watch_lost_until = 0.0
+        self.believes_until = 0.0
+        self.group = ServerGroup(
+            self._loop,
+            InMemoryDialect(),
+            "orders",
+            "proxy-1",
+            "domain-z",
+            self._catalog.draining_since_by_id.get,
+            self._connect,
+            Regions("domain-z", {}),
+        )
+        self.group.active = True
+        self.group.set_limits(GroupLimits("orders", 20, True), 1)
+        self.takeover = takeover_class(
+            self._loop,
+            self.group,
+            history.platform,
+            lambda: next(self._tokens) if self.believes else None,
+            lambda: completed_future(self.believes),
+            lambda: history.resign(self),
+        )
+        self.follow_entries()
+
+    @property
+    def believes(self):
+        """Whether this proxy takes itself for the promoter."""
+        return self._loop.clock.now() < self.believes_until
+
+    def take_charge(self, era):
+        """Become the promoter, with tokens above those of its predecessors."""
+        self._tokens = itertools.count(era * 1000 + 1)
+        self.believes_until = float("inf")
+
+    def follow_entries(self):
+        """Apply changes of the servers' entries unless the watch is lost."""
+        now = self._loop.clock.now()
+        if now >= self.watch_lost_until:
+            entries_by_id = dict(self._history.servers.entries_by_id)
+            for server_id in set(self._known_entries_by_id) - set(entries_by_id):
+                self._catalog.mark_unregistered(server_id, now)
+            for entry in entries_by_id.values():
+                change = self._catalog.put(entry, now)
+                if change is not None:
+                    self.group.put_server(change.server, change.previous)
+            self._known_entries_by_id = entries_by_id
+        for removed in self._catalog.remove_lapsed_servers(now):
+            self.group.remove_server(removed.server.server_id)
+
+    def act(self):
+        """Look at the symptoms, as ``SessionProxy`` does."""
+        self.follow_entries()
+        if self.believes:
+            symptoms = self.group.primary_symptoms(self._loop.clock.now())
+            self.takeover.start_if_needed(symptoms)
+        elif hasattr(self.takeover, "record_not_promoter"):
+            self.takeover.record_not_promoter()
+
+    def write(self, request_id):
+        """Start a write through this proxy, whose silence is a symptom."""
+        now = self._loop.clock.now()
+        request = SessionRequest(
+            request_id,
+            Run(Access.WRITE, "w"),
+            None,
+            Access.WRITE,
+            now,
+            now + TIMEOUT_SECONDS,
+        )
+        session = SessionExecutor(self._loop, self.group, make_route(), SessionState())
+        self._loop.spawn(session.run(request))
+
+    def _connect(self, _loop, _dialect, entry, on_closed):
+        servers = self._history.servers
+        server = servers.by_id[entry.server_id]
+        if server.crashed:
+            raise errors.ConnectionLost("refused")
+        connection = ModelConnection(servers, server, entry, on_closed, self.silent_ids)
+        servers.connections.append(connection)
+        return connection
+
+
+class PromotionHistory:
+    """Runs actions on a group while its promoter watches it.
+
+    Attributes
+    ----------
+    promoters : list of Promoter
+        The promoter and its successor first, then those that started later.
+    """
+
+    def __init__(self, takeover_class=takeover.Takeover):
+        self.loop = SteppedLoop()
+        self.servers = ModelGroup(self.loop)
+        self.platform = SlowPlatform(self.servers)
+        self._new_promoter = functools.partial(Promoter, self, takeover_class)
+        self._eras = itertools.count(1)
+        self._request_numbers = itertools.count(1)
+        self._joined_numbers = itertools.count(1)
+        self.promoters = [self._new_promoter(), self._new_promoter()]
+        self._install(self.promoters[0])
+        self.loop.advance(0.5)
+
+    @property
+    def lost_commits(self):
+        """Acknowledged commits that a promotion lost."""
+        return self.platform.lost_commits
+
+    def run_actions(self, actions):
+        """Run the actions; return the commits that a promotion lost."""
+        for name, value in actions:
+            getattr(self, "_do_" + name.replace(" ", "_"))(value)
+            self.wait(1)
+            if self.lost_commits:
+                break
+        return self.lost_commits
+
+    def wait(self, steps):
+        """Advance by steps; clients write twice in each, and the promoters act."""
+        for _ in range(steps):
+            self.servers.refresh_entries()
+            for promoter in self.promoters:
+                promoter.act()
+            for _ in range(2):
+                self.servers.write()
+                self.servers.replicate()
+                self.loop.advance(STEP_SECONDS / 2)
+
+    def close(self):
+        """Close the groups and the event loop, which has descriptors."""
+        for promoter in self.promoters:
+            promoter.group.close()
+        self.loop.close()
+
+    def resign(self, promoter):
+        """Let the other standing promoter take over from one that resigns."""
+        if promoter is not self._in_charge:
+            return
+        promoter.believes_until = 0.0
+        successor = self.promoters[promoter is self.promoters[0]]
+        self.loop.call_at(
+            self.loop.clock.now() + RESIGNATION_SECONDS,
+            lambda: self._install(successor),
+        )
+
+    def _install(self, promoter, noticed=True):
+        """Make a proxy the promoter; its predecessor may notice it late."""
+        now = self.loop.clock.now()
+        for other in self.promoters:
+            unnoticed_until = now + UNNOTICED_SUCCESSION_SECONDS
+            other.believes_until = min(
+                other.believes_until, 0.0 if noticed else unnoticed_until
+            )
+        self._in_charge = promoter
+        promoter.take_charge(next(self._eras))
+
+    # Actions
+
+    def _do_wait(self, steps):
+        self.wait(steps)
+
+    def _do_write(self, count):
+        for _ in range(count):
+            self._in_charge.write(f"request-{next(self._request_numbers)}")
+
+    def _do_deaf(self, server_id):
+        self.servers.by_id[server_id].not_receiving = True
+
+    def _do_hear(self, server_id):
+        self.servers.by_id[server_id].not_receiving = False
+
+    def _do_dark(self, absence):
+        self._make_unreachable(*absence, crashed=False)
+
+    def _do_crash(self, absence):
+        self._make_unreachable(*absence, crashed=True)
+
+    def _make_unreachable(self, server_id, seconds, crashed):
+        """Make a server unreachable for a while, with one other server at most."""
+        servers = self.servers.by_id
+        absent_ids = [one.server_id for one in servers.values() if one.unreachable]
+        if len(absent_ids) < 2 and server_id not in absent_ids:
+            self.servers.set_unreachable(server_id, crashed)
+            self.loop.call_at(
+                self.loop.clock.now() + min(seconds, MAX_ABSENCE_SECONDS),
+                lambda: self.servers.set_reachable(server_id),
+            )
+
+    def _do_drain(self, server_id):
+        self.servers.by_id[server_id].draining = True
+
+    def _do_leave(self, server_id):
+        """Let a draining replica leave with its log while all others are reachable."""
+        servers = self.servers
+        server = servers.by_id[server_id]
+        if not server.draining or servers.primary in {None, server_id}:
+            return
+        others = [one for one in servers.by_id.values() if one is not server]
+        if any(one.unreachable for one in others) or server.unreachable is not False:
+            return
+        servers.set_unreachable(server_id, crashed=True)
+        server.has_left = True
+
+    def _do_join(self, registration_seconds):
+        """Start a server beside the primary, which registers a little later."""
+        primary = self.servers.by_id.get(self.servers.primary)
+        number = next(self._joined_numbers)
+        if primary is None or primary.unreachable or number > MAX_JOINED_SERVERS:
+            return
+        server_id = f"n{number}"
+        self.servers.add_server(server_id, list(primary.log), primary.term)
+        self.loop.call_at(
+            self.loop.clock.now() + registration_seconds,
+            lambda: self.servers.register(server_id),
+        )
+
+    def _do_restart(self, server_id):
+        """Restart a replica with its log; it is back at once."""
+        server = self.servers.by_id[server_id]
+        if not server.unreachable and self.servers.primary != server_id:
+            self.servers.restart(server)
+
+    def _do_restart_empty(self, server_id):
+        """Restart a replica without its log, if others have all acknowledged commits.
+
+        Nothing protects from an order for it that is carried out afterwards.
+        """
+        servers = self.servers
+        server = servers.by_id[server_id]
+        primary = servers.by_id.get(servers.primary)
+        if (
+            primary is None
+            or primary is server
+            or primary.unreachable
+            or server.unreachable
+            or server_id in self.platform.outstanding_ids
+            or not set(servers.acknowledged) <= set(primary.log)
+        ):
+            return
+        servers.restart(server)
+        server.log = server.log[:1]
+        server.applied = 1
+
+    def _do_silent(self, server_id):
+        """Let a server not answer the promoter, or answer it again."""
+        self._in_charge.silent_ids ^= {server_id}
+
+    def _do_lose_watch(self, seconds):
+        self._in_charge.watch_lost_until = self.loop.clock.now() + seconds
+
+    def _do_expire(self, server_id):
+        """Let an entry expire with the store's outage although its server runs."""
+        if self.servers.entries_by_id.pop(server_id, None) is not None:
+            self.loop.call_at(
+                self.loop.clock.now() + EXPIRY_SECONDS,
+                lambda: self.servers.register(server_id),
+            )
+
+    def _do_new_promoter(self, kind):
+        """Let the standing successor or a fresh process become the promoter."""
+        kind, noticed = kind
+        if kind == "fresh":
+            promoter = self._new_promoter()
+            self.promoters.append(promoter)
+        else:
+            promoter = self.promoters[self._in_charge is self.promoters[0]]
+        self._install(promoter, noticed)
+
+    def _do_late_order(self, delay):
+        """Leave the next order unanswered; None for one that is lost."""
+        self.platform.delays.append(delay)
