Let the model darken a server at its promotion, and add a proxy without connections

Both are needed for the histories that fit the users' record: a promoted server that goes silent before a second promoter has its answer, and a promoter that knows only the servers' entries.

--- a/tests/promotion_history.py
+++ b/tests/promotion_history.py
@@ -22,6 +22,7 @@
 UNNOTICED_SUCCESSION_SECONDS = 3.0
 EXPIRY_SECONDS = 2.0  # An entry that expired while the store was away is back by then.
 MAX_JOINED_SERVERS = 2
+IDLE_PROMOTER = 2  # Index of a proxy without connections to the group.
 
 
 class Promoter:
@@ -132,7 +133,8 @@
     Attributes
     ----------
     promoters : list of Promoter
-        The promoter and its successor first, then those that started later.
+        The promoter, its successor and an idle proxy first, then those that started
+        later.
     """
 
     def __init__(self, takeover_class=takeover.Takeover):
@@ -143,7 +145,8 @@
         self._eras = itertools.count(1)
         self._request_numbers = itertools.count(1)
         self._joined_numbers = itertools.count(1)
-        self.promoters = [self._new_promoter(), self._new_promoter()]
+        self.promoters = [self._new_promoter() for _ in range(3)]
+        self.promoters[IDLE_PROMOTER].group.active = False
         self._install(self.promoters[0])
         self.loop.advance(0.5)
 
@@ -198,6 +201,7 @@
                 other.believes_until, 0.0 if noticed else unnoticed_until
             )
         self._in_charge = promoter
+        promoter.group.active = True
         promoter.take_charge(next(self._eras))
 
     # Actions
@@ -221,6 +225,15 @@
     def _do_crash(self, absence):
         self._make_unreachable(*absence, crashed=True)
 
+    def _do_dark_when_promoted(self, seconds):
+        """Let the next server that is promoted go dark at that moment."""
+
+        def go_dark(server_id):
+            self.servers.on_promotion = lambda _server_id: None
+            self._make_unreachable(server_id, seconds, crashed=False)
+
+        self.servers.on_promotion = go_dark
+
     def _make_unreachable(self, server_id, seconds, crashed):
         """Make a server unreachable for a while, with one other server at most."""
         servers = self.servers.by_id
@@ -280,7 +293,7 @@
             or primary.unreachable
             or server.unreachable
             or server_id in self.platform.outstanding_ids
-            or not set(servers.acknowledged) <= set(primary.log)
+            or not all(map(primary.has, servers.acknowledged))
         ):
             return
         servers.restart(server)
@@ -303,13 +316,20 @@
             )
 
     def _do_new_promoter(self, kind):
-        """Let the standing successor or a fresh process become the promoter."""
+        """Let another proxy become the promoter.
+
+        ``kind`` is "standing" for one that has connections to the group, "idle" for one
+        that only follows the servers' entries, and "fresh" for one that just started.
+        """
         kind, noticed = kind
-        if kind == "fresh":
-            promoter = self._new_promoter()
-            self.promoters.append(promoter)
-        else:
-            promoter = self.promoters[self._in_charge is self.promoters[0]]
+        match kind:
+            case "fresh":
+                promoter = self._new_promoter()
+                self.promoters.append(promoter)
+            case "idle":
+                promoter = self.promoters[IDLE_PROMOTER]
+            case _:
+                promoter = self.promoters[self._in_charge is self.promoters[0]]
         self._install(promoter, noticed)
 
     def _do_late_order(self, delay):
--- a/tests/promotion_model.py
+++ b/tests/promotion_model.py
@@ -44,6 +44,11 @@
     started_at_ms: int = 1
     silent_since: float | None = None
 
+    def has(self, position):
+        """Return whether the log has a position; numbers are consecutive from 1."""
+        index = position.number - 1
+        return index < len(self.log) and self.log[index] == position
+
 
 class ModelGroup(InMemoryGroup):
     """The servers of one group, their entries in the store, and the writes of clients.
@@ -52,6 +57,9 @@
     ----------
     entries_by_id : dict of str to catalog.BackendServer
         The registered servers.
+    on_promotion : callable
+        Called with the id of each server that has become the primary, before any
+        replica has received its log.
     """
 
     def __init__(self, loop, servers=("a", "b", "c")):
@@ -59,6 +67,8 @@
         self.by_id = {}
         self.connections = []
         self.entries_by_id = {}
+        self.on_promotion = lambda _server_id: None
+        self._is_promoting = False
         self._waiting_commits = collections.deque()
         for server_id in servers:
             self.add_server(server_id, [LogPosition(1, 1)])
@@ -146,7 +156,7 @@
         others = [server for server in self.by_id.values() if server is not primary]
         still_waiting = collections.deque()
         for position, committed_at in self._waiting_commits:
-            if any(position in other.log for other in others):
+            if any(other.has(position) for other in others):
                 self.acknowledged.append(position)
             elif now - committed_at <= STATEMENT_TIMEOUT_SECONDS:
                 still_waiting.append((position, committed_at))
@@ -154,12 +164,16 @@
 
     def promote(self, server_id):
         """Make a server the primary; commits that wait at the former one fail."""
+        self._is_promoting = True
         super().promote(server_id)
+        self._is_promoting = False
         self._waiting_commits.clear()
+        self.refresh_entries()
+        self.on_promotion(server_id)
 
     def _replicate(self, replica):
         primary = self.by_id.get(self.primary)
-        if primary is None or primary.unreachable:
+        if primary is None or primary.unreachable or self._is_promoting:
             return False
         received = super()._replicate(replica)
         if received:
@@ -287,11 +301,10 @@
         if server.crashed or self._servers.primary == server_id:
             return
         self.carried_out.append((self._loop.clock.now(), server_id, token))
-        log = set(server.log)
         if not self.lost_commits:
             self.lost_commits = [
                 position
                 for position in self._servers.acknowledged
-                if position not in log
+                if not server.has(position)
             ]
         self._servers.promote(server_id)
