--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from cassiahill import event_log, replica_statuses, statements
+from cassiahill import event_log, promotion_evidence, replica_statuses, statements
 from cassiahill.replica_statuses import POLL_INTERVAL_SECONDS, ReplicaStatus
 from cassiahill.successor_nearness import Nearness
 
@@ -40,12 +40,16 @@
 # An order without an answer may still be carried out some 12 s later. Until the
 # successor is the primary, the order is repeated and the other replicas stay paused.
 MAX_PROMOTION_ORDERS = 9
+# An accepted order takes about a second until the server leads.
+ACCEPTED_ORDER_SECONDS = 1.4
 # By then no order can be carried out any more that a former promoter gave.
 ABANDONED_PAUSE_SECONDS = 15.0
 ACKNOWLEDGEMENT_DELAY_SECONDS = 0.06  # Time for a sent acknowledgement to arrive.
 # Longer than a network partition around the primary and a replica is expected to last;
 # both answer again after it.
 REMOVED_REPLICA_WAIT_SECONDS = 10.0
+# Longer than a server that has crashed takes to come back with its log.
+MISSING_COMMIT_WAIT_SECONDS = 30.0
 # After this many blocked attempts, the promoter resigns, because another proxy may
 # reach the replicas that did not answer.
 BLOCKED_ATTEMPTS_UNTIL_RESIGNING = 2
@@ -219,6 +223,8 @@
     nearness : callable or None
         Takes the failure domains of a replica and of the former primary, which may be
         None, and returns the replica's ``successor_nearness.Nearness``.
+    evidence : promotion_evidence.PromotionEvidence or None
+        None if nobody else knows anything of the group.
     """
 
     def __init__(
@@ -230,6 +236,7 @@
         confirm_promoter,
         resign,
         nearness=None,
+        evidence=None,
     ):
         self._loop = loop
         self._group = group
@@ -238,7 +245,13 @@
         self._confirm_promoter = confirm_promoter
         self._resign = resign
         self._nearness = nearness or (lambda _domain, _former_domain: Nearness())
+        self._evidence = evidence or promotion_evidence.PromotionEvidence()
         self._former_domain = None
+        self._commits_missing_since = None
+        self._own_pause_term = 0
+        # Whether an earlier order, of this process or of a former promoter, may still
+        # be carried out.
+        self._has_open_orders = False
         self._statuses = replica_statuses.ReplicaStatuses(loop, group)
         self._blocked_attempts = 0
         self._in_progress = False
@@ -248,6 +261,7 @@
     def record_not_promoter(self):
         """Record that another process is the promoter, which may pause replicas."""
         self._check_pauses_at = None
+        self._has_open_orders = False
 
     def start_if_needed(self, symptoms):
         """Start to replace the primary if the symptoms require it.
@@ -291,8 +305,10 @@
     def _replace_primary(self, primary, reason):
         """Promote a replica if that is safe; return whether it became the primary."""
         token = self._next_token()
+        servers_updated = self._evidence.update_servers()
         if token is None or not (yield self._confirm_promoter()):
             return False
+        yield servers_updated
         replicas = [
             server_id for server_id in self._group.pools_by_id if server_id != primary
         ]
@@ -333,9 +349,15 @@
             )
             return False
         self._blocked_attempts = 0
+        self._has_open_orders |= any(
+            status.paused_term not in {0, self._own_pause_term} for status in statuses
+        )
+        if not (yield from self._close_orders(primary)):
+            return False
         term = 1 + max(
             status.term for status in statuses if status.received is not None
         )
+        self._own_pause_term = term
         promoted = self._loop.spawn(
             self._promote_safely(primary, successor, statuses, term, reason, token)
         )
@@ -376,23 +398,88 @@
         prepared = yield from self._prepare_successor(
             primary, successor, other_replicas, term
         )
-        if prepared is None or not (
-            yield from self._are_paused(replicas, prepared, term)
-        ):
+        if prepared is None:
+            self._log_decision("takeover_unsafe", reason, primary, statuses)
+            return False
+        unsafe_replicas = yield from self._list_unsafe(
+            primary, replicas, prepared, term
+        )
+        if unsafe_replicas:
+            event_log.event(
+                "replicas_not_paused",
+                group=self._group.name,
+                term=term,
+                successor=prepared.server_id,
+                received=prepared.received,
+                replicas=" ".join(
+                    f"{status.server_id}={status.received}/{status.paused_term}"
+                    for status in unsafe_replicas
+                ),
+            )
             self._log_decision("takeover_unsafe", reason, primary, statuses)
             return False
         successor = prepared.server_id
         self._log_decision("takeover", reason, primary, statuses, successor, token)
+        ordered_at = self._loop.clock.now()
         promoted = yield from self._order_promotion(successor, token)
+        if promoted:
+            self._log_effect(prepared, ordered_at, statuses)
         if promoted and prepared.received is not None:
             self._group.sole_copies.record_promotion(successor, prepared.received)
         return promoted
 
+    def _close_orders(self, primary):
+        """Make sure that no earlier order is carried out any more; a task.
+
+        An order for the present primary changes nothing, but its token makes the
+        platform refuse all earlier orders. One that it has accepted before takes effect
+        within ``ACCEPTED_ORDER_SECONDS``.
+
+        Returns
+        -------
+        bool
+            Whether an attempt may change who acknowledges commits. While the primary
+            does not answer, nobody acknowledges any.
+        """
+        if not self._has_open_orders:
+            return True
+        status = yield from self._statuses.ask(primary, statements.ReadStatus())
+        if not status.is_primary:
+            return True
+        token = self._next_token()
+        if token is None or not (yield self._confirm_promoter()):
+            return False
+        result = yield self._promotion_orders.promote(self._group.name, primary, token)
+        event_log.event(
+            "earlier_orders_refused",
+            group=self._group.name,
+            primary=primary,
+            token=token,
+            result=result.value,
+        )
+        if result is not OrderResult.ACCEPTED:
+            return False
+        yield self._loop.sleep_until(self._loop.clock.now() + ACCEPTED_ORDER_SECONDS)
+        if self._group.primary.server_id != primary:
+            return False
+        self._has_open_orders = False
+        return True
+
     def _end_own_pauses(self, replicas, term):
-        """Let the replicas receive again, unless another promoter is in charge."""
+        """Let the replicas receive again, unless another promoter is in charge.
+
+        They stay paused while an earlier order may be carried out: its server lacks
+        what they would acknowledge.
+        """
         if not (yield self._confirm_promoter()):
             event_log.event("pauses_left_to_promoter", group=self._group.name)
             return
+        if self._has_open_orders:
+            yield from self._close_orders(self._group.primary.server_id)
+        if self._has_open_orders:
+            event_log.event("pauses_left_to_orders", group=self._group.name)
+            self._check_pauses_at = self._loop.clock.now() + ABANDONED_PAUSE_SECONDS
+            return
         if not (
             yield from self._statuses.resume(replicas, lambda paused: paused == term)
         ):
@@ -409,23 +496,28 @@
         self._check_pauses_at = math.inf if ended else retry_at
         return False
 
-    def _are_paused(self, replicas, successor, term):
-        """Return whether other replicas are still paused and have no later entries.
+    def _list_unsafe(self, primary, replicas, successor, term):
+        """Return the statuses of replicas that are not paused or have later entries.
 
-        A replica may have restarted since, or another promoter may have resumed it.
+        A replica may have started or restarted since, or another promoter may have
+        resumed it.
         """
         if not self._group.synchronous or successor.received is None:
-            return True
+            return []
+        yield self._evidence.update_servers()
         others = [
-            server_id for server_id in replicas if server_id != successor.server_id
+            server_id
+            for server_id in {*replicas, *self._group.pools_by_id}
+            if server_id not in {primary, successor.server_id}
         ]
         statuses = yield from self._statuses.ask_all(others, statements.ReadStatus())
-        return all(
-            status.received is not None
-            and status.paused_term == term
-            and status.received <= successor.received
+        return [
+            status
             for status in statuses
-        )
+            if status.received is None
+            or status.paused_term != term
+            or status.received > successor.received
+        ]
 
     def _prepare_successor(self, primary, successor, other_replicas, term):
         """Pause the other replicas and let the successor receive all that they have.
@@ -452,6 +544,8 @@
         paused_statuses = [status for status in statuses if status.received is not None]
         if self._group.synchronous and len(paused_statuses) < len(statuses):
             return None
+        # All acknowledgements but the successor's own are older than this question.
+        seen_by_others = self._evidence.newest_acknowledged_commits(self._group.name)
         catch_up_seconds = FAILOVER_CATCH_UP_SECONDS
         old_primary = ReplicaStatus(primary, False, None)
         if primary in self._group.pools_by_id:
@@ -464,10 +558,13 @@
                 self._group.sole_copies.record_primary_position(
                     primary, asked_at, old_primary.received
                 )
+        for position in (yield seen_by_others):
+            self._group.acknowledged_commits.record(position, self._loop.clock.now())
         positions = [
             *(status.received for status in paused_statuses),
             old_primary.received,
             self._group.sole_copies.required_position,
+            self._group.acknowledged_commits.position,
         ]
         required_position = max(
             (position for position in positions if position is not None), default=None
@@ -486,12 +583,13 @@
         if last_status.received is None:
             return None
         best_successor = replica_with_longest_log([*paused_statuses, last_status])
-        if self._may_lack_sole_copies(best_successor, old_primary.received is not None):
+        if self._may_lack_commits(best_successor, old_primary.received is not None):
             event_log.event(
                 "takeover_lacks_commits",
                 group=self._group.name,
                 primary=primary,
                 required=self._group.sole_copies.required_position,
+                acknowledged=self._group.acknowledged_commits.position,
                 received=best_successor.received,
             )
             return None
@@ -543,16 +641,35 @@
             return None
         return successor
 
-    def _may_lack_sole_copies(self, successor, primary_answers):
-        """Return whether only the primary may have some acknowledged commits.
+    def _may_lack_commits(self, successor, primary_answers):
+        """Return whether a successor may lack acknowledged commits.
 
         While the primary answers, it keeps its role until the others have received
-        them. Otherwise it may come back with them for some time.
+        them. Otherwise it, or a replica, may come back with them for some time.
         """
+        if not self._group.synchronous:
+            return False
+        is_missing = self._group.acknowledged_commits.may_be_beyond(successor.received)
+        if is_missing and primary_answers:
+            return True
+        return self._awaits_missing_commits(is_missing) or self._may_lack_sole_copies(
+            successor, primary_answers
+        )
+
+    def _awaits_missing_commits(self, is_missing):
+        """Return whether a server that has acknowledged commits may still come back."""
+        if not is_missing:
+            self._commits_missing_since = None
+            return False
+        now = self._loop.clock.now()
+        if self._commits_missing_since is None:
+            self._commits_missing_since = now
+        return now - self._commits_missing_since <= MISSING_COMMIT_WAIT_SECONDS
+
+    def _may_lack_sole_copies(self, successor, primary_answers):
+        """Return whether only the primary may have some acknowledged commits."""
         sole_copies = self._group.sole_copies
-        if not self._group.synchronous or not sole_copies.may_be_beyond(
-            successor.received
-        ):
+        if not sole_copies.may_be_beyond(successor.received):
             return False
         if primary_answers:
             return True
@@ -581,15 +698,31 @@
             )
             if result is OrderResult.REFUSED:
                 return False
+            if result is not OrderResult.NOT_DONE:
+                self._has_open_orders = True
             deadline = self._loop.clock.now() + PROMOTION_TIMEOUT_SECONDS
             while self._loop.clock.now() < deadline:
                 if self._group.primary.server_id == successor:
+                    # All earlier orders have lower tokens, or are for this server.
+                    self._has_open_orders = False
                     return True
                 yield self._loop.sleep_until(
                     self._loop.clock.now() + POLL_INTERVAL_SECONDS
                 )
         return False
 
+    def _log_effect(self, prepared, ordered_at, statuses):
+        """Log that a promotion took effect, and what was known shortly before."""
+        event_log.event(
+            "promotion_took_effect",
+            group=self._group.name,
+            server=prepared.server_id,
+            received=prepared.received,
+            after=self._loop.clock.now() - ordered_at,
+            asked=" ".join(status.server_id for status in statuses),
+            servers=" ".join(sorted(self._group.pools_by_id)),
+        )
+
     def _log_decision(
         self, event_name, reason, primary, statuses, successor=None, token=None
     ):
@@ -605,4 +738,6 @@
             replicas=positions,
             successor=successor,
             token=token,
+            acknowledged=self._group.acknowledged_commits.position,
+            required=self._group.sole_copies.required_position,
         )
