Let clients write through real proxies in the model of promotions

Change: two proxies pass on the writes of clients with their own executors; a commit counts as acknowledged when a client is told. Promoters ask these proxies and the list of entries.

--- a/tests/promotion_history.py
+++ b/tests/promotion_history.py
@@ -3,7 +3,7 @@
 import functools
 import itertools
 
-from cassiahill import catalog, errors, takeover
+from cassiahill import catalog, errors, promotion_evidence, takeover
 from cassiahill.catalog import GroupLimits
 from cassiahill.loop import completed_future
 from cassiahill.regions import Regions
@@ -12,7 +12,12 @@
 from cassiahill.statement_sender import SessionRequest, SessionState
 from cassiahill.statements import Access, Run
 from tests.line_group import InMemoryDialect
-from tests.promotion_model import ModelConnection, ModelGroup, SlowPlatform
+from tests.promotion_model import (
+    MAX_CONNECTIONS,
+    ModelConnection,
+    ModelGroup,
+    SlowPlatform,
+)
 from tests.session_builders import TIMEOUT_SECONDS, make_route
 from tests.stepped_loop import SteppedLoop
 
@@ -22,11 +27,46 @@
 UNNOTICED_SUCCESSION_SECONDS = 3.0
 EXPIRY_SECONDS = 2.0  # An entry that expired while the store was away is back by then.
 MAX_JOINED_SERVERS = 2
-IDLE_PROMOTER = 2  # Index of a proxy without connections to the group.
+CLIENT_PROXIES = 2  # The first proxies, which pass on the writes of clients.
+IDLE_PROXY = 2  # Index of a proxy without connections to the group.
 
 
-class Promoter:
-    """One proxy that may be the promoter, with its own view of the group.
+class OtherProxies(promotion_evidence.PromotionEvidence):
+    """What the store and the other proxies tell a promoter."""
+
+    def __init__(self, history, proxy):
+        self._history = history
+        self._proxy = proxy
+
+    def update_servers(self):
+        self._proxy.read_entries()
+        return completed_future(True)
+
+    def newest_acknowledged_commits(self, group):
+        return completed_future(
+            [
+                other.group.acknowledged_commits.position
+                for other in self._reached_proxies()
+                if other.group.acknowledged_commits.position is not None
+            ]
+        )
+
+    def announce_promotion(self, group, successor):
+        for other in self._reached_proxies():
+            other.group.announce_promotion(successor)
+        return self.newest_acknowledged_commits(group)
+
+    def _reached_proxies(self):
+        proxies = self._history.proxies
+        return [
+            other
+            for other in proxies
+            if other is not self._proxy and not other.is_unreachable
+        ]
+
+
+class Proxy:
+    """One proxy, which may be the promoter, with its own view of the group.
 
     Attributes
     ----------
@@ -34,6 +74,8 @@
         Ids of the servers that do not answer this proxy.
     watch_lost_until : float
         Instant until which it learns of no change of the servers' entries.
+    unreachable_until : float
+        Instant until which other proxies do not reach it.
     believes_until : float
         Instant until which it takes itself for the promoter.
     """
@@ -46,6 +88,7 @@
         self._tokens = iter(())
         self.silent_ids = set()
         self.watch_lost_until = 0.0
+        self.unreachable_until = 0.0
         self.believes_until = 0.0
         self.group = ServerGroup(
             self._loop,
@@ -58,7 +101,7 @@
             Regions("domain-z", {}),
         )
         self.group.active = True
-        self.group.set_limits(GroupLimits("orders", 20, True), 1)
+        self.group.set_limits(GroupLimits("orders", MAX_CONNECTIONS, True), 1)
         self.takeover = takeover_class(
             self._loop,
             self.group,
@@ -66,45 +109,52 @@
             lambda: next(self._tokens) if self.believes else None,
             lambda: completed_future(self.believes),
             lambda: history.resign(self),
+            evidence=OtherProxies(history, self),
         )
-        self.follow_entries()
+        self.read_entries()
 
     @property
     def believes(self):
         """Whether this proxy takes itself for the promoter."""
         return self._loop.clock.now() < self.believes_until
 
+    @property
+    def is_unreachable(self):
+        """Whether other proxies do not reach this one."""
+        return self._loop.clock.now() < self.unreachable_until
+
     def take_charge(self, era):
         """Become the promoter, with tokens above those of its predecessors."""
         self._tokens = itertools.count(era * 1000 + 1)
         self.believes_until = float("inf")
+        self.group.active = True
 
-    def follow_entries(self):
-        """Apply changes of the servers' entries unless the watch is lost."""
+    def read_entries(self):
+        """Apply changes of the servers' entries."""
+        now = self._loop.clock.now()
+        entries_by_id = dict(self._history.servers.entries_by_id)
+        for server_id in set(self._known_entries_by_id) - set(entries_by_id):
+            self._catalog.mark_unregistered(server_id, now)
+        for entry in entries_by_id.values():
+            change = self._catalog.put(entry, now)
+            if change is not None:
+                self.group.put_server(change.server, change.previous)
+        self._known_entries_by_id = entries_by_id
+
+    def act(self):
+        """Follow the entries and look at the symptoms, as ``SessionProxy`` does."""
         now = self._loop.clock.now()
         if now >= self.watch_lost_until:
-            entries_by_id = dict(self._history.servers.entries_by_id)
-            for server_id in set(self._known_entries_by_id) - set(entries_by_id):
-                self._catalog.mark_unregistered(server_id, now)
-            for entry in entries_by_id.values():
-                change = self._catalog.put(entry, now)
-                if change is not None:
-                    self.group.put_server(change.server, change.previous)
-            self._known_entries_by_id = entries_by_id
+            self.read_entries()
         for removed in self._catalog.remove_lapsed_servers(now):
             self.group.remove_server(removed.server.server_id)
-
-    def act(self):
-        """Look at the symptoms, as ``SessionProxy`` does."""
-        self.follow_entries()
         if self.believes:
-            symptoms = self.group.primary_symptoms(self._loop.clock.now())
-            self.takeover.start_if_needed(symptoms)
+            self.takeover.start_if_needed(self.group.primary_symptoms(now))
         elif hasattr(self.takeover, "record_not_promoter"):
             self.takeover.record_not_promoter()
 
     def write(self, request_id):
-        """Start a write through this proxy, whose silence is a symptom."""
+        """Pass on a write; the client is told of its commit or not."""
         now = self._loop.clock.now()
         request = SessionRequest(
             request_id,
@@ -115,7 +165,12 @@
             now + TIMEOUT_SECONDS,
         )
         session = SessionExecutor(self._loop, self.group, make_route(), SessionState())
-        self._loop.spawn(session.run(request))
+        self._loop.when_done(self._loop.spawn(session.run(request)), self._on_reply)
+
+    def _on_reply(self, future):
+        reply = future.result()
+        if reply.code is None:
+            self._history.servers.acknowledged.append(reply.position)
 
     def _connect(self, _loop, _dialect, entry, on_closed):
         servers = self._history.servers
@@ -132,22 +187,24 @@
 
     Attributes
     ----------
-    promoters : list of Promoter
-        The promoter, its successor and an idle proxy first, then those that started
-        later.
+    proxies : list of Proxy
+        Those that pass on writes, of which the first is the promoter; an idle one;
+        then those that started later.
     """
 
     def __init__(self, takeover_class=takeover.Takeover):
         self.loop = SteppedLoop()
         self.servers = ModelGroup(self.loop)
         self.platform = SlowPlatform(self.servers)
-        self._new_promoter = functools.partial(Promoter, self, takeover_class)
+        self._start_proxy = functools.partial(Proxy, self, takeover_class)
         self._eras = itertools.count(1)
         self._request_numbers = itertools.count(1)
         self._joined_numbers = itertools.count(1)
-        self.promoters = [self._new_promoter() for _ in range(3)]
-        self.promoters[IDLE_PROMOTER].group.active = False
-        self._install(self.promoters[0])
+        self.proxies = []
+        for _ in range(CLIENT_PROXIES + 1):
+            self.proxies.append(self._start_proxy())
+        self.proxies[IDLE_PROXY].group.active = False
+        self._install(self.proxies[0])
         self.loop.advance(0.5)
 
     @property
@@ -165,43 +222,46 @@
         return self.lost_commits
 
     def wait(self, steps):
-        """Advance by steps; clients write twice in each, and the promoters act."""
+        """Advance by steps; a client writes in each, and the proxies act."""
         for _ in range(steps):
             self.servers.refresh_entries()
-            for promoter in self.promoters:
-                promoter.act()
+            for proxy in self.proxies:
+                proxy.act()
+            number = next(self._request_numbers)
+            self.proxies[number % CLIENT_PROXIES].write(f"request-{number}")
             for _ in range(2):
-                self.servers.write()
-                self.servers.replicate()
                 self.loop.advance(STEP_SECONDS / 2)
+                self.servers.replicate()
 
     def close(self):
         """Close the groups and the event loop, which has descriptors."""
-        for promoter in self.promoters:
-            promoter.group.close()
+        for proxy in self.proxies:
+            proxy.group.close()
         self.loop.close()
 
-    def resign(self, promoter):
-        """Let the other standing promoter take over from one that resigns."""
-        if promoter is not self._in_charge:
+    def resign(self, proxy):
+        """Let another proxy with connections take over from one that resigns."""
+        if proxy is not self._in_charge:
             return
-        promoter.believes_until = 0.0
-        successor = self.promoters[promoter is self.promoters[0]]
+        proxy.believes_until = 0.0
+        successor = self._successor()
         self.loop.call_at(
             self.loop.clock.now() + RESIGNATION_SECONDS,
             lambda: self._install(successor),
         )
 
+    def _successor(self):
+        """Return the proxy with connections that follows the promoter."""
+        return self.proxies[self._in_charge is self.proxies[0]]
+
     def _install(self, promoter, noticed=True):
         """Make a proxy the promoter; its predecessor may notice it late."""
-        now = self.loop.clock.now()
-        for other in self.promoters:
-            unnoticed_until = now + UNNOTICED_SUCCESSION_SECONDS
+        unnoticed_until = self.loop.clock.now() + UNNOTICED_SUCCESSION_SECONDS
+        for other in self.proxies:
             other.believes_until = min(
                 other.believes_until, 0.0 if noticed else unnoticed_until
             )
         self._in_charge = promoter
-        promoter.group.active = True
         promoter.take_charge(next(self._eras))
 
     # Actions
@@ -209,10 +269,6 @@
     def _do_wait(self, steps):
         self.wait(steps)
 
-    def _do_write(self, count):
-        for _ in range(count):
-            self._in_charge.write(f"request-{next(self._request_numbers)}")
-
     def _do_deaf(self, server_id):
         self.servers.by_id[server_id].not_receiving = True
 
@@ -249,16 +305,14 @@
         self.servers.by_id[server_id].draining = True
 
     def _do_leave(self, server_id):
-        """Let a draining replica leave with its log while all others are reachable."""
+        """Let a draining replica leave with its log while all servers are reachable."""
         servers = self.servers
         server = servers.by_id[server_id]
-        if not server.draining or servers.primary in {None, server_id}:
-            return
-        others = [one for one in servers.by_id.values() if one is not server]
-        if any(one.unreachable for one in others) or server.unreachable is not False:
-            return
-        servers.set_unreachable(server_id, crashed=True)
-        server.has_left = True
+        is_replica = servers.primary not in {None, server_id}
+        all_reachable = not any(one.unreachable for one in servers.by_id.values())
+        if server.draining and is_replica and all_reachable:
+            servers.set_unreachable(server_id, crashed=True)
+            server.has_left = True
 
     def _do_join(self, registration_seconds):
         """Start a server beside the primary, which registers a little later."""
@@ -280,7 +334,7 @@
             self.servers.restart(server)
 
     def _do_restart_empty(self, server_id):
-        """Restart a replica without its log, if others have all acknowledged commits.
+        """Restart a replica without its log, if the primary has all that was told.
 
         Nothing protects from an order for it that is carried out afterwards.
         """
@@ -307,6 +361,10 @@
     def _do_lose_watch(self, seconds):
         self._in_charge.watch_lost_until = self.loop.clock.now() + seconds
 
+    def _do_cut_proxy(self, seconds):
+        """Let the other proxies not reach one that passes on writes."""
+        self._successor().unreachable_until = self.loop.clock.now() + seconds
+
     def _do_expire(self, server_id):
         """Let an entry expire with the store's outage although its server runs."""
         if self.servers.entries_by_id.pop(server_id, None) is not None:
@@ -324,12 +382,12 @@
         kind, noticed = kind
         match kind:
             case "fresh":
-                promoter = self._new_promoter()
-                self.promoters.append(promoter)
+                promoter = self._start_proxy()
+                self.proxies.append(promoter)
             case "idle":
-                promoter = self.promoters[IDLE_PROMOTER]
+                promoter = self.proxies[IDLE_PROXY]
             case _:
-                promoter = self.promoters[self._in_charge is self.promoters[0]]
+                promoter = self._successor()
         self._install(promoter, noticed)
 
     def _do_late_order(self, delay):
--- a/tests/promotion_model.py
+++ b/tests/promotion_model.py
@@ -1,7 +1,7 @@
 """A group in memory whose promotions take a second, for the search of lost commits.
 
 Unlike ``tests.line_group``, servers crash, restart and join, promotion orders take
-effect late, and several promoters have their own connections and lists of the servers.
+effect late, and several proxies have their own connections and lists of the servers.
 """
 
 import collections
@@ -15,8 +15,8 @@
 from tests.line_group import InMemoryConnection, InMemoryGroup, InMemoryServer
 
 PROMOTION_SECONDS = 1.0  # From the acceptance of an order until it takes effect.
+MAX_CONNECTIONS = 1000  # The limits of connections are not the subject.
 ORDER_TIMEOUT_SECONDS = 0.8
-STATEMENT_TIMEOUT_SECONDS = 0.8  # After it no client learns of an acknowledgement.
 REGISTRATION_LAPSE_SECONDS = 3.6  # Three heartbeat intervals.
 REGISTRATION_SECONDS = 0.3  # From a server's return until its entry is back.
 
@@ -51,7 +51,7 @@
 
 
 class ModelGroup(InMemoryGroup):
-    """The servers of one group, their entries in the store, and the writes of clients.
+    """The servers of one group and their entries in the store.
 
     Attributes
     ----------
@@ -69,7 +69,7 @@
         self.entries_by_id = {}
         self.on_promotion = lambda _server_id: None
         self._is_promoting = False
-        self._waiting_commits = collections.deque()
+        self._waiting_commits = []
         for server_id in servers:
             self.add_server(server_id, [LogPosition(1, 1)])
             self.register(server_id)
@@ -77,7 +77,12 @@
     def add_server(self, server_id, log, term=1):
         """Start a server, which receives the log before it is registered."""
         self.by_id[server_id] = ModelServer(
-            server_id, f"domain-{server_id}", log, applied=len(log), term=term
+            server_id,
+            f"domain-{server_id}",
+            log,
+            applied=len(log),
+            term=term,
+            limit=MAX_CONNECTIONS,
         )
 
     def register(self, server_id):
@@ -138,35 +143,38 @@
                 connection.close()
         self.connections = [open_ for open_ in self.connections if not open_.closed]
 
-    def write(self):
-        """Commit at the primary for a client of a proxy that is not the promoter."""
-        primary = self.by_id.get(self.primary)
-        if primary is not None and not primary.unreachable:
-            self.commit(primary)
-            self._waiting_commits.append((primary.received, self.loop.clock.now()))
-
     def replicate(self):
-        """Let all replicas receive, and acknowledge what one of them has."""
+        """Let all replicas receive, and answer the commits that one of them has."""
         for replica in self.by_id.values():
             self._replicate(replica)
+        waiting_commits, self._waiting_commits = self._waiting_commits, []
+        for position, answer in waiting_commits:
+            if self._is_received(position):
+                answer()
+            else:
+                self._waiting_commits.append((position, answer))
+
+    def answer_when_received(self, position, answer):
+        """Call ``answer`` once a replica has received a commit of the primary."""
+        self._waiting_commits.append((position, answer))
+
+    def _is_received(self, position):
         primary = self.by_id.get(self.primary)
         if primary is None or primary.unreachable:
-            return
-        now = self.loop.clock.now()
-        others = [server for server in self.by_id.values() if server is not primary]
-        still_waiting = collections.deque()
-        for position, committed_at in self._waiting_commits:
-            if any(other.has(position) for other in others):
-                self.acknowledged.append(position)
-            elif now - committed_at <= STATEMENT_TIMEOUT_SECONDS:
-                still_waiting.append((position, committed_at))
-        self._waiting_commits = still_waiting
+            return False
+        return any(
+            server.has(position)
+            for server in self.by_id.values()
+            if server.server_id != self.primary
+        )
 
     def promote(self, server_id):
         """Make a server the primary; commits that wait at the former one fail."""
         self._is_promoting = True
         super().promote(server_id)
         self._is_promoting = False
+        for server in self.by_id.values():
+            server.applied = min(server.applied, len(server.log))
         self._waiting_commits.clear()
         self.refresh_entries()
         self.on_promotion(server_id)
@@ -182,19 +190,20 @@
 
 
 class ModelConnection(InMemoryConnection):
-    """A connection of one promoter, which some servers may not answer.
+    """A connection of one proxy, which some servers may not answer.
 
     Parameters
     ----------
     group, server, registered, on_closed
         See ``InMemoryConnection``.
     silent_ids : set of str
-        Ids of the servers that do not answer this promoter.
+        Ids of the servers that do not answer this proxy.
     """
 
     def __init__(self, group, server, registered, on_closed, silent_ids):
         super().__init__(group, server, registered, on_closed)
         self._silent_ids = silent_ids
+        self._waiting_reply = None
 
     @property
     def _is_silent(self):
@@ -212,6 +221,28 @@
             return self._unanswered()
         return super().send_statement(statement, request_id, required_position)
 
+    def _commit(self, state):
+        """Commit what was written; return None while no replica acknowledges it."""
+        if not self._wrote:
+            return super()._commit(state)
+        self._wrote = False
+        received = self._group.commit(self._server)
+        reply = self._reply(state)
+        if received:
+            return reply
+        self._waiting_reply = reply
+        return None
+
+    def _answer(self, reply, request_id=None, slot_seconds=None):
+        """Return the future of a reply, also of one that waits for a replica."""
+        future = super()._answer(reply, request_id, slot_seconds)
+        waiting_reply, self._waiting_reply = self._waiting_reply, None
+        if waiting_reply is not None:
+            self._group.answer_when_received(
+                waiting_reply.position, lambda: self._deliver(future, waiting_reply)
+            )
+        return future
+
     def _unanswered(self):
         future = LoopFuture()
         self._reply_futures.append(future)
@@ -244,7 +275,8 @@
     carried_out : list of tuple
         Instant, server id and token of each promotion that took effect.
     lost_commits : list of LogPosition
-        Acknowledged commits that the log of a promoted server lacked.
+        Commits of which clients were told and which the log of a promoted server
+        lacked.
     """
 
     def __init__(self, servers):
