--- a/cassiahill/partition_detector.py
+++ b/cassiahill/partition_detector.py
@@ -36,7 +36,7 @@
             contact
             for group in groups
             if group.active
-            for contact in group.contacts(now)
+            for contact in group.servers.contacts(now)
         ]
         if contacts:
             relevant_contacts = reachability.relevant_contacts(
@@ -57,5 +57,5 @@
             event_log.event("cut_off" if partitioned else "connected")
             for group in groups:
                 # Servers that did not answer during the partition may answer now.
-                group.reset_failure_detection()
+                group.replies.reset_failure_detection()
                 group.partitioned = partitioned
--- a/cassiahill/session_executor.py
+++ b/cassiahill/session_executor.py
@@ -136,21 +136,23 @@
             self._sender.discard(lease)
             return Reply(code=Code.OUTCOME_UNKNOWN, detail="no answer to a write")
         if reply.code in NOT_RUN_CODES:
-            self._group.record_refusal(lease.connection, reply.code)
-            self._sender.release(lease)
-            return RetryableFailure(reply.code.value)
+            return self._end_refused_attempt(lease, reply.code)
         if reply.code is None:
             self._group.confirm_primary(lease.connection, asked_at, reply)
         self._sender.release(lease)
         if reply.code is None:
-            return (yield from self._confirm_commit(reply, request))
+            return (yield from self._confirm_commit(lease, reply, request))
         return reply
 
-    def _confirm_commit(self, reply, request):
+    def _confirm_commit(self, lease, reply, request):
         """Return the reply to an acknowledged commit; a task."""
         self._group.acknowledged_commits.record(reply.position, self._loop.clock.now())
         confirmed = yield from commit_confirmation.confirm_commit(
-            self._loop, self._group, request.deadline
+            self._loop,
+            self._group,
+            lease.connection.server.server_id,
+            reply.position,
+            request.deadline,
         )
         if not confirmed:
             event_log.event("commit_unconfirmed", request=request.request_id)
@@ -233,10 +235,9 @@
         if reply is None:
             self._sender.discard(lease)
             return RetryableFailure("no answer to a read")
-        self._sender.release(lease)
         if reply.code in NOT_RUN_CODES:
-            self._group.record_refusal(lease.connection, reply.code)
-            return RetryableFailure(reply.code.value)
+            return self._end_refused_attempt(lease, reply.code)
+        self._sender.release(lease)
         return attrs.evolve(reply, state=TransactionState.IDLE)
 
     def _run_read_at_position(self, lease, request):
@@ -254,11 +255,7 @@
             self._sender.discard(lease)
             return RetryableFailure("no answer to a read")
         if reply.code in NOT_RUN_CODES:
-            self._group.record_refusal(
-                lease.connection, reply.code, lease.required_position
-            )
-            self._sender.release(lease)
-            return RetryableFailure(reply.code.value)
+            return self._end_refused_attempt(lease, reply.code)
         self._sender.release(lease)
         return reply
 
@@ -314,7 +311,7 @@
         if reply.code is None and not transaction.read_only:
             self._group.confirm_primary(lease.connection, asked_at, reply)
         if reply.code in NOT_RUN_CODES:
-            self._group.record_refusal(lease.connection, reply.code)
+            self._group.replies.record_refusal(lease.connection, reply.code)
         if reply.state is not TransactionState.OPEN:
             transaction.failed = True
             reply = attrs.evolve(reply, state=TransactionState.FAILED)
@@ -386,11 +383,7 @@
             self._sender.discard(lease)
             return RetryableFailure("no answer to a begin")
         if reply.code is not None:
-            self._group.record_refusal(
-                lease.connection, reply.code, lease.required_position
-            )
-            self._sender.release(lease)
-            return RetryableFailure(reply.code.value)
+            return self._end_refused_attempt(lease, reply.code)
         if not transaction.read_only:
             self._group.confirm_primary(lease.connection, asked_at, reply)
         return None
@@ -415,10 +408,10 @@
         elif transaction.values_changed:
             lease.connection.values_by_name = None
         if reply.code in NOT_RUN_CODES:
-            self._group.record_refusal(lease.connection, reply.code)
+            self._group.replies.record_refusal(lease.connection, reply.code)
         self._sender.release(lease)
         if has_committed:
-            reply = yield from self._confirm_commit(reply, request)
+            reply = yield from self._confirm_commit(lease, reply, request)
         return attrs.evolve(reply, state=TransactionState.IDLE)
 
     def _fail_transaction(self, transaction, code, detail):
@@ -429,6 +422,14 @@
 
     # Steps of statements inside and outside a transaction
 
+    def _end_refused_attempt(self, lease, code):
+        """Record a refusal, release the connection, return a ``RetryableFailure``."""
+        self._group.replies.record_refusal(
+            lease.connection, code, lease.required_position
+        )
+        self._sender.release(lease)
+        return RetryableFailure(code.value)
+
     def _requirement_getter(self, request, since, transaction=None):
         """Return a function that returns what the request needs of a server now.
 
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -6,12 +6,19 @@
 old primary, so no acknowledged commit is lost, however late the promotion happens.
 """
 
+import contextlib
 import enum
 import math
 
 import attrs
 
-from cassiahill import event_log, promotion_evidence, replica_statuses, statements
+from cassiahill import (
+    event_log,
+    promotion_evidence,
+    promotion_window,
+    replica_statuses,
+    statements,
+)
 from cassiahill.replica_statuses import POLL_INTERVAL_SECONDS, ReplicaStatus
 from cassiahill.successor_nearness import Nearness
 
@@ -42,7 +49,8 @@
 MAX_PROMOTION_ORDERS = 9
 # An accepted order takes about a second until the server leads.
 ACCEPTED_ORDER_SECONDS = 1.4
-# By then no order can be carried out any more that a former promoter gave.
+OPEN_ORDERS_RETRY_SECONDS = 0.6
+# By then no earlier order can be carried out any more.
 ABANDONED_PAUSE_SECONDS = 15.0
 ACKNOWLEDGEMENT_DELAY_SECONDS = 0.06  # Time for a sent acknowledgement to arrive.
 # Longer than a network partition around the primary and a replica is expected to last;
@@ -248,10 +256,9 @@
         self._evidence = evidence or promotion_evidence.PromotionEvidence()
         self._former_domain = None
         self._commits_missing_since = None
-        self._own_pause_term = 0
-        # Whether an earlier order, of this process or of a former promoter, may still
-        # be carried out.
-        self._has_open_orders = False
+        self._follows_other_promoter = False
+        # Until then, an earlier order of any promoter may be carried out.
+        self._orders_open_until = float("-inf")
         self._statuses = replica_statuses.ReplicaStatuses(loop, group)
         self._blocked_attempts = 0
         self._in_progress = False
@@ -259,9 +266,17 @@
         self._check_pauses_at = None
 
     def record_not_promoter(self):
-        """Record that another process is the promoter, which may pause replicas."""
+        """Record that another process is the promoter.
+
+        It may pause replicas, and its orders may be carried out after its time.
+        """
         self._check_pauses_at = None
-        self._has_open_orders = False
+        self._follows_other_promoter = True
+
+    @property
+    def _has_open_orders(self):
+        """Whether an earlier order may still be carried out."""
+        return self._loop.clock.now() < self._orders_open_until
 
     def start_if_needed(self, symptoms):
         """Start to replace the primary if the symptoms require it.
@@ -278,6 +293,8 @@
             return
         if self._check_pauses_at is None:
             self._check_pauses_at = now + ABANDONED_PAUSE_SECONDS
+            if self._follows_other_promoter:
+                self._orders_open_until = now + ABANDONED_PAUSE_SECONDS
         reason = promotion_reason(symptoms, now)
         if reason is not None:
             task = self._replace_primary(symptoms.primary, reason)
@@ -349,15 +366,14 @@
             )
             return False
         self._blocked_attempts = 0
-        self._has_open_orders |= any(
-            status.paused_term not in {0, self._own_pause_term} for status in statuses
-        )
-        if not (yield from self._close_orders(primary)):
-            return False
+        if self._has_open_orders and (yield old_primary_status).is_primary:
+            # While the primary does not answer, nobody acknowledges commits.
+            yield from self._close_orders(primary)
+            if self._has_open_orders:
+                return False
         term = 1 + max(
             status.term for status in statuses if status.received is not None
         )
-        self._own_pause_term = term
         promoted = self._loop.spawn(
             self._promote_safely(primary, successor, statuses, term, reason, token)
         )
@@ -365,6 +381,8 @@
         # Until the replicas have answered, a message that resumes one of them may still
         # be on its way, so that the next attempt could not rely on its own pauses.
         yield from self._end_own_pauses(replicas, term)
+        if not promoted.result() and not self._has_open_orders:
+            yield from self._announce(None)
         return promoted.result()
 
     def _nearness_by_id(self):
@@ -401,6 +419,11 @@
         if prepared is None:
             self._log_decision("takeover_unsafe", reason, primary, statuses)
             return False
+        if prepared.server_id != successor:
+            yield from self._announce(prepared.server_id)
+            if self._may_lack_commits(prepared, primary_answers=False):
+                self._log_decision("takeover_unsafe", reason, primary, statuses)
+                return False
         unsafe_replicas = yield from self._list_unsafe(
             primary, replicas, prepared, term
         )
@@ -421,34 +444,57 @@
         successor = prepared.server_id
         self._log_decision("takeover", reason, primary, statuses, successor, token)
         ordered_at = self._loop.clock.now()
-        promoted = yield from self._order_promotion(successor, token)
+        with self._guarded_window(primary, successor, term) as window:
+            promoted = yield from self._order_promotion(successor, token, window)
         if promoted:
             self._log_effect(prepared, ordered_at, statuses)
         if promoted and prepared.received is not None:
             self._group.sole_copies.record_promotion(successor, prepared.received)
         return promoted
 
+    def _announce(self, successor):
+        """Tell all proxies of a promotion; learn which commits it must keep; a task.
+
+        Later ones are passed on to clients only if the successor has received them.
+        """
+        self._group.announce_promotion(successor)
+        seen_by_others = yield self._evidence.announce_promotion(
+            self._group.name, successor
+        )
+        for position in seen_by_others:
+            self._group.acknowledged_commits.record(position, self._loop.clock.now())
+
+    @contextlib.contextmanager
+    def _guarded_window(self, primary, successor, term):
+        """Guard the time until a promotion takes effect."""
+        window = promotion_window.PromotionWindow(
+            self._loop, self._group, self._statuses, primary, successor, term
+        )
+        self._loop.spawn(window.watch_others())
+        try:
+            yield window
+        finally:
+            window.close()
+
     def _close_orders(self, primary):
         """Make sure that no earlier order is carried out any more; a task.
 
         An order for the present primary changes nothing, but its token makes the
         platform refuse all earlier orders. One that it has accepted before takes effect
-        within ``ACCEPTED_ORDER_SECONDS``.
-
-        Returns
-        -------
-        bool
-            Whether an attempt may change who acknowledges commits. While the primary
-            does not answer, nobody acknowledges any.
+        within ``ACCEPTED_ORDER_SECONDS``. Nothing is ordered if the server does not
+        answer as the primary.
         """
-        if not self._has_open_orders:
-            return True
-        status = yield from self._statuses.ask(primary, statements.ReadStatus())
-        if not status.is_primary:
-            return True
+        symptoms = self._group.primary_symptoms(self._loop.clock.now())
+        if symptoms.unreachable_since is not None:
+            return
+        status = yield from self._statuses.ask(
+            primary, statements.ReadStatus(), PRIMARY_RECHECK_TIMEOUT_SECONDS
+        )
+        if not status.is_primary or not (yield self._confirm_promoter()):
+            return
         token = self._next_token()
-        if token is None or not (yield self._confirm_promoter()):
-            return False
+        if token is None:
+            return
         result = yield self._promotion_orders.promote(self._group.name, primary, token)
         event_log.event(
             "earlier_orders_refused",
@@ -458,12 +504,10 @@
             result=result.value,
         )
         if result is not OrderResult.ACCEPTED:
-            return False
+            return
         yield self._loop.sleep_until(self._loop.clock.now() + ACCEPTED_ORDER_SECONDS)
-        if self._group.primary.server_id != primary:
-            return False
-        self._has_open_orders = False
-        return True
+        if self._group.primary.server_id == primary:
+            self._orders_open_until = float("-inf")
 
     def _end_own_pauses(self, replicas, term):
         """Let the replicas receive again, unless another promoter is in charge.
@@ -478,7 +522,7 @@
             yield from self._close_orders(self._group.primary.server_id)
         if self._has_open_orders:
             event_log.event("pauses_left_to_orders", group=self._group.name)
-            self._check_pauses_at = self._loop.clock.now() + ABANDONED_PAUSE_SECONDS
+            self._check_pauses_at = self._loop.clock.now() + OPEN_ORDERS_RETRY_SECONDS
             return
         if not (
             yield from self._statuses.resume(replicas, lambda paused: paused == term)
@@ -489,6 +533,11 @@
         """End the pauses of a promoter that could not do so itself; a task."""
         if not (yield self._confirm_promoter()):
             return False
+        if self._has_open_orders:
+            yield from self._close_orders(self._group.primary.server_id)
+        if self._has_open_orders:
+            self._check_pauses_at = self._loop.clock.now() + OPEN_ORDERS_RETRY_SECONDS
+            return False
         ended = yield from self._statuses.resume(
             list(self._group.pools_by_id), lambda _paused: True
         )
@@ -544,8 +593,7 @@
         paused_statuses = [status for status in statuses if status.received is not None]
         if self._group.synchronous and len(paused_statuses) < len(statuses):
             return None
-        # All acknowledgements but the successor's own are older than this question.
-        seen_by_others = self._evidence.newest_acknowledged_commits(self._group.name)
+        announced = self._loop.spawn(self._announce(successor))
         catch_up_seconds = FAILOVER_CATCH_UP_SECONDS
         old_primary = ReplicaStatus(primary, False, None)
         if primary in self._group.pools_by_id:
@@ -558,8 +606,7 @@
                 self._group.sole_copies.record_primary_position(
                     primary, asked_at, old_primary.received
                 )
-        for position in (yield seen_by_others):
-            self._group.acknowledged_commits.record(position, self._loop.clock.now())
+        yield announced
         positions = [
             *(status.received for status in paused_statuses),
             old_primary.received,
@@ -678,14 +725,22 @@
         waited_since = max(answered_at, sole_copies.lost_at)
         return self._loop.clock.now() - waited_since <= REMOVED_REPLICA_WAIT_SECONDS
 
-    def _order_promotion(self, successor, token):
+    def _order_promotion(self, successor, token, window=None):
         """Order the promotion until the successor is the primary; return whether it is.
 
         The answer to an order can be lost, so the group's known primary decides.
+
+        Parameters
+        ----------
+        successor : str
+        token : int
+        window : promotion_window.PromotionWindow or None
         """
         for repeated in range(MAX_PROMOTION_ORDERS):
-            if repeated and not (yield self._confirm_promoter()):
-                return False
+            if repeated:
+                if not (yield self._confirm_promoter()):
+                    return False
+                yield from self._announce(successor)
             result = yield self._promotion_orders.promote(
                 self._group.name, successor, token
             )
@@ -696,15 +751,20 @@
                 token=token,
                 result=result.value,
             )
+            if result is not OrderResult.NOT_DONE:
+                # A refusal may mean that another promoter has given an order.
+                self._orders_open_until = (
+                    self._loop.clock.now() + ABANDONED_PAUSE_SECONDS
+                )
             if result is OrderResult.REFUSED:
                 return False
-            if result is not OrderResult.NOT_DONE:
-                self._has_open_orders = True
+            if result is OrderResult.ACCEPTED and window is not None:
+                self._loop.spawn(window.watch_successor())
             deadline = self._loop.clock.now() + PROMOTION_TIMEOUT_SECONDS
             while self._loop.clock.now() < deadline:
                 if self._group.primary.server_id == successor:
                     # All earlier orders have lower tokens, or are for this server.
-                    self._has_open_orders = False
+                    self._orders_open_until = float("-inf")
                     return True
                 yield self._loop.sleep_until(
                     self._loop.clock.now() + POLL_INTERVAL_SECONDS
