--- a/tests/test_soak_membership.py
+++ b/tests/test_soak_membership.py
@@ -149,6 +149,7 @@
         self.group.restore(old_primary)
         self.group.replicate()
         self.assertEqual(old_primary.received_position, LogPosition(2, 2))
+        self.assertGreater(old_primary.busy_until, self.loop.clock.now())
 
     def test_partition_stops_replication_and_acknowledgements(self):
         """Guards against commits that a cut-off replica acknowledges."""
