Log when a process runs its own work late

The supervision, which is due every 50 ms, now logs `loop_delayed` with its delay from 0.5 s on. The limit keeps it at two lines a second; the cost is one comparison per run.

--- a/cassiahill/request_trace.py
+++ b/cassiahill/request_trace.py
@@ -12,6 +12,7 @@
         "connection_refused",
         "cut_off",
         "lines_dropped",
+        "loop_delayed",
         "members_not_registered_again",
         "owner_failed",
         "primary_changed",
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -14,6 +14,7 @@
     event_log,
     heartbeats,
     http1,
+    loop_delay,
     partition_detector,
     process_state,
     proxy_dump,
@@ -210,6 +211,7 @@
         self._peer_server = http1.Server(
             loop, settings.peer_address, self._handle_peer_request
         )
+        self._loop_delay = loop_delay.LoopDelay(loop.clock.now())
         loop.repeat(loop.clock.now(), self._supervise)
 
     @property
@@ -449,6 +451,8 @@
     def _supervise(self):
         """Update groups and reachability, and start promotions that are due."""
         now = self._loop.clock.now()
+        next_due_at = now + SUPERVISION_INTERVAL_SECONDS
+        self._loop_delay.record_run(now, next_due_at)
         self._update_active_groups(now)
         self._check_reachability(now)
         if self._regions.are_several:
@@ -461,7 +465,7 @@
         elif not self.fleet.election.is_promoter:
             for group_takeover in self._takeovers_by_group.values():
                 group_takeover.record_not_promoter()
-        return now + SUPERVISION_INTERVAL_SECONDS
+        return next_due_at
 
     def _check_reachability(self, now):
         """Update whether this process is partitioned, and close idle sessions then."""
