Give views room for the largest configuration, and ask the store beyond it

A view was accepted up to 1,100,000 bytes, as any answer. A configuration of 1 MiB, which the store holds, and the lists of 300 servers and members are longer. The answer then failed each time: a process that started while the store was away learned of no fleet, no servers and no configuration from its peers, and a follower stayed with old lists.

Views have a limit of their own, 8 MiB. A view beyond it is a line `view_too_large`, and the process asks the store for its lists, which come in pages. Ruled out: a larger limit for all answers and requests, which would let each sender take that much memory.

--- a/cassiahill/http1.py
+++ b/cassiahill/http1.py
@@ -88,9 +88,10 @@
 class _MessageCollector:
     """Collects the parts of one message after another in ``httptools`` callbacks."""
 
-    __slots__ = ("body", "header_bytes", "headers", "url")
+    __slots__ = ("_max_body_bytes", "body", "header_bytes", "headers", "url")
 
-    def __init__(self):
+    def __init__(self, max_body_bytes=MAX_BODY_BYTES):
+        self._max_body_bytes = max_body_bytes
         self._clear_message()
 
     def _clear_message(self):
@@ -116,7 +117,7 @@
     def on_body(self, body):
         """Append a part of the body."""
         self.body = self.body + body if self.body else body
-        if len(self.body) > MAX_BODY_BYTES:
+        if len(self.body) > self._max_body_bytes:
             raise errors.RequestTooLarge("the body is too large")
 
     def _count_header_bytes(self, added_bytes):
@@ -325,6 +326,8 @@
     ssl_context : ssl.SSLContext or None
     on_closed : callable or None
         Called with this connection when it has closed.
+    max_body_bytes : int
+        A response with a longer body fails with ``errors.ResponseTooLarge``.
     """
 
     __slots__ = (
@@ -337,8 +340,15 @@
         "_timer",
     )
 
-    def __init__(self, loop, address, ssl_context=None, on_closed=None):
-        super().__init__()
+    def __init__(
+        self,
+        loop,
+        address,
+        ssl_context=None,
+        on_closed=None,
+        max_body_bytes=MAX_BODY_BYTES,
+    ):
+        super().__init__(max_body_bytes)
         self._loop = loop
         self._timer = None
         self._host_header = b"%s:%d" % (address[0].encode(), address[1])
@@ -441,7 +451,8 @@
     def _fail_too_large(self):
         """Fail the request if its response exceeds a limit; a retry would fail too."""
         is_too_large = (
-            len(self.body) > MAX_BODY_BYTES or self.header_bytes > MAX_HEADER_BYTES
+            len(self.body) > self._max_body_bytes
+            or self.header_bytes > MAX_HEADER_BYTES
         )
         response_future = self._take_pending_response() if is_too_large else None
         if response_future is not None:
--- a/cassiahill/member_client.py
+++ b/cassiahill/member_client.py
@@ -2,6 +2,10 @@
 
 from cassiahill import heartbeats, http1
 
+# A view holds a configuration (1 MiB at most in the store) and the lists of servers and
+# members, some 300 bytes an entry: room for 25,000 entries.
+MAX_VIEW_BYTES = 8 * 1024 * 1024
+
 
 class MemberClient:
     """Sends heartbeats on kept connections, and asks for views on new ones.
@@ -56,9 +60,13 @@
 
         Raises
         ------
+        errors.ResponseTooLarge
+            Another attempt would fail too.
         errors.CassiahillError
         """
-        connection = http1.ClientConnection(self._loop, address)
+        connection = http1.ClientConnection(
+            self._loop, address, max_body_bytes=MAX_VIEW_BYTES
+        )
         try:
             response = yield connection.request(
                 "GET", heartbeats.encode_view_path(known), b"", (), deadline
--- a/cassiahill/store_follower.py
+++ b/cassiahill/store_follower.py
@@ -199,7 +199,11 @@
             self._fetching_view = False
 
     def fetch_view(self, name, address, accepts_large=True):
-        """Fetch a member's ``View`` and apply it; a task."""
+        """Fetch a member's ``View`` and apply it; a task.
+
+        The store, which sends its lists in pages, is asked for what is too long for a
+        view.
+        """
         version, servers_revision = self._process_state.versions()
         members_revision = self._registry.revision
         known = heartbeats.KnownVersions(
@@ -213,6 +217,11 @@
         deadline = self._loop.clock.now() + VIEW_TIMEOUT_SECONDS
         try:
             view = yield from self._client.fetch_view(address, known, deadline)
+        except errors.ResponseTooLarge:
+            event_log.event("view_too_large", peer=name)
+            self._process_state.request_lists()
+            self._registry.watcher.request_list()
+            return
         except errors.CassiahillError as error:
             event_log.event("view_failed", peer=name, cause=repr(error))
             return
