Give heartbeats room for the names of all tenants and groups

A heartbeat reports the demand of each tenant that is used or expected, and after a change of the promoter the shares that are still held; the answer lists the shares. The names can fill a configuration, so both could exceed the 1,100,000 bytes of any message. The refusal then counted as a missing answer: all proxies took the promoter for dead, and so the next one.

Heartbeats and their answers have a limit of their own, 4 MiB, which follows from the largest configuration. A shorter report was ruled out: tenants without a share in a loan are refused, and held shares that are left out would be lent twice.

--- a/cassiahill/heartbeats.py
+++ b/cassiahill/heartbeats.py
@@ -11,6 +11,9 @@
 MEMBER_PREFIX = "proxy."  # Prefix of the members' object names.
 HEARTBEAT_PATH = "/v1/pulse"
 VIEW_PATH = "/v1/view"
+# The names of all groups and tenants fit a configuration of 1 MiB. A heartbeat repeats
+# one three times at most, with numbers that are shorter than the rest of its entry.
+MAX_HEARTBEAT_BYTES = 4 * 1024 * 1024
 
 
 class _CopiesOfStore:
--- a/cassiahill/http1.py
+++ b/cassiahill/http1.py
@@ -141,7 +141,7 @@
     )
 
     def __init__(self, server, sock):
-        super().__init__()
+        super().__init__(server.max_body_bytes)
         self._server = server
         self._parser = None
         self._waiting_requests = None
@@ -268,6 +268,8 @@
     ssl_context : ssl.SSLContext or None
     on_disconnect : callable or None
         Called with each connection that has closed.
+    max_body_bytes : int
+        A request with a longer body is refused.
 
     Attributes
     ----------
@@ -277,8 +279,17 @@
         Whether each connection closes after its next answer.
     """
 
-    def __init__(self, loop, address, handler, ssl_context=None, on_disconnect=None):
+    def __init__(
+        self,
+        loop,
+        address,
+        handler,
+        ssl_context=None,
+        on_disconnect=None,
+        max_body_bytes=MAX_BODY_BYTES,
+    ):
         self.loop = loop
+        self.max_body_bytes = max_body_bytes
         self.handler = handler
         self.closing = False
         self.requests_in_flight = 0
--- a/cassiahill/member_client.py
+++ b/cassiahill/member_client.py
@@ -39,7 +39,9 @@
         """
         connection = self._connections_by_address.get(address)
         if connection is None or connection.closed:
-            connection = http1.ClientConnection(self._loop, address)
+            connection = http1.ClientConnection(
+                self._loop, address, max_body_bytes=heartbeats.MAX_HEARTBEAT_BYTES
+            )
             self._connections_by_address[address] = connection
         if connection.busy:
             return None
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -209,7 +209,10 @@
             loop, settings.readiness_address, self._handle_readiness_request
         )
         self._peer_server = http1.Server(
-            loop, settings.peer_address, self._handle_peer_request
+            loop,
+            settings.peer_address,
+            self._handle_peer_request,
+            max_body_bytes=heartbeats.MAX_HEARTBEAT_BYTES,
         )
         self._loop_delay = loop_delay.LoopDelay(loop.clock.now())
         loop.repeat(loop.clock.now(), self._supervise)
