Tell callers that an answer is too large instead of an internal error

A proxy that is not the owner of a server passes statements on over a link whose frames hold 4 MiB. A read with a longer answer failed with the code `internal`, and the client repeated it until the deadline or its budget ended, each time with the full read at the server.

A read is not repeated after it; a repeatable write with a key still is, because the repetition answers with the row count only. The link goes on.

Two new tests failed before: test_answer_beyond_a_frame (CassiahillError) and test_answer_that_is_too_large (RetryAt).

--- a/cassiahill/peer_calls.py
+++ b/cassiahill/peer_calls.py
@@ -98,7 +98,8 @@
         if error is not None:
             self._send_problem(link, sequence, error)
         elif len(future.result()) > MAX_PAYLOAD_BYTES:
-            self._send_problem(link, sequence, errors.CassiahillError("too large"))
+            error = errors.ResponseTooLarge("the answer is larger than a frame")
+            self._send_problem(link, sequence, error)
         else:
             link.send(sequence, OK_KIND, future.result())
 
--- a/cassiahill/retries.py
+++ b/cassiahill/retries.py
@@ -133,7 +133,11 @@
     RetryAt or Stop
     """
     did_not_run = error.may_have_run is errors.MayHaveRun.NO
-    if did_not_run and error.retry_after is None:
+    # The repetition of a write with a key returns its row count only, which has room.
+    too_many_rows = attempt.kind == "read" and isinstance(
+        error, errors.ResponseTooLarge
+    )
+    if too_many_rows or (did_not_run and error.retry_after is None):
         return Stop("a repetition would fail in the same way")
     if not is_safe_to_repeat(attempt, error):
         return Stop("a repetition might run the statement twice")
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -20,6 +20,8 @@
     if kind == "late":
         late_answers.append(loop.Future())
         return late_answers[-1]
+    if kind == "answer of size":
+        return loop.completed_future(b"x" * int(payload))
     return loop.completed_future(payload)
 
 
@@ -68,6 +70,17 @@
         sock.send(data)
         return closed
 
+    def test_answer_beyond_a_frame(self):
+        """Guards against an internal error for a read whose rows are too many."""
+        largest = b"%d" % peer_calls.MAX_PAYLOAD_BYTES
+        too_large = b"%d" % (peer_calls.MAX_PAYLOAD_BYTES + 1)
+        answered = self.call("answer of size", largest)
+        refused = self.call("answer of size", too_large)
+        self.run_until(answered, refused)
+        self.assertEqual(len(answered.result()), peer_calls.MAX_PAYLOAD_BYTES)
+        self.assertIsInstance(refused.exception(), errors.ResponseTooLarge)
+        self.run_until(self.call())  # The link still works.
+
     def test_answers_reach_their_own_calls(self):
         """Guards against answers that complete another call of the same link."""
         calls = [self.call(payload=b"%d" % number) for number in range(100)]
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -50,6 +50,17 @@
         )
         self.assertIsInstance(refused_statement_decision, Stop)
 
+    def test_answer_that_is_too_large(self):
+        """Guards against long reads that run again and again for nothing.
+
+        A write with a key is repeated: the answer is then its row count.
+        """
+        error = errors.ResponseTooLarge()
+        self.assertIsInstance(self.decide_retry(error, kind="read"), Stop)
+        self.assertIsInstance(
+            self.decide_retry(error, repeatable=True, key="k"), RetryAt
+        )
+
     def test_budget_is_a_tenth_of_the_requests(self):
         """Guards against retries that multiply the load during a fault."""
         budget = retries.RetryBudget(initial_retries=0)
