Do not avoid an owner whose answer was too large

Since the answer beyond a frame is a `response_too_large`, a kind of lost connection, the gateway took the owner of the server for unreachable: one long read moved the ownership of all its servers. Its callers see the error, and the owner stays.

tests.test_gateway failed before (1 suspected owner, 0 expected).

--- a/cassiahill/gateway.py
+++ b/cassiahill/gateway.py
@@ -378,6 +378,8 @@
             if not client.connected:
                 self._mark_unreachable(owner)
             raise error
+        except errors.ResponseTooLarge:
+            raise  # The owner works: it has answered.
         except errors.ConnectionLost:
             self._mark_unreachable(owner)
             raise
