--- a/cassiahill/heartbeats.py
+++ b/cassiahill/heartbeats.py
@@ -13,6 +13,9 @@
 HEARTBEAT_PATH = "/v1/pulse"
 VIEW_PATH = "/v1/view"
 PROMOTION_PATH = "/v1/promotion"
+# The names of all groups and tenants fit a configuration of 1 MiB. A heartbeat repeats
+# one three times at most, with numbers that are shorter than the rest of its entry.
+MAX_HEARTBEAT_BYTES = 4 * 1024 * 1024
 
 
 class _CopiesOfStore:
--- a/cassiahill/member_client.py
+++ b/cassiahill/member_client.py
@@ -4,6 +4,10 @@
 
 from cassiahill import heartbeats, http1
 
+# A view holds a configuration (1 MiB at most in the store) and the lists of servers and
+# members, some 300 bytes an entry: room for 25,000 entries.
+MAX_VIEW_BYTES = 8 * 1024 * 1024
+
 
 class MemberClient:
     """Sends heartbeats on kept connections, and asks for views on new ones.
@@ -37,7 +41,9 @@
         """
         connection = self._connections_by_address.get(address)
         if connection is None or connection.closed:
-            connection = http1.ClientConnection(self._loop, address)
+            connection = http1.ClientConnection(
+                self._loop, address, max_body_bytes=heartbeats.MAX_HEARTBEAT_BYTES
+            )
             self._connections_by_address[address] = connection
         if connection.busy:
             return None
@@ -58,9 +64,13 @@
 
         Raises
         ------
+        errors.ResponseTooLarge
+            Another attempt would fail too.
         errors.CassiahillError
         """
-        connection = http1.ClientConnection(self._loop, address)
+        connection = http1.ClientConnection(
+            self._loop, address, max_body_bytes=MAX_VIEW_BYTES
+        )
         try:
             response = yield connection.request(
                 "GET", heartbeats.encode_view_path(known), b"", (), deadline
