Split the takeover into symptoms, choice, orders and missing commits

Change: primary_symptoms, successor_choice, promotion_orders and missing_commits are modules of their own; the takeover keeps the attempt. No decision changes.

--- a/cassiahill/heartbeat_reports.py
+++ b/cassiahill/heartbeat_reports.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from cassiahill import takeover
+from cassiahill import primary_symptoms
 
 REPORT_MAX_AGE_SECONDS = 1.2
 
@@ -82,7 +82,7 @@
                 group in heartbeat.watched for heartbeat in heartbeats
             )
             share = unreachable_count / connected_count
-            if share >= takeover.UNREACHABLE_REPORTS_SHARE:
+            if share >= primary_symptoms.UNREACHABLE_REPORTS_SHARE:
                 self._unreachable_since_by_group.setdefault(group, now)
             else:
                 self._unreachable_since_by_group.pop(group, None)
--- /dev/null
+++ b/cassiahill/missing_commits.py
@@ -0,0 +1,59 @@
+"""Commits that a new primary must have and that no reachable replica has."""
+
+# Longer than a network partition around the primary and a replica is expected to last;
+# both answer again after it.
+REMOVED_REPLICA_WAIT_SECONDS = 10.0
+# Longer than a server that has crashed takes to come back with its log.
+MISSING_COMMIT_WAIT_SECONDS = 30.0
+
+
+class MissingCommits:
+    """Decides whether to wait for a server of one group that has such commits.
+
+    Parameters
+    ----------
+    loop : loop.EventLoop
+    group : server_group.ServerGroup
+    """
+
+    def __init__(self, loop, group):
+        self._loop = loop
+        self._group = group
+        self._missing_since = None
+
+    def may_lack(self, successor, primary_answers):
+        """Return whether a successor may lack acknowledged commits.
+
+        While the primary answers, it keeps its role until the others have received
+        them. Otherwise it, or a replica, may come back with them for some time.
+        """
+        if not self._group.synchronous:
+            return False
+        is_missing = self._group.acknowledged_commits.may_be_beyond(successor.received)
+        if is_missing and primary_answers:
+            return True
+        return self._awaits_holder(is_missing) or self._may_lack_sole_copies(
+            successor, primary_answers
+        )
+
+    def _awaits_holder(self, is_missing):
+        """Return whether a server that has acknowledged commits may still come back."""
+        if not is_missing:
+            self._missing_since = None
+            return False
+        now = self._loop.clock.now()
+        if self._missing_since is None:
+            self._missing_since = now
+        return now - self._missing_since <= MISSING_COMMIT_WAIT_SECONDS
+
+    def _may_lack_sole_copies(self, successor, primary_answers):
+        """Return whether only the primary may have some acknowledged commits."""
+        sole_copies = self._group.sole_copies
+        if not sole_copies.may_be_beyond(successor.received):
+            return False
+        if primary_answers:
+            return True
+        latest = self._group.primary_positions.latest_sample
+        answered_at = float("-inf") if latest is None else latest.asked_at
+        waited_since = max(answered_at, sole_copies.lost_at)
+        return self._loop.clock.now() - waited_since <= REMOVED_REPLICA_WAIT_SECONDS
--- /dev/null
+++ b/cassiahill/promotion_orders.py
@@ -0,0 +1,171 @@
+"""Orders to promote a server, and how long they may still be carried out."""
+
+import enum
+
+from cassiahill import event_log, statements
+from cassiahill.replica_statuses import POLL_INTERVAL_SECONDS
+
+# Shorter than ANSWER_TIMEOUT_SECONDS, because this primary has not answered for some
+# time already.
+PRIMARY_RECHECK_TIMEOUT_SECONDS = 0.25
+PROMOTION_TIMEOUT_SECONDS = 1.6  # A promotion takes about a second.
+# An order without an answer may still be carried out some 12 s later. Until the
+# successor is the primary, the order is repeated and the other replicas stay paused.
+MAX_PROMOTION_ORDERS = 9
+# An accepted order takes about a second until the server leads.
+ACCEPTED_ORDER_SECONDS = 1.4
+OPEN_ORDERS_RETRY_SECONDS = 0.6
+# By then no earlier order can be carried out any more.
+ABANDONED_PAUSE_SECONDS = 15.0
+
+
+class OrderResult(enum.Enum):
+    """Result of an order to promote a server."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"  # A higher token was used, or the server does not run.
+    NOT_DONE = "not_done"
+    UNANSWERED = "unanswered"  # The order may still be carried out.
+
+
+class PromotionOrders:
+    """Interface that orders the platform to promote a server."""
+
+    def promote(self, group, server_id, token):
+        """Order the promotion of a server to primary of its group.
+
+        Parameters
+        ----------
+        group, server_id : str
+        token : int
+            Fencing token; the order is refused if a higher one has been used.
+
+        Returns
+        -------
+        loop.LoopFuture
+            Future of an ``OrderResult``.
+        """
+        raise NotImplementedError
+
+
+class OrderedPromotions:
+    """Gives the orders of one group, and knows which may still be carried out.
+
+    Parameters
+    ----------
+    loop : loop.EventLoop
+    group : server_group.ServerGroup
+    orders : PromotionOrders
+    statuses : replica_statuses.ReplicaStatuses
+    next_token, confirm_promoter : callable
+        See ``takeover.Takeover``.
+    announce : callable
+        Task that tells all proxies which server is to be promoted.
+    """
+
+    def __init__(
+        self, loop, group, orders, statuses, next_token, confirm_promoter, announce
+    ):
+        self._loop = loop
+        self._group = group
+        self._orders = orders
+        self._statuses = statuses
+        self._next_token = next_token
+        self._confirm_promoter = confirm_promoter
+        self._announce = announce
+        self._follows_other_promoter = True
+        # Until then, an earlier order of any promoter may be carried out.
+        self._open_until = float("-inf")
+
+    @property
+    def are_open(self):
+        """Whether an earlier order may still be carried out."""
+        return self._loop.clock.now() < self._open_until
+
+    def record_other_promoter(self):
+        """Record that another process is the promoter, and may give orders."""
+        self._follows_other_promoter = True
+
+    def record_first_promoter(self):
+        """Record that no other process has given orders lately."""
+        self._follows_other_promoter = False
+
+    def begin_term(self, now):
+        """Record that this process has become the promoter."""
+        if self._follows_other_promoter:
+            self._open_until = now + ABANDONED_PAUSE_SECONDS
+
+    def close(self, primary):
+        """Make sure that no earlier order is carried out any more; a task.
+
+        An order for the present primary changes nothing, but its token makes the
+        platform refuse all earlier orders. One that it has accepted before takes effect
+        within ``ACCEPTED_ORDER_SECONDS``. Nothing is ordered if the server does not
+        answer as the primary.
+        """
+        symptoms = self._group.primary_symptoms(self._loop.clock.now())
+        if symptoms.unreachable_since is not None:
+            return
+        status = yield from self._statuses.ask(
+            primary, statements.ReadStatus(), PRIMARY_RECHECK_TIMEOUT_SECONDS
+        )
+        if not status.is_primary or not (yield self._confirm_promoter()):
+            return
+        token = self._next_token()
+        if token is None:
+            return
+        result = yield self._orders.promote(self._group.name, primary, token)
+        event_log.event(
+            "earlier_orders_refused",
+            group=self._group.name,
+            primary=primary,
+            token=token,
+            result=result.value,
+        )
+        if result is not OrderResult.ACCEPTED:
+            return
+        yield self._loop.sleep_until(self._loop.clock.now() + ACCEPTED_ORDER_SECONDS)
+        if self._group.primary.server_id == primary:
+            self._open_until = float("-inf")
+
+    def promote(self, successor, token, window=None):
+        """Order the promotion until the successor is the primary; return whether it is.
+
+        The answer to an order can be lost, so the group's known primary decides.
+
+        Parameters
+        ----------
+        successor : str
+        token : int
+        window : promotion_window.PromotionWindow or None
+        """
+        for repeated in range(MAX_PROMOTION_ORDERS):
+            if repeated:
+                if not (yield self._confirm_promoter()):
+                    return False
+                yield from self._announce(successor)
+            result = yield self._orders.promote(self._group.name, successor, token)
+            event_log.event(
+                "promote_ordered",
+                group=self._group.name,
+                server=successor,
+                token=token,
+                result=result.value,
+            )
+            if result is not OrderResult.NOT_DONE:
+                # A refusal may mean that another promoter has given an order.
+                self._open_until = self._loop.clock.now() + ABANDONED_PAUSE_SECONDS
+            if result is OrderResult.REFUSED:
+                return False
+            if result is OrderResult.ACCEPTED and window is not None:
+                self._loop.spawn(window.watch_successor())
+            deadline = self._loop.clock.now() + PROMOTION_TIMEOUT_SECONDS
+            while self._loop.clock.now() < deadline:
+                if self._group.primary.server_id == successor:
+                    # All earlier orders have lower tokens, or are for this server.
+                    self._open_until = float("-inf")
+                    return True
+                yield self._loop.sleep_until(
+                    self._loop.clock.now() + POLL_INTERVAL_SECONDS
+                )
+        return False
--- a/cassiahill/proxy_groups.py
+++ b/cassiahill/proxy_groups.py
@@ -1,6 +1,6 @@
 """The groups of backend servers that one session proxy knows."""
 
-from cassiahill import server_group, successor_nearness, takeover
+from cassiahill import primary_symptoms, server_group, successor_nearness, takeover
 
 # A group that was used within this time keeps its connections.
 GROUP_RECENT_USE_SECONDS = 5.0
@@ -20,7 +20,7 @@
     regions : regions.Regions
     partition : partition_detector.PartitionDetector
     fleet : session_fleet.SessionFleet
-    orders : takeover.PromotionOrders
+    orders : promotion_orders.PromotionOrders
     on_added : callable
         Called when a group was added, which has no limits yet.
 
@@ -122,8 +122,11 @@
             name
             for name, group in self.groups_by_name.items()
             if group.active
-            and takeover.promotion_reason(group.primary_symptoms(now), now)
-            in {takeover.PRIMARY_UNREACHABLE, takeover.WRITES_UNACKNOWLEDGED}
+            and primary_symptoms.promotion_reason(group.primary_symptoms(now), now)
+            in {
+                primary_symptoms.PRIMARY_UNREACHABLE,
+                primary_symptoms.WRITES_UNACKNOWLEDGED,
+            }
         ]
 
     def is_primary_unreachable(self, name):
--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -16,6 +16,7 @@
     line_connections,
     outstanding_writes,
     placement,
+    primary_symptoms,
     queue_service,
     read_durations,
     removed_replicas,
@@ -26,7 +27,6 @@
     server_replies,
     slot_shares,
     sole_copies,
-    takeover,
     tenant_waits,
 )
 from cassiahill.regions import Regions
@@ -349,7 +349,7 @@
         )
 
     def primary_symptoms(self, now, reported_unreachable_since=None):
-        """Return the ``takeover.PrimarySymptoms`` that this process observes.
+        """Return the ``primary_symptoms.PrimarySymptoms`` that this process observes.
 
         Parameters
         ----------
@@ -363,7 +363,7 @@
         primary_unknown_since = None
         if server_id is None and self.pools_by_id:
             primary_unknown_since = self.primary.unknown_since
-        return takeover.PrimarySymptoms(
+        return primary_symptoms.PrimarySymptoms(
             primary=server_id,
             draining=draining,
             unreachable_since=self.replies.primary_unreachable_since,
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -45,7 +45,7 @@
     store : shared_store.SharedStore
     source : catalog_feed.CatalogSource
     dialect : dialect.Dialect
-    orders : takeover.PromotionOrders
+    orders : promotion_orders.PromotionOrders
     rng : random.Random
 
     Attributes
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -7,211 +7,39 @@
 """
 
 import contextlib
-import enum
 import math
 
-import attrs
-
 from cassiahill import (
     event_log,
+    missing_commits,
     promotion_evidence,
+    promotion_orders,
     promotion_window,
     replica_statuses,
     statements,
 )
+from cassiahill.missing_commits import REMOVED_REPLICA_WAIT_SECONDS
+from cassiahill.primary_symptoms import PRIMARY_UNREACHABLE, promotion_reason
+from cassiahill.promotion_orders import (
+    ABANDONED_PAUSE_SECONDS,
+    OPEN_ORDERS_RETRY_SECONDS,
+    PRIMARY_RECHECK_TIMEOUT_SECONDS,
+)
 from cassiahill.replica_statuses import POLL_INTERVAL_SECONDS, ReplicaStatus
+from cassiahill.successor_choice import choose_successor, replica_with_longest_log
 from cassiahill.successor_nearness import Nearness
 
-# The next constants tell how long a symptom must last before the primary is replaced.
-PRIMARY_UNREACHABLE_SECONDS = 0.5  # The primary's status is then read once more.
-# Shorter than for no answer, because a refused connection shows that the primary's
-# process has ended.
-REFUSED_CONNECTIONS_SECONDS = 0.3
-NO_PRIMARY_SECONDS = 0.5
-UNACKNOWLEDGED_WRITES_SECONDS = 0.8  # The primary may still answer other requests.
-# Fraction of the proxies that must report the primary unreachable for their reports to
-# count although this process reaches it.
-UNREACHABLE_REPORTS_SHARE = 0.4
-UNREACHABLE_REPORTS_SECONDS = 1.0
-
 RETRY_PAUSE_SECONDS = 0.3  # Pause after an attempt that promoted no server.
 PAUSE_AFTER_PROMOTION_SECONDS = 1.5  # Lets the new primary start to serve.
-# Shorter than ANSWER_TIMEOUT_SECONDS, because this primary has not answered for some
-# time already.
-PRIMARY_RECHECK_TIMEOUT_SECONDS = 0.25
 # Longer than in a failover, because the old primary still sends the entries that the
 # successor does not have yet.
 SWITCHOVER_CATCH_UP_SECONDS = 1.5
 FAILOVER_CATCH_UP_SECONDS = 0.2
-PROMOTION_TIMEOUT_SECONDS = 1.6  # A promotion takes about a second.
-# An order without an answer may still be carried out some 12 s later. Until the
-# successor is the primary, the order is repeated and the other replicas stay paused.
-MAX_PROMOTION_ORDERS = 9
-# An accepted order takes about a second until the server leads.
-ACCEPTED_ORDER_SECONDS = 1.4
-OPEN_ORDERS_RETRY_SECONDS = 0.6
-# By then no earlier order can be carried out any more.
-ABANDONED_PAUSE_SECONDS = 15.0
 ACKNOWLEDGEMENT_DELAY_SECONDS = 0.06  # Time for a sent acknowledgement to arrive.
-# Longer than a network partition around the primary and a replica is expected to last;
-# both answer again after it.
-REMOVED_REPLICA_WAIT_SECONDS = 10.0
-# Longer than a server that has crashed takes to come back with its log.
-MISSING_COMMIT_WAIT_SECONDS = 30.0
 # After this many blocked attempts, the promoter resigns, because another proxy may
 # reach the replicas that did not answer.
 BLOCKED_ATTEMPTS_UNTIL_RESIGNING = 2
 
-PRIMARY_UNREACHABLE = "unreachable"
-WRITES_UNACKNOWLEDGED = "writes are not acknowledged"
-
-
-class OrderResult(enum.Enum):
-    """Result of an order to promote a server."""
-
-    ACCEPTED = "accepted"
-    REFUSED = "refused"  # A higher token was used, or the server does not run.
-    NOT_DONE = "not_done"
-    UNANSWERED = "unanswered"  # The order may still be carried out.
-
-
-class PromotionOrders:
-    """Interface that orders the platform to promote a server."""
-
-    def promote(self, group, server_id, token):
-        """Order the promotion of a server to primary of its group.
-
-        Parameters
-        ----------
-        group, server_id : str
-        token : int
-            Fencing token; the order is refused if a higher one has been used.
-
-        Returns
-        -------
-        loop.LoopFuture
-            Future of an ``OrderResult``.
-        """
-        raise NotImplementedError
-
-
-@attrs.frozen
-class PrimarySymptoms:
-    """Signs at one instant that a group's primary must be replaced.
-
-    An instant is None while its symptom is absent.
-
-    Attributes
-    ----------
-    primary : str or None
-        Id of the known primary.
-    draining : bool
-        Whether the primary is about to leave the group.
-    unreachable_since : float or None
-    refuses_connections : bool
-        Whether the primary refuses new connections instead of not answering.
-    primary_unknown_since : float or None
-    writes_unacknowledged_since : float or None
-    reported_unreachable_since : float or None
-        Since when a large fraction of the proxies does not reach the primary.
-    """
-
-    primary: str | None
-    draining: bool = False
-    unreachable_since: float | None = None
-    refuses_connections: bool = False
-    primary_unknown_since: float | None = None
-    writes_unacknowledged_since: float | None = None
-    reported_unreachable_since: float | None = None
-
-
-def promotion_reason(symptoms, now):
-    """Return why the primary must be replaced now, or None.
-
-    Parameters
-    ----------
-    symptoms : PrimarySymptoms
-    now : float
-        Present instant.
-
-    Returns
-    -------
-    str or None
-    """
-
-    def has_lasted(since, seconds):
-        return since is not None and now - since >= seconds
-
-    if symptoms.primary is None:
-        return (
-            "unknown"
-            if has_lasted(symptoms.primary_unknown_since, NO_PRIMARY_SECONDS)
-            else None
-        )
-    if symptoms.draining:
-        return "draining"
-    min_seconds = (
-        REFUSED_CONNECTIONS_SECONDS
-        if symptoms.refuses_connections
-        else PRIMARY_UNREACHABLE_SECONDS
-    )
-    if has_lasted(symptoms.unreachable_since, min_seconds):
-        return PRIMARY_UNREACHABLE
-    if has_lasted(symptoms.writes_unacknowledged_since, UNACKNOWLEDGED_WRITES_SECONDS):
-        return WRITES_UNACKNOWLEDGED
-    if has_lasted(symptoms.reported_unreachable_since, UNREACHABLE_REPORTS_SECONDS):
-        return "unreachable for others"
-    return None
-
-
-def choose_successor(statuses, synchronous=True, nearness_by_id=None):
-    """Return the id of the replica to promote, or None while that is not safe.
-
-    With synchronous replication, a replica that does not answer may be the only one
-    with an acknowledged commit, so all replicas must answer, the draining ones too.
-    Without synchronous replication, the newest commits are lost with the primary in any
-    case, so replicas that do not answer are ignored.
-
-    Parameters
-    ----------
-    statuses : list of ReplicaStatus
-        All registered servers of the group but the primary.
-    synchronous : bool
-        Whether the group acknowledges a commit only after a replica has received it.
-    nearness_by_id : dict of str to successor_nearness.Nearness, or None
-        Decides among replicas that have received the same log.
-
-    Returns
-    -------
-    str or None
-    """
-    nearness_by_id = nearness_by_id or {}
-    answered = [status for status in statuses if status.received is not None]
-    if not answered or (synchronous and len(answered) < len(statuses)):
-        return None
-    preferred = [status for status in answered if not status.draining] or answered
-    return max(
-        preferred,
-        key=lambda status: (
-            status.received,
-            nearness_by_id.get(status.server_id, Nearness()),
-            status.server_id,
-        ),
-    ).server_id
-
-
-def replica_with_longest_log(statuses):
-    """Return the ``ReplicaStatus`` of the replica with the longest log.
-
-    Among equals, one that is not draining is preferred. A draining replica can win,
-    because no other server has its last entries; a planned switchover then replaces it
-    as primary.
-    """
-    return max(
-        statuses,
-        key=lambda status: (status.received, not status.draining, status.server_id),
-    )
-
 
 class Takeover:
     """Replaces the primary of one group; active only in the promoter.
@@ -248,18 +76,23 @@
     ):
         self._loop = loop
         self._group = group
-        self._promotion_orders = orders
         self._next_token = next_token
         self._confirm_promoter = confirm_promoter
         self._resign = resign
         self._nearness = nearness or (lambda _domain, _former_domain: Nearness())
         self._evidence = evidence or promotion_evidence.PromotionEvidence()
         self._former_domain = None
-        self._commits_missing_since = None
-        self._follows_other_promoter = True
-        # Until then, an earlier order of any promoter may be carried out.
-        self._orders_open_until = float("-inf")
+        self._missing_commits = missing_commits.MissingCommits(loop, group)
         self._statuses = replica_statuses.ReplicaStatuses(loop, group)
+        self._promotions = promotion_orders.OrderedPromotions(
+            loop,
+            group,
+            orders,
+            self._statuses,
+            next_token,
+            confirm_promoter,
+            self._announce,
+        )
         self._blocked_attempts = 0
         self._in_progress = False
         self._next_attempt_at = 0.0
@@ -271,12 +104,7 @@
         It may pause replicas, and its orders may be carried out after its time.
         """
         self._check_pauses_at = None
-        self._follows_other_promoter = True
-
-    @property
-    def _has_open_orders(self):
-        """Whether an earlier order may still be carried out."""
-        return self._loop.clock.now() < self._orders_open_until
+        self._promotions.record_other_promoter()
 
     def start_if_needed(self, symptoms):
         """Start to replace the primary if the symptoms require it.
@@ -293,8 +121,7 @@
             return
         if self._check_pauses_at is None:
             self._check_pauses_at = now + ABANDONED_PAUSE_SECONDS
-            if self._follows_other_promoter:
-                self._orders_open_until = now + ABANDONED_PAUSE_SECONDS
+            self._promotions.begin_term(now)
         reason = promotion_reason(symptoms, now)
         if reason is not None:
             task = self._replace_primary(symptoms.primary, reason)
@@ -366,10 +193,10 @@
             )
             return False
         self._blocked_attempts = 0
-        if self._has_open_orders and (yield old_primary_status).is_primary:
+        if self._promotions.are_open and (yield old_primary_status).is_primary:
             # While the primary does not answer, nobody acknowledges commits.
-            yield from self._close_orders(primary)
-            if self._has_open_orders:
+            yield from self._promotions.close(primary)
+            if self._promotions.are_open:
                 return False
         term = 1 + max(
             status.term for status in statuses if status.received is not None
@@ -381,7 +208,7 @@
         # Until the replicas have answered, a message that resumes one of them may still
         # be on its way, so that the next attempt could not rely on its own pauses.
         yield from self._end_own_pauses(replicas, term)
-        if not promoted.result() and not self._has_open_orders:
+        if not promoted.result() and not self._promotions.are_open:
             yield from self._announce(None)
         return promoted.result()
 
@@ -421,7 +248,7 @@
             return False
         if prepared.server_id != successor:
             yield from self._announce(prepared.server_id)
-            if self._may_lack_commits(prepared, primary_answers=False):
+            if self._missing_commits.may_lack(prepared, primary_answers=False):
                 self._log_decision("takeover_unsafe", reason, primary, statuses)
                 return False
         unsafe_replicas = yield from self._list_unsafe(
@@ -445,7 +272,7 @@
         self._log_decision("takeover", reason, primary, statuses, successor, token)
         ordered_at = self._loop.clock.now()
         with self._guarded_window(primary, successor, term) as window:
-            promoted = yield from self._order_promotion(successor, token, window)
+            promoted = yield from self._promotions.promote(successor, token, window)
         if promoted:
             self._log_effect(prepared, ordered_at, statuses)
         if promoted and prepared.received is not None:
@@ -476,39 +303,6 @@
         finally:
             window.close()
 
-    def _close_orders(self, primary):
-        """Make sure that no earlier order is carried out any more; a task.
-
-        An order for the present primary changes nothing, but its token makes the
-        platform refuse all earlier orders. One that it has accepted before takes effect
-        within ``ACCEPTED_ORDER_SECONDS``. Nothing is ordered if the server does not
-        answer as the primary.
-        """
-        symptoms = self._group.primary_symptoms(self._loop.clock.now())
-        if symptoms.unreachable_since is not None:
-            return
-        status = yield from self._statuses.ask(
-            primary, statements.ReadStatus(), PRIMARY_RECHECK_TIMEOUT_SECONDS
-        )
-        if not status.is_primary or not (yield self._confirm_promoter()):
-            return
-        token = self._next_token()
-        if token is None:
-            return
-        result = yield self._promotion_orders.promote(self._group.name, primary, token)
-        event_log.event(
-            "earlier_orders_refused",
-            group=self._group.name,
-            primary=primary,
-            token=token,
-            result=result.value,
-        )
-        if result is not OrderResult.ACCEPTED:
-            return
-        yield self._loop.sleep_until(self._loop.clock.now() + ACCEPTED_ORDER_SECONDS)
-        if self._group.primary.server_id == primary:
-            self._orders_open_until = float("-inf")
-
     def _end_own_pauses(self, replicas, term):
         """Let the replicas receive again, unless another promoter is in charge.
 
@@ -518,9 +312,9 @@
         if not (yield self._confirm_promoter()):
             event_log.event("pauses_left_to_promoter", group=self._group.name)
             return
-        if self._has_open_orders:
-            yield from self._close_orders(self._group.primary.server_id)
-        if self._has_open_orders:
+        if self._promotions.are_open:
+            yield from self._promotions.close(self._group.primary.server_id)
+        if self._promotions.are_open:
             event_log.event("pauses_left_to_orders", group=self._group.name)
             self._check_pauses_at = self._loop.clock.now() + OPEN_ORDERS_RETRY_SECONDS
             return
@@ -533,9 +327,9 @@
         """End the pauses of a promoter that could not do so itself; a task."""
         if not (yield self._confirm_promoter()):
             return False
-        if self._has_open_orders:
-            yield from self._close_orders(self._group.primary.server_id)
-        if self._has_open_orders:
+        if self._promotions.are_open:
+            yield from self._promotions.close(self._group.primary.server_id)
+        if self._promotions.are_open:
             self._check_pauses_at = self._loop.clock.now() + OPEN_ORDERS_RETRY_SECONDS
             return False
         ended = yield from self._statuses.resume(
@@ -630,7 +424,9 @@
         if last_status.received is None:
             return None
         best_successor = replica_with_longest_log([*paused_statuses, last_status])
-        if self._may_lack_commits(best_successor, old_primary.received is not None):
+        if self._missing_commits.may_lack(
+            best_successor, old_primary.received is not None
+        ):
             event_log.event(
                 "takeover_lacks_commits",
                 group=self._group.name,
@@ -688,89 +484,6 @@
             return None
         return successor
 
-    def _may_lack_commits(self, successor, primary_answers):
-        """Return whether a successor may lack acknowledged commits.
-
-        While the primary answers, it keeps its role until the others have received
-        them. Otherwise it, or a replica, may come back with them for some time.
-        """
-        if not self._group.synchronous:
-            return False
-        is_missing = self._group.acknowledged_commits.may_be_beyond(successor.received)
-        if is_missing and primary_answers:
-            return True
-        return self._awaits_missing_commits(is_missing) or self._may_lack_sole_copies(
-            successor, primary_answers
-        )
-
-    def _awaits_missing_commits(self, is_missing):
-        """Return whether a server that has acknowledged commits may still come back."""
-        if not is_missing:
-            self._commits_missing_since = None
-            return False
-        now = self._loop.clock.now()
-        if self._commits_missing_since is None:
-            self._commits_missing_since = now
-        return now - self._commits_missing_since <= MISSING_COMMIT_WAIT_SECONDS
-
-    def _may_lack_sole_copies(self, successor, primary_answers):
-        """Return whether only the primary may have some acknowledged commits."""
-        sole_copies = self._group.sole_copies
-        if not sole_copies.may_be_beyond(successor.received):
-            return False
-        if primary_answers:
-            return True
-        latest = self._group.primary_positions.latest_sample
-        answered_at = float("-inf") if latest is None else latest.asked_at
-        waited_since = max(answered_at, sole_copies.lost_at)
-        return self._loop.clock.now() - waited_since <= REMOVED_REPLICA_WAIT_SECONDS
-
-    def _order_promotion(self, successor, token, window=None):
-        """Order the promotion until the successor is the primary; return whether it is.
-
-        The answer to an order can be lost, so the group's known primary decides.
-
-        Parameters
-        ----------
-        successor : str
-        token : int
-        window : promotion_window.PromotionWindow or None
-        """
-        for repeated in range(MAX_PROMOTION_ORDERS):
-            if repeated:
-                if not (yield self._confirm_promoter()):
-                    return False
-                yield from self._announce(successor)
-            result = yield self._promotion_orders.promote(
-                self._group.name, successor, token
-            )
-            event_log.event(
-                "promote_ordered",
-                group=self._group.name,
-                server=successor,
-                token=token,
-                result=result.value,
-            )
-            if result is not OrderResult.NOT_DONE:
-                # A refusal may mean that another promoter has given an order.
-                self._orders_open_until = (
-                    self._loop.clock.now() + ABANDONED_PAUSE_SECONDS
-                )
-            if result is OrderResult.REFUSED:
-                return False
-            if result is OrderResult.ACCEPTED and window is not None:
-                self._loop.spawn(window.watch_successor())
-            deadline = self._loop.clock.now() + PROMOTION_TIMEOUT_SECONDS
-            while self._loop.clock.now() < deadline:
-                if self._group.primary.server_id == successor:
-                    # All earlier orders have lower tokens, or are for this server.
-                    self._orders_open_until = float("-inf")
-                    return True
-                yield self._loop.sleep_until(
-                    self._loop.clock.now() + POLL_INTERVAL_SECONDS
-                )
-        return False
-
     def _log_effect(self, prepared, ordered_at, statuses):
         """Log that a promotion took effect, and what was known shortly before."""
         event_log.event(
--- a/tests/promotion_builders.py
+++ b/tests/promotion_builders.py
@@ -8,16 +8,16 @@
 from cassiahill.heartbeats import Member
 from cassiahill.loop import completed_future
 from cassiahill.promotion_evidence import PromotionEvidence
+from cassiahill.promotion_orders import OrderResult, PromotionOrders
 from cassiahill.server_group import ServerGroup
 from cassiahill.statements import Access, Run
-from cassiahill.takeover import OrderResult
 from tests.line_group import InMemoryDialect
 from tests.session_builders import GroupFixture
 
 EFFECT_SECONDS = 1.0  # Time from an accepted order to the new primary.
 
 
-class MemoryPlatform(takeover.PromotionOrders):
+class MemoryPlatform(PromotionOrders):
     """Carries promotion orders out as the platform does: fenced, and after a while.
 
     Attributes
@@ -125,7 +125,7 @@
 
 def without_predecessor(group_takeover):
     """Return the takeover of a process that has been the promoter for long."""
-    group_takeover._follows_other_promoter = False
+    group_takeover._promotions.record_first_promoter()
     return group_takeover
 
 
--- a/tests/promotion_model.py
+++ b/tests/promotion_model.py
@@ -11,7 +11,7 @@
 from cassiahill import errors, statements
 from cassiahill.loop import LoopFuture
 from cassiahill.positions import LogPosition
-from cassiahill.takeover import OrderResult, PromotionOrders
+from cassiahill.promotion_orders import OrderResult, PromotionOrders
 from tests.line_group import InMemoryConnection, InMemoryGroup, InMemoryServer
 
 PROMOTION_SECONDS = 1.0  # From the acceptance of an order until it takes effect.
--- a/tests/proxy_process.py
+++ b/tests/proxy_process.py
@@ -5,9 +5,9 @@
 import threading
 
 from cassiahill import catalog_feed, clock, loop
+from cassiahill.promotion_orders import PromotionOrders
 from cassiahill.session_proxy import SessionProxy
 from cassiahill.session_proxy_settings import SessionProxySettings
-from cassiahill.takeover import PromotionOrders
 from tests import adapter_path
 from tests.loopback import free_address
 
--- a/tests/test_successor_nearness.py
+++ b/tests/test_successor_nearness.py
@@ -3,8 +3,9 @@
 import unittest
 
 from cassiahill.regions import Regions
+from cassiahill.replica_statuses import ReplicaStatus
+from cassiahill.successor_choice import choose_successor
 from cassiahill.successor_nearness import nearness_of
-from cassiahill.takeover import ReplicaStatus, choose_successor
 from tests.region_builders import regions_seen_from
 
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -5,18 +5,20 @@
 import unittest
 from unittest import mock
 
-from cassiahill import takeover
+from cassiahill import primary_symptoms, successor_choice, takeover
 from cassiahill.loop import completed_future
 from cassiahill.positions import LogPosition
+from cassiahill.primary_symptoms import PrimarySymptoms
+from cassiahill.promotion_orders import OrderResult, PromotionOrders
+from cassiahill.replica_statuses import ReplicaStatus
 from cassiahill.statements import Access, Run
 from cassiahill.successor_nearness import Nearness
-from cassiahill.takeover import OrderResult, PrimarySymptoms, ReplicaStatus
 from tests.line_group import InMemoryServer
 from tests.promotion_builders import without_predecessor
 from tests.session_builders import GroupFixture
 
 
-class RecordingOrders(takeover.PromotionOrders):
+class RecordingOrders(PromotionOrders):
     """Records promotion orders, and carries out those that it accepts.
 
     Parameters
@@ -49,21 +51,23 @@
 class ChooseSuccessorTest(unittest.TestCase):
     def test_longest_log_is_chosen(self):
         """Guards against the loss of a commit that only one replica has received."""
-        chosen = takeover.choose_successor([status("b", 5), status("c", 9)])
+        chosen = successor_choice.choose_successor([status("b", 5), status("c", 9)])
         self.assertEqual(chosen, "c")
 
     def test_no_successor_while_a_replica_does_not_answer(self):
         """Guards against the loss of a commit that only the unreachable replica has."""
         self.assertIsNone(
-            takeover.choose_successor([status("b", 5), status("c", None)])
+            successor_choice.choose_successor([status("b", 5), status("c", None)])
         )
 
     def test_draining_replica_is_not_chosen_but_must_answer(self):
         """Guards against a new primary that leaves the group at once."""
-        chosen = takeover.choose_successor([status("b", 5), status("c", 9, True)])
+        chosen = successor_choice.choose_successor(
+            [status("b", 5), status("c", 9, True)]
+        )
         self.assertEqual(chosen, "b")
         self.assertIsNone(
-            takeover.choose_successor([status("b", 5), status("c", None, True)])
+            successor_choice.choose_successor([status("b", 5), status("c", None, True)])
         )
 
     def test_longest_log_wins_although_its_replica_drains(self):
@@ -72,39 +76,45 @@
         The search found that another replica was preferred although it was behind.
         """
         statuses = [status("b", 5), status("c", 9, draining=True)]
-        longest = takeover.replica_with_longest_log(statuses)
+        longest = successor_choice.replica_with_longest_log(statuses)
         self.assertEqual(longest.server_id, "c")
         equal = [status("b", 9), status("c", 9, draining=True)]
-        longest = takeover.replica_with_longest_log(equal)
+        longest = successor_choice.replica_with_longest_log(equal)
         self.assertEqual(longest.server_id, "b")
 
     def test_no_successor_without_replicas(self):
         """Guards against an order to promote the present primary."""
-        self.assertIsNone(takeover.choose_successor([]))
-        self.assertIsNone(takeover.choose_successor([], synchronous=False))
+        self.assertIsNone(successor_choice.choose_successor([]))
+        self.assertIsNone(successor_choice.choose_successor([], synchronous=False))
 
     def test_asynchronous_group_waits_for_no_unreachable_replica(self):
         """Guards against an outage prolonged by a replica that is down."""
         statuses = [status("b", 5), status("c", None)]
-        chosen = takeover.choose_successor(statuses, synchronous=False)
+        chosen = successor_choice.choose_successor(statuses, synchronous=False)
         self.assertEqual(chosen, "b")
         unreachable = [status("b", None), status("c", None)]
-        self.assertIsNone(takeover.choose_successor(unreachable, synchronous=False))
+        self.assertIsNone(
+            successor_choice.choose_successor(unreachable, synchronous=False)
+        )
 
 
 class PromotionReasonTest(unittest.TestCase):
     def test_primary_must_be_unreachable_for_a_while(self):
         """Guards against a promotion because of one lost answer."""
         symptoms = PrimarySymptoms("a", unreachable_since=10.0)
-        self.assertIsNone(takeover.promotion_reason(symptoms, 10.45))
-        self.assertEqual(takeover.promotion_reason(symptoms, 10.8), "unreachable")
+        self.assertIsNone(primary_symptoms.promotion_reason(symptoms, 10.45))
+        self.assertEqual(
+            primary_symptoms.promotion_reason(symptoms, 10.8), "unreachable"
+        )
 
     def test_refused_connections_count_sooner(self):
         """Guards against a needlessly long outage when the primary's process ends."""
         symptoms = PrimarySymptoms(
             "a", unreachable_since=10.0, refuses_connections=True
         )
-        self.assertEqual(takeover.promotion_reason(symptoms, 10.4), "unreachable")
+        self.assertEqual(
+            primary_symptoms.promotion_reason(symptoms, 10.4), "unreachable"
+        )
 
     def test_each_symptom_alone(self):
         """Guards against a symptom that causes no promotion."""
@@ -114,8 +124,10 @@
             PrimarySymptoms("a", writes_unacknowledged_since=10.0),
             PrimarySymptoms("a", reported_unreachable_since=10.0),
         ):
-            self.assertIsNotNone(takeover.promotion_reason(symptoms, 11.5), symptoms)
-        self.assertIsNone(takeover.promotion_reason(PrimarySymptoms("a"), 11.5))
+            self.assertIsNotNone(
+                primary_symptoms.promotion_reason(symptoms, 11.5), symptoms
+            )
+        self.assertIsNone(primary_symptoms.promotion_reason(PrimarySymptoms("a"), 11.5))
 
 
 class TakeoverTest(unittest.TestCase):
--- a/tests/test_takeover_search.py
+++ b/tests/test_takeover_search.py
@@ -6,10 +6,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cassiahill import acknowledged_commits, sole_copies, takeover
+from cassiahill import acknowledged_commits, sole_copies, statements, takeover
 from cassiahill.loop import completed_future
+from cassiahill.promotion_orders import OrderResult
 from cassiahill.statements import Access, Run
-from cassiahill.takeover import OrderResult
 from tests.session_builders import GroupFixture
 from tests.test_takeover import RecordingOrders
 
@@ -206,14 +206,12 @@
         replicas = [
             server_id for server_id in self._group.pools_by_id if server_id != primary
         ]
-        statuses = yield from self._statuses.ask_all(
-            replicas, takeover.statements.ReadStatus()
-        )
+        statuses = yield from self._statuses.ask_all(replicas, statements.ReadStatus())
         answered = [status for status in statuses if status.received is not None]
         if not answered:
             return False
         longest = max(answered, key=lambda status: status.received).server_id
-        return (yield from self._order_promotion(longest, self._next_token()))
+        return (yield from self._promotions.promote(longest, self._next_token()))
 
 
 class SearchTest(unittest.TestCase):
