Ignore the readiness of a connection that was closed in the same poll

Cause: a callback may close a connection whose readiness the same poll has returned.

Result: the new test failed with a bad file descriptor before and passes.

--- a/cassiahill/transport.py
+++ b/cassiahill/transport.py
@@ -146,6 +146,9 @@
             self._loop.unwatch(self._sock)
 
     def _on_ready(self, events):
+        if self.closed:
+            # Another callback of the same poll has closed it.
+            return
         if self._connecting and events & WRITE:
             self._connecting = False
             if self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -27,6 +27,19 @@
         self.assertTrue(stream.closed)
 
 
+class ClosedInThePollTest(unittest.TestCase):
+    def test_readiness_of_a_connection_that_was_just_closed_is_ignored(self):
+        """Guards against an error when two callbacks of one poll meet."""
+        loop = EventLoop(SystemClock())
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            stream = transport.connect(
+                loop, listener.getsockname(), lambda _data: None, lambda: None
+            )
+            stream.close()
+            stream._on_ready(transport.WRITE)
+        self.assertTrue(stream.closed)
+
+
 class DescriptorsTest(unittest.TestCase):
     def test_lack_of_descriptors_is_an_error_of_the_connection(self):
         """Guards against a pool that counts an opening for ever, and opens no more."""
