Promise no held commit when the announcement of a promotion lapses

Cause: an order without an answer is repeated, and announced again, after 2.5 s; the announcement lapsed after 2.0 s, and commits that were held then were promised.

Change: an announcement lasts 3.5 s. A commit that is held when it lapses gets an unknown outcome; only a withdrawn promotion lets it pass.

Result: the new test failed before and passes.

--- a/cassiahill/announced_promotion.py
+++ b/cassiahill/announced_promotion.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-# An accepted order takes effect about a second after the announcement. The promoter
-# announces the promotion again with each further order.
-ANNOUNCEMENT_SECONDS = 2.0
+# Longer than the time between two orders, the first of which was not answered. The
+# promoter announces the promotion again with each further order.
+ANNOUNCEMENT_SECONDS = 3.5
 
 
 @attrs.frozen
--- a/cassiahill/commit_confirmation.py
+++ b/cassiahill/commit_confirmation.py
@@ -69,10 +69,15 @@
     A task. The commit may be in the log of a replica only that the promotion leaves
     behind.
     """
+    is_held = False
     while loop.clock.now() < deadline:
         promotion = group.announced_promotion
-        if promotion is None or position is None or server_id == promotion.successor:
+        if promotion is None:
+            # An announcement that has lapsed does not tell that nothing is promoted.
+            return not is_held or group.is_promotion_withdrawn
+        if position is None or server_id == promotion.successor:
             return True
+        is_held = True
         status_deadline = min(deadline, loop.clock.now() + STATUS_TIMEOUT_SECONDS)
         report = yield from group.ask_status_report(
             promotion.successor, statements.ReadStatus(), status_deadline
--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -287,6 +287,11 @@
             return None
         return promotion
 
+    @property
+    def is_promotion_withdrawn(self):
+        """Whether the last announced promotion, if any, does not take place."""
+        return self._announced_promotion is None
+
     def announce_promotion(self, successor):
         """Record which server is about to be promoted, or None if none is any more."""
         self._announced_promotion = None
--- a/tests/test_commit_confirmation.py
+++ b/tests/test_commit_confirmation.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from cassiahill.announced_promotion import ANNOUNCEMENT_SECONDS
 from cassiahill.statements import Access, Code, Run
 from tests.line_group import InMemoryServer
 from tests.session_builders import GroupFixture
@@ -58,5 +59,35 @@
             self.assertIsNone(reply.result().code)
 
 
+class AnnouncedPromotionTest(unittest.TestCase):
+    """Server ``b`` is about to be promoted and receives nothing."""
+
+    def setUp(self):
+        self.fixture = GroupFixture()
+        self.fixture.servers.by_id["b"].not_receiving = True
+        self.fixture.group.announce_promotion("b")
+
+    def start_write(self):
+        request = self.fixture.make_request(Run(Access.WRITE, "w"), Access.WRITE)
+        reply = self.fixture.loop.spawn(self.fixture.session().run(request))
+        self.fixture.loop.advance(0.1)
+        self.assertFalse(reply.done())
+        return reply
+
+    def test_held_commit_is_not_promised_when_the_announcement_lapses(self):
+        """Guards against lost commits while an order without an answer is repeated."""
+        self.fixture.loop.advance(ANNOUNCEMENT_SECONDS - 0.3)
+        reply = self.start_write()
+        self.fixture.loop.advance(0.4)
+        self.assertEqual(reply.result().code, Code.OUTCOME_UNKNOWN)
+
+    def test_held_commit_is_promised_when_the_promotion_is_withdrawn(self):
+        """Guards against unknown outcomes of a promotion that does not take place."""
+        reply = self.start_write()
+        self.fixture.group.announce_promotion(None)
+        self.fixture.loop.advance(0.1)
+        self.assertIsNone(reply.result().code)
+
+
 if __name__ == "__main__":
     unittest.main()
