Close orders again when a closing order is not answered

Cause: an order for the present primary closes earlier orders. If it is not answered it may be carried out late, when another server has become the primary, and then undoes that promotion.

--- a/cassiahill/promotion_orders.py
+++ b/cassiahill/promotion_orders.py
@@ -122,6 +122,9 @@
             token=token,
             result=result.value,
         )
+        if result is OrderResult.UNANSWERED:
+            # If another server becomes the primary, this order would undo that.
+            self._open_until = self._loop.clock.now() + ABANDONED_PAUSE_SECONDS
         if result is not OrderResult.ACCEPTED:
             return
         yield self._loop.sleep_until(self._loop.clock.now() + ACCEPTED_ORDER_SECONDS)
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -197,6 +197,9 @@
             # While the primary does not answer, nobody acknowledges commits.
             yield from self._promotions.close(primary)
             if self._promotions.are_open:
+                self._check_pauses_at = (
+                    self._loop.clock.now() + OPEN_ORDERS_RETRY_SECONDS
+                )
                 return False
         term = 1 + max(
             status.term for status in statuses if status.received is not None
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -45,6 +45,27 @@
         self.assertEqual(promoter.platform.promoted_ids[1], "a")
         self.assertEqual(promoter.lost_commits, [])
 
+    def test_closing_order_that_comes_late_undoes_no_promotion(self):
+        """Guards against a former primary that is promoted back without an answer."""
+        promoter = PromoterFixture()
+        promoter.start_promoter(("a", "b", "c"))
+        promoter.run_for(0.5)
+        promoter.register("a", draining=True)
+        promoter.run_for(0.3)
+        promoter.start_promoter(("a", "b", "c"))
+        promoter.platform.unanswered_count = 5
+        promoter.register("a", draining=True)
+        promoter.run_for(4.0)
+        self.assertEqual(promoter.platform.promoted_ids[1], "a")
+        new_primary = promoter.fixture.servers.primary
+        self.assertNotEqual(new_primary, "a")
+        promoter.servers["a"].not_receiving = True
+        promoter.write(5)
+        promoter.platform.carry_out_late_orders()
+        promoter.run_for(2.0)
+        self.assertEqual(promoter.fixture.servers.primary, new_primary)
+        self.assertEqual(promoter.lost_commits, [])
+
     def test_refused_promoter_ends_no_pause(self):
         """Guards against a promoter that ends pauses of a newer one by their term."""
         promoter = PromoterFixture()
