Close the orders of a lost promoter as soon as its successor acts

Cause: earlier orders were closed only when a promotion was about to be prepared. A new promoter whose attempts were blocked, because a replica did not answer, or who had nothing to replace, left them open for up to 15 s.

Change: a promoter that follows another one closes earlier orders as soon as the primary answers, before each attempt and without one, and then withdraws announced promotions. Pauses of a lost promoter end then, too, instead of after 15 s.

--- a/cassiahill/promotion_orders.py
+++ b/cassiahill/promotion_orders.py
@@ -102,18 +102,24 @@
         platform refuse all earlier orders. One that it has accepted before takes effect
         within ``ACCEPTED_ORDER_SECONDS``. Nothing is ordered if the server does not
         answer as the primary.
+
+        Returns
+        -------
+        bool
+            Whether a promotion may be prepared. While the primary does not answer,
+            nobody acknowledges commits that an earlier order could lose.
         """
         symptoms = self._group.primary_symptoms(self._loop.clock.now())
         if symptoms.unreachable_since is not None:
-            return
+            return True
         status = yield from self._statuses.ask(
             primary, statements.ReadStatus(), PRIMARY_RECHECK_TIMEOUT_SECONDS
         )
-        if not status.is_primary or not (yield self._confirm_promoter()):
-            return
+        if not status.is_primary:
+            return True
         token = self._next_token()
-        if token is None:
-            return
+        if token is None or not (yield self._confirm_promoter()):
+            return False
         result = yield self._orders.promote(self._group.name, primary, token)
         event_log.event(
             "earlier_orders_refused",
@@ -126,10 +132,12 @@
             # If another server becomes the primary, this order would undo that.
             self._open_until = self._loop.clock.now() + ABANDONED_PAUSE_SECONDS
         if result is not OrderResult.ACCEPTED:
-            return
+            return False
         yield self._loop.sleep_until(self._loop.clock.now() + ACCEPTED_ORDER_SECONDS)
-        if self._group.primary.server_id == primary:
-            self._open_until = float("-inf")
+        if self._group.primary.server_id != primary:
+            return False
+        self._open_until = float("-inf")
+        return True
 
     def promote(self, successor, token, window=None):
         """Order the promotion until the successor is the primary; return whether it is.
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -120,8 +120,10 @@
         if self._in_progress or now < self._next_attempt_at:
             return
         if self._check_pauses_at is None:
-            self._check_pauses_at = now + ABANDONED_PAUSE_SECONDS
             self._promotions.begin_term(now)
+            self._check_pauses_at = now
+            if not self._promotions.are_open:
+                self._check_pauses_at += ABANDONED_PAUSE_SECONDS
         reason = promotion_reason(symptoms, now)
         if reason is not None:
             task = self._replace_primary(symptoms.primary, reason)
@@ -153,6 +155,9 @@
         if token is None or not (yield self._confirm_promoter()):
             return False
         yield servers_updated
+        if self._promotions.are_open and not (yield from self._close_orders(primary)):
+            self._check_pauses_at = self._loop.clock.now() + OPEN_ORDERS_RETRY_SECONDS
+            return False
         replicas = [
             server_id for server_id in self._group.pools_by_id if server_id != primary
         ]
@@ -193,14 +198,6 @@
             )
             return False
         self._blocked_attempts = 0
-        if self._promotions.are_open and (yield old_primary_status).is_primary:
-            # While the primary does not answer, nobody acknowledges commits.
-            yield from self._promotions.close(primary)
-            if self._promotions.are_open:
-                self._check_pauses_at = (
-                    self._loop.clock.now() + OPEN_ORDERS_RETRY_SECONDS
-                )
-                return False
         term = 1 + max(
             status.term for status in statuses if status.received is not None
         )
@@ -306,6 +303,13 @@
         finally:
             window.close()
 
+    def _close_orders(self, primary):
+        """Close earlier orders; return whether a promotion may be prepared; a task."""
+        may_go_on = yield from self._promotions.close(primary)
+        if not self._promotions.are_open:
+            yield from self._announce(None)
+        return may_go_on
+
     def _end_own_pauses(self, replicas, term):
         """Let the replicas receive again, unless another promoter is in charge.
 
@@ -316,7 +320,7 @@
             event_log.event("pauses_left_to_promoter", group=self._group.name)
             return
         if self._promotions.are_open:
-            yield from self._promotions.close(self._group.primary.server_id)
+            yield from self._close_orders(self._group.primary.server_id)
         if self._promotions.are_open:
             event_log.event("pauses_left_to_orders", group=self._group.name)
             self._check_pauses_at = self._loop.clock.now() + OPEN_ORDERS_RETRY_SECONDS
@@ -331,7 +335,7 @@
         if not (yield self._confirm_promoter()):
             return False
         if self._promotions.are_open:
-            yield from self._promotions.close(self._group.primary.server_id)
+            yield from self._close_orders(self._group.primary.server_id)
         if self._promotions.are_open:
             self._check_pauses_at = self._loop.clock.now() + OPEN_ORDERS_RETRY_SECONDS
             return False
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -66,6 +66,29 @@
         self.assertEqual(promoter.fixture.servers.primary, new_primary)
         self.assertEqual(promoter.lost_commits, [])
 
+    def test_new_promoter_closes_orders_although_it_cannot_promote(self):
+        """Guards against a late order of a lost promoter while a replica is away."""
+        promoter = PromoterFixture()
+        promoter.start_promoter(("a", "b", "c"))
+        promoter.run_for(0.5)
+        promoter.platform.unanswered_count = 1
+        promoter.register("a", draining=True)
+        promoter.run_for(0.3)
+        [successor] = promoter.platform.promoted_ids
+        other = {"b": "c", "c": "b"}[successor]
+        promoter.start_promoter(("a", "b", "c"))
+        promoter.register("a", draining=True)
+        promoter.servers[successor].not_receiving = True
+        promoter.servers[successor].unreachable = True
+        promoter.run_for(3.0)
+        promoter.servers[other].paused_term = 0
+        promoter.write(5)
+        promoter.servers[successor].unreachable = False
+        promoter.platform.carry_out_late_orders()
+        promoter.run_for(5.0)
+        self.assertGreaterEqual(len(promoter.promised), 5)
+        self.assertEqual(promoter.lost_commits, [])
+
     def test_refused_promoter_ends_no_pause(self):
         """Guards against a promoter that ends pauses of a newer one by their term."""
         promoter = PromoterFixture()
