--- a/tests/test_promotion_search.py
+++ b/tests/test_promotion_search.py
@@ -40,6 +40,9 @@
 # Drawn in each search; the others in the searches that name them.
 BASE_ACTIONS = ("wait", "deaf", "hear", "drain", "dark")
 MAX_EXAMPLES = 150
+# A promoter gives no closing order after so many steps, so that a late order is that
+# for the successor.
+NO_ORDER_OPEN = ("wait", 160)
 
 
 def draw_histories(*actions):
@@ -187,6 +190,48 @@
             ("new promoter", ("standing", True)),
         )
 
+    def test_late_order_for_the_former_primary(self):
+        """Guards against an unanswered closing order that is carried out late.
+
+        It was for the primary when it was given, but another order had made its former
+        successor the primary since.
+        """
+        self.assert_nothing_lost(
+            NO_ORDER_OPEN,
+            ("drain", "a"),
+            ("late order", 1.5),
+            ("new promoter", ("standing", True)),
+            ("dark", ("a", 5.0)),
+        )
+
+    def test_accepted_order_after_unanswered_ones(self):
+        """Guards against commits that are promised between two announcements.
+
+        An order without an answer is repeated later than the announcement ends.
+        """
+        self.assert_nothing_lost(
+            NO_ORDER_OPEN,
+            ("late order", 1.5),
+            ("drain", "a"),
+            ("deaf", "c"),
+            ("join", 2.0),
+        )
+        self.assert_nothing_lost(
+            ("crash", ("a", 2.0)),
+            ("late order", 11.0),
+            ("wait", 20),
+            ("join", 2.0),
+            ("dark", ("c", 5.0)),
+        )
+        self.assert_nothing_lost(
+            NO_ORDER_OPEN,
+            ("late order", None),
+            ("drain", "a"),
+            ("wait", 5),
+            ("deaf", "c"),
+            ("join", 0.5),
+        )
+
 
 class BeforeEffectTest(PromotionTestCase):
     """A server acknowledges in the second between an order and its effect.
