--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -13,6 +13,7 @@
     event_log,
     heartbeats,
     http1,
+    loop_delay,
     partition_detector,
     process_state,
     promotion_evidence,
@@ -44,7 +45,7 @@
     store : shared_store.SharedStore
     source : catalog_feed.CatalogSource
     dialect : dialect.Dialect
-    orders : takeover.PromotionOrders
+    orders : promotion_orders.PromotionOrders
     rng : random.Random
 
     Attributes
@@ -169,8 +170,12 @@
             loop, settings.readiness_address, self._handle_readiness_request
         )
         self._peer_server = http1.Server(
-            loop, settings.peer_address, self._handle_peer_request
+            loop,
+            settings.peer_address,
+            self._handle_peer_request,
+            max_body_bytes=heartbeats.MAX_HEARTBEAT_BYTES,
         )
+        self._loop_delay = loop_delay.LoopDelay(loop.clock.now())
         loop.repeat(loop.clock.now(), self._supervise)
 
     @property
@@ -334,13 +339,15 @@
     def _supervise(self):
         """Update groups and reachability, and start promotions that are due."""
         now = self._loop.clock.now()
+        next_due_at = now + SUPERVISION_INTERVAL_SECONDS
+        self._loop_delay.record_run(now, next_due_at)
         self._groups.update_active(self.owners.holds_connections, now)
         self.catalog_feed.set_server_watch_pause(short=bool(self._groups.active_names))
         self._check_reachability(now)
         if self._regions.are_several:
             self.sessions.close_misplaced()
         self._groups.start_due_takeovers(now)
-        return now + SUPERVISION_INTERVAL_SECONDS
+        return next_due_at
 
     def _check_reachability(self, now):
         """Update whether this process is partitioned, and close idle sessions then."""
