Tell late learners of a drain since when the server drains

A process that restarted, or was cut off, 4 s after the report used it until 9 s after it; 7 s are allowed. The entry holds no instant.

The answer to a heartbeat now carries for how long the answering proxy knows that servers drain; it is left out while none does. The receiver keeps the earliest instant. A server that a process first sees draining is not used until a peer has told, since its drain may be of any age; its own report is left out of answers. The time of the exchange is not added, because processes that ask one another would then move the instant back with each answer.

Cost: for up to a heartbeat, a process that starts beside a draining primary refuses what needs it. Ruled out: the instant of the last contact with the store, which an open watch does not tell.

tests.test_late_drain failed before for 8 and 60 processes, restarted and cut off (used until 9.0 and 9.1 s after the report); now all end before 7 s.

--- a/cassiahill/catalog.py
+++ b/cassiahill/catalog.py
@@ -1,6 +1,7 @@
 """The configured routes and limits, and the registered backend servers."""
 
 import enum
+import math
 
 import attrs
 
@@ -8,6 +9,8 @@
 # the shared store was unavailable register again about 2 s after its return.
 REMOVAL_DELAY_SECONDS = 2.5
 MAX_REMEMBERED_REMOVALS = 1000
+# Of a server that this process has not seen before it drained.
+DRAINS_SINCE_UNKNOWN = -math.inf
 
 
 class Consistency(enum.Enum):
@@ -158,6 +161,12 @@
     """The newest configuration and the registered servers.
 
     Within one process, the version of the configuration never decreases.
+
+    Attributes
+    ----------
+    draining_since_by_id : dict of str to float
+        Instant since which a server is known to drain, at this process or at a peer;
+        ``DRAINS_SINCE_UNKNOWN`` until a peer has told.
     """
 
     def __init__(self):
@@ -212,11 +221,41 @@
             return None
         self.servers_by_id[server.server_id] = server
         if server.draining:
-            self.draining_since_by_id.setdefault(server.server_id, now)
+            since = DRAINS_SINCE_UNKNOWN if previous is None else now
+            self.draining_since_by_id.setdefault(server.server_id, since)
         else:
             self.draining_since_by_id.pop(server.server_id, None)
         return ServerAdded(server, previous)
 
+    def draining_seconds(self, now):
+        """Return for how long the draining servers are known to drain, by id."""
+        return {
+            server_id: now - since
+            for server_id, since in self.draining_since_by_id.items()
+            if since != DRAINS_SINCE_UNKNOWN
+        }
+
+    def record_draining(self, seconds_by_id, now):
+        """Take over from a peer since when servers drain.
+
+        The time that the answer took is not added. Otherwise processes that ask one
+        another would move the instant back with each answer.
+
+        Parameters
+        ----------
+        seconds_by_id : dict of str to float
+            What ``draining_seconds`` returned at the peer.
+        now : float
+            Instant at which the answer has arrived.
+        """
+        for server_id, seconds in seconds_by_id.items():
+            known_since = self.draining_since_by_id.get(server_id)
+            if known_since is None:
+                continue
+            since = now - seconds
+            if known_since == DRAINS_SINCE_UNKNOWN or since < known_since:
+                self.draining_since_by_id[server_id] = since
+
     def mark_unregistered(self, server_id, now):
         """Record that a server's entry is no longer in the shared store."""
         if server_id in self.servers_by_id:
--- a/cassiahill/heartbeats.py
+++ b/cassiahill/heartbeats.py
@@ -151,6 +151,9 @@
         at which it sent the heartbeat. None if there is no proof.
     rate_answer : RateAnswer
         Unset if the sender made no report, or the answering proxy is no promoter.
+    draining_seconds_by_id : dict of str to float
+        For how long the answering proxy knows that servers drain; unset if none does.
+        A proxy that was restarted or cut off learns from it since when they do.
     """
 
     version: int
@@ -165,6 +168,7 @@
     proved_version: int = 0
     proof_age: float | None = None
     rate_answer: RateAnswer | msgspec.UnsetType = msgspec.UNSET
+    draining_seconds_by_id: dict[str, float] | msgspec.UnsetType = msgspec.UNSET
 
 
 class StoredPromoter(msgspec.Struct):
--- a/cassiahill/process_state.py
+++ b/cassiahill/process_state.py
@@ -54,6 +54,13 @@
         """
         return False
 
+    def draining_seconds(self):
+        """Return for how long servers are known to drain, by id."""
+        return {}
+
+    def record_draining(self, seconds_by_id):
+        """Take over from a peer since when servers drain; see ``catalog.Catalog``."""
+
     def is_partitioned(self):
         """Return whether this process does not reach the other failure domains."""
         raise NotImplementedError
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -204,6 +204,7 @@
                 stated_proof.version,
                 stated_proof.age_seconds,
                 self._rate_heartbeats.answer(heartbeat.name, heartbeat.rate_report),
+                self._process_state.draining_seconds() or msgspec.UNSET,
             )
         )
 
@@ -384,6 +385,8 @@
         self._age.record_peer_proof(
             heartbeat_answer.proved_version, heartbeat_answer.proof_age, asked_at
         )
+        if heartbeat_answer.draining_seconds_by_id is not msgspec.UNSET:
+            self._process_state.record_draining(heartbeat_answer.draining_seconds_by_id)
         reference = self._process_state.reference_member()
         if reference is not None and reference.name == member.name:
             self._reference_partitioned = heartbeat_answer.cut_off
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -364,6 +364,14 @@
         """Take over the promoter's answer; return whether to report again at once."""
         return self.rate_exchange.apply_answer(promoter_name, answer, sent_at)
 
+    def draining_seconds(self):
+        """Return for how long servers are known to drain, by id."""
+        return self.catalog.draining_seconds(self._loop.clock.now())
+
+    def record_draining(self, seconds_by_id):
+        """Take over from a peer since when servers drain."""
+        self.catalog.record_draining(seconds_by_id, self._loop.clock.now())
+
     def is_partitioned(self):
         """Return whether this process does not reach the other failure domains."""
         return self._partition.partitioned
--- a/tests/memory_fleet.py
+++ b/tests/memory_fleet.py
@@ -149,6 +149,13 @@
     def apply_rate_answer(self, promoter_name, answer, sent_at):
         return self.rate_exchange.apply_answer(promoter_name, answer, sent_at)
 
+    def draining_seconds(self):
+        return self.catalog.draining_seconds(self.memory_fleet.loop.clock.now())
+
+    def record_draining(self, seconds_by_id):
+        now = self.memory_fleet.loop.clock.now()
+        self.catalog.record_draining(seconds_by_id, now)
+
     def is_partitioned(self):
         return False
 
