Accept objects of the store up to the size that the settings state

The platform states in `valueBytes` how large an object may be. Answers of the store were accepted up to 1,100,000 bytes whatever it says. Where it is larger, a valid configuration failed as `answer_too_large` at each attempt and in each process, for good.

The limit of the store's answers follows `valueBytes`, with 64 KiB for what surrounds an object; at least 1,100,000 bytes as before. An absent or unusable size means 1 MiB and is no finding: a start that fails would be worse.

--- a/tests/test_adapter_settings.py
+++ b/tests/test_adapter_settings.py
@@ -39,5 +39,24 @@
         self.assertIn("zones.a", str(raised.exception))
 
 
+class ObjectSizeTest(unittest.TestCase):
+    def test_size_of_the_largest_object(self):
+        """Guards against objects that the store accepts and no process can read."""
+        stated = {"addr": "127.0.0.1:3", "valueBytes": 4_194_304}
+        decoded = settings.decode(document(platform=stated))
+        self.assertEqual(decoded.store_value_bytes, 4_194_304)
+
+    def test_size_that_is_not_stated(self):
+        """Guards against a start that fails where the platform states no size."""
+        self.assertEqual(settings.decode(document()).store_value_bytes, 1_048_576)
+
+    def test_invalid_size(self):
+        """Guards against a limit that no answer keeps, and against a failed start."""
+        for size in (0, -1, "", True):
+            stated = {"addr": "127.0.0.1:3", "valueBytes": size}
+            decoded = settings.decode(document(platform=stated))
+            self.assertEqual(decoded.store_value_bytes, 1_048_576, size)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -184,6 +184,22 @@
         self.assertEqual(stored.value["n"], 3)
 
 
+class LargeObjectTest(unittest.TestCase):
+    def test_largest_object_that_the_settings_allow(self):
+        """Guards against a configuration that no process can ever read."""
+        event_loop = EventLoop(clock.SystemClock())
+        self.addCleanup(event_loop.close)
+        server = stand_in.Store(event_loop, random.Random(1))
+        value_bytes = 4 * http1.MAX_BODY_BYTES
+        text = "x" * (value_bytes - 100)
+        server.put("kind", "a", {"text": text})
+        store = platform_store.PlatformStore(event_loop, server.address, value_bytes)
+        for future in (store.get("kind", "a"), store.list("kind")):
+            while not future.done():
+                event_loop._run_once()
+            self.assertIn(text, str(future.result()))
+
+
 class PlatformStoreTest(SharedStoreContract, unittest.TestCase):
     def setUp(self):
         self.loop = EventLoop(clock.SystemClock())
