--- a/tests/test_soak_membership.py
+++ b/tests/test_soak_membership.py
@@ -29,6 +29,7 @@
             self.rng,
             {"orders": self.group},
             (EFFECT_SECONDS, EFFECT_SECONDS),
+            {"data"},
         )
 
     def commit(self):
@@ -75,7 +76,9 @@
         self.assertIn("lost 1 acknowledged commits; its log ends at 1.1", violation)
         self.assertIn("by proxy-7 with token 7", violation)
         self.assertIn(f"{position} acknowledged by orders-0", violation)
-        self.assertIn("now at orders-0 (1.2); orders-2 (1.2)", violation)
+        self.assertIn(
+            "now at orders-0 (1.2); orders-2 (1.2); a client was told", violation
+        )
         self.assertIn("order of orders-1 by proxy-7 with token 7 accepted", violation)
 
     def test_unacknowledged_commits_are_not_counted(self):
