--- a/tests/promotion_history.py
+++ b/tests/promotion_history.py
@@ -240,10 +240,12 @@
             return
         proxy.believes_until = 0.0
         successor = self._successor()
-        self.loop.call_at(
-            self.loop.clock.now() + RESIGNATION_SECONDS,
-            lambda: self._install(successor),
-        )
+
+        def take_over():
+            if self._in_charge is proxy:
+                self._install(successor)
+
+        self.loop.call_at(self.loop.clock.now() + RESIGNATION_SECONDS, take_over)
 
     def _successor(self):
         """Return the proxy with connections that follows the promoter."""
