Failing tests: a former promoter's announcement replaces a newer one

Cause: an attempt goes on after the 1.4 s of its closing order without asking whether it is still the promoter, and announces its own successor. The proxies then confirm commits against that server, while the newer promoter's accepted order makes another one the primary.

--- a/tests/test_promotion_search.py
+++ b/tests/test_promotion_search.py
@@ -181,6 +181,21 @@
             ("dark", ("c", 8.0)),
         )
 
+    def test_former_promoter_announces_another_successor(self):
+        """Guards against an announcement that replaces that of a newer promoter.
+
+        While the former promoter waited for its closing order, the next one had its
+        order accepted; commits were then confirmed against the wrong server.
+        """
+        self.assert_nothing_lost(
+            ("drain", "a"),
+            ("expire", "a"),
+            ("new promoter", ("standing", True)),
+            ("dark", ("a", 0.3)),
+            ("wait", 3),
+            ("join", 0.05),
+        )
+
     def test_accepted_order_whose_pauses_have_ended(self):
         """Guards against a promoter that infers earlier orders from pauses alone."""
         self.assert_nothing_lost(
