Confirm the promoter's role after the wait for a closing order

Cause: an attempt went on after the 1.4 s of its closing order as if it were still the promoter, and announced its own successor in place of that of the newer promoter.

Change: the role is confirmed once more after the wait.

Result: test_former_promoter_announces_another_successor failed before and passes.

--- a/cassiahill/promotion_orders.py
+++ b/cassiahill/promotion_orders.py
@@ -134,7 +134,9 @@
         if result is not OrderResult.ACCEPTED:
             return False
         yield self._loop.sleep_until(self._loop.clock.now() + ACCEPTED_ORDER_SECONDS)
-        if self._group.primary.server_id != primary:
+        if self._group.primary.server_id != primary or not (
+            yield self._confirm_promoter()
+        ):
             return False
         self._open_until = float("-inf")
         return True
