Count the wait for missing commits from the present incident

Cause: the instant since which commits are missing was kept when the primary came back by itself, so that a later incident was not awaited. Found in review.

--- a/cassiahill/missing_commits.py
+++ b/cassiahill/missing_commits.py
@@ -5,6 +5,8 @@
 REMOVED_REPLICA_WAIT_SECONDS = 10.0
 # Longer than a server that has crashed takes to come back with its log.
 MISSING_COMMIT_WAIT_SECONDS = 30.0
+# Attempts of one incident follow one another within a second or two.
+MAX_CHECK_GAP_SECONDS = 5.0
 
 
 class MissingCommits:
@@ -20,6 +22,7 @@
         self._loop = loop
         self._group = group
         self._missing_since = None
+        self._checked_at = float("-inf")
 
     def may_lack(self, successor, primary_answers):
         """Return whether a successor may lack acknowledged commits.
@@ -42,8 +45,12 @@
             self._missing_since = None
             return False
         now = self._loop.clock.now()
-        if self._missing_since is None:
+        if (
+            self._missing_since is None
+            or now - self._checked_at > MAX_CHECK_GAP_SECONDS
+        ):
             self._missing_since = now
+        self._checked_at = now
         return now - self._missing_since <= MISSING_COMMIT_WAIT_SECONDS
 
     def _may_lack_sole_copies(self, successor, primary_answers):
