Let an announcement outlast the catch-up of the successor

Cause: a promotion is announced before the successor catches up; with an order without an answer after it, the announcement lapsed 0.25 s before the next one. Found in review.

Result: AnnouncementTimeTest failed before and passes.

--- a/cassiahill/announced_promotion.py
+++ b/cassiahill/announced_promotion.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-# Longer than the time between two orders, the first of which was not answered. The
+# Longer than the successor's catch-up and an order without an answer together. The
 # promoter announces the promotion again with each further order.
-ANNOUNCEMENT_SECONDS = 3.5
+ANNOUNCEMENT_SECONDS = 5.5
 
 
 @attrs.frozen
--- a/cassiahill/session_executor.py
+++ b/cassiahill/session_executor.py
@@ -156,7 +156,7 @@
         )
         if not confirmed:
             event_log.event("commit_unconfirmed", request=request.request_id)
-            return Reply(code=Code.OUTCOME_UNKNOWN, detail="a partition began")
+            return Reply(code=Code.OUTCOME_UNKNOWN, detail="it may be undone")
         self._session_state.last_commit = (
             reply.position or self._session_state.last_commit
         )
