Prepare a promotion although closing orders are not answered

Cause: while the platform carries calls out but answers late, a new promoter closed earlier orders for ever. Found in review.

Change: after two closing orders without an answer the promotion is prepared; its own order closes them. They stay open if another order makes its server the primary.

Result: SlowPlatformTest failed before and passes.

--- a/cassiahill/promotion_orders.py
+++ b/cassiahill/promotion_orders.py
@@ -15,6 +15,8 @@
 # An accepted order takes about a second until the server leads.
 ACCEPTED_ORDER_SECONDS = 1.4
 OPEN_ORDERS_RETRY_SECONDS = 0.6
+# Then a promotion is prepared all the same: its own order closes the earlier ones.
+MAX_UNANSWERED_CLOSINGS = 2
 # By then no earlier order can be carried out any more.
 ABANDONED_PAUSE_SECONDS = 15.0
 
@@ -76,6 +78,7 @@
         self._follows_other_promoter = True
         # Until then, an earlier order of any promoter may be carried out.
         self._open_until = float("-inf")
+        self._unanswered_closings = 0
 
     @property
     def are_open(self):
@@ -131,6 +134,9 @@
         if result is OrderResult.UNANSWERED:
             # If another server becomes the primary, this order would undo that.
             self._open_until = self._loop.clock.now() + ABANDONED_PAUSE_SECONDS
+            self._unanswered_closings += 1
+            return self._unanswered_closings >= MAX_UNANSWERED_CLOSINGS
+        self._unanswered_closings = 0
         if result is not OrderResult.ACCEPTED:
             return False
         yield self._loop.sleep_until(self._loop.clock.now() + ACCEPTED_ORDER_SECONDS)
@@ -168,6 +174,8 @@
             if result is not OrderResult.NOT_DONE:
                 # A refusal may mean that another promoter has given an order.
                 self._open_until = self._loop.clock.now() + ABANDONED_PAUSE_SECONDS
+            if result is OrderResult.ACCEPTED:
+                self._unanswered_closings = 0
             if result is OrderResult.REFUSED:
                 return False
             if result is OrderResult.ACCEPTED and window is not None:
@@ -175,8 +183,9 @@
             deadline = self._loop.clock.now() + PROMOTION_TIMEOUT_SECONDS
             while self._loop.clock.now() < deadline:
                 if self._group.primary.server_id == successor:
-                    # All earlier orders have lower tokens, or are for this server.
-                    self._open_until = float("-inf")
+                    if not self._unanswered_closings:
+                        # Earlier orders have lower tokens, or are for this server.
+                        self._open_until = float("-inf")
                     return True
                 yield self._loop.sleep_until(
                     self._loop.clock.now() + POLL_INTERVAL_SECONDS
