Take the token of an order after that of its closing order; withdraw only as promoter

An attempt that ended after another process had become the promoter withdrew that one's announcement. Found in review.

Change: the token is taken after earlier orders are closed; the announcement is withdrawn where the role has just been confirmed.

Result: ClosingOrderTokenTest, FormerPromoterTest and FormerPromoterLossTest failed before and pass.

--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -150,14 +150,17 @@
 
     def _replace_primary(self, primary, reason):
         """Promote a replica if that is safe; return whether it became the primary."""
-        token = self._next_token()
         servers_updated = self._evidence.update_servers()
-        if token is None or not (yield self._confirm_promoter()):
+        if not (yield self._confirm_promoter()):
             return False
         yield servers_updated
         if self._promotions.are_open and not (yield from self._close_orders(primary)):
             self._check_pauses_at = self._loop.clock.now() + OPEN_ORDERS_RETRY_SECONDS
             return False
+        # Higher than the token of an order that has closed earlier ones.
+        token = self._next_token()
+        if token is None:
+            return False
         replicas = [
             server_id for server_id in self._group.pools_by_id if server_id != primary
         ]
@@ -207,9 +210,7 @@
         yield self._loop.first_done(promoted)
         # Until the replicas have answered, a message that resumes one of them may still
         # be on its way, so that the next attempt could not rely on its own pauses.
-        yield from self._end_own_pauses(replicas, term)
-        if not promoted.result() and not self._promotions.are_open:
-            yield from self._announce(None)
+        yield from self._end_attempt(replicas, term, promoted.result())
         return promoted.result()
 
     def _nearness_by_id(self):
@@ -310,11 +311,20 @@
             yield from self._announce(None)
         return may_go_on
 
-    def _end_own_pauses(self, replicas, term):
+    def _end_attempt(self, replicas, term, promoted):
         """Let the replicas receive again, unless another promoter is in charge.
 
         They stay paused while an earlier order may be carried out: its server lacks
-        what they would acknowledge.
+        what they would acknowledge. The announcement of a promotion that does not take
+        place is withdrawn.
+
+        Parameters
+        ----------
+        replicas : list of str
+        term : int
+            Term of the pauses.
+        promoted : bool
+            Whether the promotion has taken effect.
         """
         if not (yield self._confirm_promoter()):
             event_log.event("pauses_left_to_promoter", group=self._group.name)
@@ -325,6 +335,8 @@
             event_log.event("pauses_left_to_orders", group=self._group.name)
             self._check_pauses_at = self._loop.clock.now() + OPEN_ORDERS_RETRY_SECONDS
             return
+        if not promoted:
+            yield from self._announce(None)
         if not (
             yield from self._statuses.resume(replicas, lambda paused: paused == term)
         ):
