--- a/cassiahill/promotion_evidence.py
+++ b/cassiahill/promotion_evidence.py
@@ -1,8 +1,8 @@
 """What the store and the other proxies know of a group, asked for a promotion.
 
 A promoter may have started, or missed a change, after a replica acknowledged commits.
-Each acknowledgement has passed a proxy, though, and each replica stands in the store's
-list of servers until it leaves.
+Each acknowledgement that a client got has passed a proxy, though, and the store lists
+the servers that are registered now.
 """
 
 from cassiahill import errors, event_log, heartbeats
--- a/cassiahill/promotion_orders.py
+++ b/cassiahill/promotion_orders.py
@@ -90,7 +90,10 @@
         self._follows_other_promoter = True
 
     def record_first_promoter(self):
-        """Record that no other process has given orders lately."""
+        """Record that no other process has given orders lately, as an embedder knows.
+
+        Without this call a predecessor is assumed.
+        """
         self._follows_other_promoter = False
 
     def begin_term(self, now):
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -1,9 +1,10 @@
 """Replaces the primary of a group: when to do so, which replica to promote, and how.
 
 A commit is acknowledged once one replica has received it. Before a replica is promoted,
-all other replicas stop receiving the log, and the replica to promote receives
-everything that they have. From then on only this replica can acknowledge commits of the
-old primary, so no acknowledged commit is lost, however late the promotion happens.
+all other known replicas stop receiving the log, and the replica to promote receives
+everything that they have and that any proxy has seen acknowledged. From then on only
+this replica, or a server that starts or restarts, can acknowledge commits of the old
+primary; ``promotion_window`` and ``commit_confirmation`` guard against the latter.
 """
 
 import contextlib
