--- a/cassiahill/promotion_evidence.py
+++ b/cassiahill/promotion_evidence.py
@@ -92,6 +92,9 @@
             return (yield from self._fleet.announce_promotion(member, notice, deadline))
         except errors.CassiahillError as error:
             event_log.event(
-                "promotion_unannounced", peer=member.name, cause=error.detail
+                "promotion_unannounced",
+                group=notice.group,
+                peer=member.name,
+                cause=error.detail,
             )
             return None
--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -11,6 +11,7 @@
     announced_promotion,
     busy_servers,
     connection_quotas,
+    event_log,
     group_dump,
     group_servers,
     line_connections,
@@ -294,6 +295,12 @@
 
     def announce_promotion(self, successor):
         """Record which server is about to be promoted, or None if none is any more."""
+        event_log.event(
+            "promotion_announced",
+            group=self.name,
+            successor=successor,
+            acknowledged=self.acknowledged_commits.position,
+        )
         self._announced_promotion = None
         if successor is not None:
             self._announced_promotion = announced_promotion.AnnouncedPromotion(
