Promise a commit only when a replica proves that any promotion keeps it

A proxy that the announcement of a promotion did not reach, because a cut or a restart lay between, went on promising what the old primary acknowledged; the acknowledgement came from a server that had joined or restarted since the promoter's last check, so that nobody asked it.

Now each commit needs the answer of a replica on a connection that was open before the promoter stated that no promotion is under way. Such a replica has neither joined nor restarted since, so every later promotion has paused and asked it, or a pause has frozen its log. No message is needed when a promotion begins, and a cut can only stop the proof. The statement counts from the store's confirmation of the promoter's role, which is asked for only while a proxy has connections without such a statement. Writes are refused at once while no replica can prove them.

The known failures UnreachedProxyTest and BusySuccessorTest pass: a proxy whose replica connections are all in use opens one more for the proof.

Tests: three tests ended a server's pause in place as a stand-in for its restart; they restart it now, which also closes its connections, as a restart does. Histories begin with 2.5 s in which the first promoter closes earlier orders, since nothing is promised before that. BusySuccessorTest occupies the connections of all replicas, not of one.

--- a/cassiahill/commit_confirmation.py
+++ b/cassiahill/commit_confirmation.py
@@ -4,7 +4,8 @@
 primary's side may acknowledge a commit which the other side, that does not know this
 replica, loses by a promotion. So the client is told of a commit only if a server in
 another failure domain has answered recently, or answers after the acknowledgement.
-While a promotion is about to take effect, the successor must have the commit, too.
+A replica must prove that a promotion would keep the commit, whether this process knows
+of one or not.
 """
 
 from cassiahill import announced_promotion, statements
@@ -40,9 +41,7 @@
     """
     if not (yield from _rule_out_partition(loop, group, deadline)):
         return False
-    return (
-        yield from _confirm_at_successor(loop, group, server_id, position, deadline)
-    )
+    return (yield from _confirm_at_replica(loop, group, server_id, position, deadline))
 
 
 def _rule_out_partition(loop, group, deadline):
@@ -63,6 +62,50 @@
     return loop.clock.now() < deadline
 
 
+def _confirm_at_replica(loop, group, server_id, position, deadline):
+    """Return whether a replica proves that a promotion keeps a commit; a task.
+
+    See ``commit_witnesses``.
+    """
+    if position is None:
+        return True
+    if group.commit_witnesses is None:
+        return (
+            yield from _confirm_at_successor(loop, group, server_id, position, deadline)
+        )
+    while loop.clock.now() < deadline:
+        is_proved = yield from _ask_witnesses(
+            loop, group, server_id, position, deadline
+        )
+        if is_proved is not False:
+            return is_proved is True
+        yield loop.sleep_until(loop.clock.now() + POLL_INTERVAL_SECONDS)
+    return False
+
+
+def _ask_witnesses(loop, group, server_id, position, deadline):
+    """Return whether a replica proves a commit; None if none can any more; a task.
+
+    A server that has acknowledged the commit and has stepped down since proves nothing.
+    """
+    now = loop.clock.now()
+    status_deadline = min(deadline, now + STATUS_TIMEOUT_SECONDS)
+    witnesses = group.commit_witnesses
+    if witnesses.proves(position):
+        return True
+    witnesses.ask_for_connections(server_id, now)
+    for replica_id in witnesses.usable_ids(server_id, now):
+        report = yield from group.ask_witness(replica_id, status_deadline)
+        if not isinstance(report, statements.ServerReport):
+            continue
+        received = announced_promotion.has_received(report, position)
+        if received:
+            witnesses.record_received(report.received)
+        if received is not False:
+            return received
+    return False
+
+
 def _confirm_at_successor(loop, group, server_id, position, deadline):
     """Return whether the successor of the primary, if there is one, has a commit.
 
@@ -75,7 +118,7 @@
         if promotion is None:
             # An announcement that has lapsed does not tell that nothing is promoted.
             return not is_held or group.is_promotion_withdrawn
-        if position is None or server_id == promotion.successor:
+        if server_id == promotion.successor:
             return True
         is_held = True
         status_deadline = min(deadline, loop.clock.now() + STATUS_TIMEOUT_SECONDS)
--- a/cassiahill/heartbeats.py
+++ b/cassiahill/heartbeats.py
@@ -109,6 +109,9 @@
     rate_report : RateReport
         Unset in a deployment without tenants, and in heartbeats to others than the
         promoter.
+    awaits_statement : bool
+        Whether the sender has connections that prove no commits yet; see
+        ``commit_witnesses``.
     """
 
     name: str
@@ -122,6 +125,23 @@
     servers_era: int = 0
     members_era: int = 0
     rate_report: RateReport | msgspec.UnsetType = msgspec.UNSET
+    awaits_statement: bool | msgspec.UnsetType = msgspec.UNSET
+
+
+class SettledGroups(msgspec.Struct):
+    """The promoter's statement about groups without a promotion under way.
+
+    Attributes
+    ----------
+    server_ids_by_group : dict of str to list of str
+        Servers that the promoter knows of each such group.
+    confirmed_age : float
+        Seconds since the store has confirmed the promoter's role. The receiver counts
+        them from the instant at which it sent the heartbeat.
+    """
+
+    server_ids_by_group: dict[str, list[str]]
+    confirmed_age: float
 
 
 class HeartbeatAnswer(msgspec.Struct, _CopiesOfStore):
@@ -156,6 +176,9 @@
     draining_seconds_by_id : dict of str to float
         For how long the answering proxy knows that servers drain; unset if none does.
         A proxy that was restarted or cut off learns from it since when they do.
+    settled : SettledGroups
+        Of the groups that the sender watches; unset if the answering proxy is no
+        promoter.
     """
 
     version: int
@@ -171,6 +194,7 @@
     proof_age: float | None = None
     rate_answer: RateAnswer | msgspec.UnsetType = msgspec.UNSET
     draining_seconds_by_id: dict[str, float] | msgspec.UnsetType = msgspec.UNSET
+    settled: SettledGroups | msgspec.UnsetType = msgspec.UNSET
 
 
 class PromotionNotice(msgspec.Struct):
--- a/cassiahill/process_state.py
+++ b/cassiahill/process_state.py
@@ -61,6 +61,29 @@
     def record_draining(self, seconds_by_id):
         """Take over from a peer since when servers drain; see ``catalog.Catalog``."""
 
+    def settled_groups(self):
+        """Return the groups in which this process, the promoter, promotes no server.
+
+        Returns
+        -------
+        dict of str to list of str
+            Ids of the known servers by group.
+        """
+        return {}
+
+    def record_settled_groups(self, server_ids_by_group, confirmed_at, heard_at):
+        """Record a promoter's statement; see ``commit_witnesses.CommitWitnesses``.
+
+        Parameters
+        ----------
+        server_ids_by_group : dict of str to list of str
+        confirmed_at, heard_at : float
+        """
+
+    def awaits_statement(self):
+        """Return whether connections prove no commits before the next statement."""
+        return False
+
     def is_partitioned(self):
         """Return whether this process does not reach the other failure domains."""
         raise NotImplementedError
--- a/cassiahill/promoter_election.py
+++ b/cassiahill/promoter_election.py
@@ -82,6 +82,8 @@
     promoter : Promoter or None
     shutting_down : bool
         Whether this process shuts down; it is not a promoter then.
+    confirmed_at : float
+        Instant before the store last named this process as the promoter.
     """
 
     def __init__(self, loop, store, kind, own_name, candidate_domains):
@@ -99,6 +101,7 @@
         self._former_name = None
         self.promoter = None
         self.shutting_down = False
+        self.confirmed_at = float("-inf")
 
     @property
     def is_promoter(self):
@@ -271,6 +274,7 @@
 
     def _claim_promoter_role(self, promoter):
         value = self._own_document()
+        asked_at = self._loop.clock.now()
         try:
             if promoter is None:
                 stored = yield self._store.create(self._kind, PROMOTER_NAME, value)
@@ -279,6 +283,7 @@
                     self._kind, PROMOTER_NAME, value, promoter.revision
                 )
             self._accept_own_claim(stored)
+            self.confirmed_at = asked_at
         except errors.Conflict:
             yield from self._read_promoter()
         except errors.CassiahillError as error:
@@ -309,7 +314,8 @@
     def _confirm_promoter(self):
         """Read the promoter from the store; return whether it is this process."""
         known_promoter = self.promoter
-        deadline = self._loop.clock.now() + CONFIRM_TIMEOUT_SECONDS
+        asked_at = self._loop.clock.now()
+        deadline = asked_at + CONFIRM_TIMEOUT_SECONDS
         timeout_error = errors.PlatformUnavailable("no answer in time")
         try:
             stored = yield self._loop.with_deadline(
@@ -322,6 +328,8 @@
             self._record_missing(known_promoter)
         else:
             self.apply_stored(stored)
+        if self.is_promoter:
+            self.confirmed_at = asked_at
         return self.is_promoter
 
     def _record_missing(self, known_promoter):
--- a/cassiahill/proxy_groups.py
+++ b/cassiahill/proxy_groups.py
@@ -72,6 +72,7 @@
                 regions=self._regions,
             )
             group.partitioned = self._partition.partitioned
+            group.start_proving_commits()
             self.groups_by_name[name] = group
             self._takeovers_by_group[name] = self._make_takeover(group)
             self._on_added()
@@ -115,6 +116,35 @@
             if name in self.groups_by_name:
                 self.groups_by_name[name].slot_share.record_total(total_demand, now)
 
+    def settled_groups(self):
+        """Return the ids of the known servers of groups without a promotion, by group.
+
+        Only the promoter knows that.
+        """
+        return {
+            name: sorted(group.pools_by_id)
+            for name, group in self.groups_by_name.items()
+            if self._takeovers_by_group[name].is_idle
+        }
+
+    def record_settled_groups(self, server_ids_by_group, confirmed_at, heard_at):
+        """Record the promoter's statement about groups without a promotion."""
+        for name, group in self.groups_by_name.items():
+            if name in server_ids_by_group:
+                group.commit_witnesses.record_statement(
+                    server_ids_by_group[name], confirmed_at, heard_at
+                )
+            else:
+                group.commit_witnesses.record_contact(heard_at)
+
+    def awaits_statement(self):
+        """Return whether connections prove no commits before the next statement."""
+        return any(
+            group.active
+            and group.commit_witnesses.await_statement(group.primary.server_id)
+            for group in self.groups_by_name.values()
+        )
+
     def names_without_primary(self):
         """Return the connected groups whose primary this process does not reach."""
         now = self._loop.clock.now()
--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -10,6 +10,7 @@
     acknowledged_commits,
     announced_promotion,
     busy_servers,
+    commit_witnesses,
     connection_quotas,
     event_log,
     group_dump,
@@ -28,9 +29,11 @@
     server_replies,
     slot_shares,
     sole_copies,
+    statements,
     tenant_waits,
 )
 from cassiahill.regions import Regions
+from cassiahill.statements import Code
 
 MAX_TICK_GAP_SECONDS = 0.3  # A longer gap between ticks means a suspended process.
 # Connections to keep open without requests. One saves a request the time to open it;
@@ -80,6 +83,8 @@
     removed_replicas : removed_replicas.RemovedReplicas
     sole_copies : sole_copies.SoleCopies
     acknowledged_commits : acknowledged_commits.AcknowledgedCommits
+    commit_witnesses : commit_witnesses.CommitWitnesses or None
+        None in a process without a promoter: nothing is promoted then.
     replies : server_replies.ServerReplies
     candidates : server_candidates.ServerCandidates
     probes : server_probes.ServerProbes
@@ -133,6 +138,7 @@
         self.removed_replicas = removed_replicas.RemovedReplicas()
         self.sole_copies = sole_copies.SoleCopies()
         self.acknowledged_commits = acknowledged_commits.AcknowledgedCommits()
+        self.commit_witnesses = None
         self._announced_promotion = None
         self.read_durations = read_durations.ReadDurations()
         self.outstanding_writes = outstanding_writes.OutstandingWrites(loop.clock)
@@ -243,14 +249,23 @@
         """Whether a replica that acknowledges commits may be within reach.
 
         In a partition without one, the other failure domains may promote a server
-        that lacks what is committed here.
+        that lacks what is committed here. Nor can a commit be passed on to the client
+        without a replica that proves it.
         """
-        return (
-            not self.partitioned
-            or not self.synchronous
-            or self.has_replica_in_own_domain
+        if not self.synchronous:
+            return True
+        if self.partitioned and not self.has_replica_in_own_domain:
+            return False
+        return self.commit_witnesses is None or bool(
+            self.commit_witnesses.usable_ids(
+                self.primary.server_id, self._loop.clock.now()
+            )
         )
 
+    def start_proving_commits(self):
+        """Pass commits on only if a replica proves that a promotion keeps them."""
+        self.commit_witnesses = commit_witnesses.CommitWitnesses(self.pools_by_id)
+
     @property
     def has_replica_in_own_domain(self):
         """Whether a known replica is in the failure domain of this process."""
@@ -360,6 +375,27 @@
             )
         )
 
+    def ask_witness(self, server_id, deadline):
+        """Ask a replica for a status that proves commits; a task.
+
+        Returns as ``ask_status_report`` does, ``Code.BUSY`` also if no connection that
+        proves commits is idle.
+        """
+        now = self._loop.clock.now()
+        connection = self.commit_witnesses.acquire(server_id, now)
+        if connection is None:
+            return Code.BUSY
+        return (
+            yield from server_probes.ask_on(
+                self._loop,
+                self._dialect,
+                self.pools_by_id[server_id],
+                connection,
+                statements.ReadStatus(),
+                deadline,
+            )
+        )
+
     def primary_symptoms(self, now, reported_unreachable_since=None):
         """Return the ``primary_symptoms.PrimarySymptoms`` that this process observes.
 
--- a/cassiahill/server_pool.py
+++ b/cassiahill/server_pool.py
@@ -123,6 +123,7 @@
         self.closed = False
         self._idle = idle_connections.IdleConnections()
         self._tenants_by_connection = {}
+        self._opened_at_by_connection = {}
         self._counts_by_tenant = collections.Counter()
         self._openings_by_tenant = collections.Counter()
         self._next_open_at = 0.0
@@ -209,6 +210,39 @@
         )
         return self._start_use(connection, now)
 
+    def has_idle_opened_before(self, instant):
+        """Return whether an idle connection was open before an instant, or None."""
+        return instant is not None and any(
+            self._opened_at_by_connection[connection] < instant
+            for connection in self._idle
+        )
+
+    def opened_before(self, instant):
+        """Return whether a connection was open before an instant and still is.
+
+        Parameters
+        ----------
+        instant : float or None
+            None stands for the beginning of time.
+        """
+        return instant is not None and any(
+            opened_at < instant for opened_at in self._opened_at_by_connection.values()
+        )
+
+    def acquire_opened_before(self, instant, now):
+        """Take an idle connection that was open before an instant, or None.
+
+        The parameters are those of ``opened_before`` and ``acquire_any``.
+        """
+        if instant is None:
+            return None
+        for connection in reversed(list(self._idle)):
+            if self._opened_at_by_connection[connection] < instant:
+                tenant = self._tenants_by_connection[connection]
+                self._idle.discard(connection, tenant)
+                return self._start_use(connection, now)
+        return None
+
     def _start_use(self, connection, now):
         """Count the first statement on a connection that was taken, if any."""
         if connection is not None:
@@ -287,6 +321,20 @@
         ):
             self._loop.spawn(self._open_connection(tenant))
 
+    def open_spare(self, now):
+        """Open a connection if none is idle, also one more than requests may have.
+
+        All others may be in the transactions of clients that rest in them.
+        """
+        if (
+            not self.closed
+            and not self.idle_count
+            and not self._openings_by_tenant.total()
+            and now >= self._next_open_at
+            and self.connection_count <= MAX_QUOTA_FACTOR * self.quota
+        ):
+            self._loop.spawn(self._open_connection(None))
+
     def _may_open_for(self, tenant):
         """Return whether a tenant has fewer connections than it may have."""
         return (
@@ -386,6 +434,8 @@
         self.refuses_connections = False
         self._next_open_at = 0.0
         self.answered_at = loop.clock.now()
+        if connection in self._tenants_by_connection:
+            self._opened_at_by_connection[connection] = self.answered_at
         self.release(connection)
 
     def _record_opening_end(self, tenant):
@@ -442,6 +492,7 @@
     def _on_connection_closed(self, connection):
         if connection in self._tenants_by_connection:
             tenant = self._tenants_by_connection.pop(connection)
+            self._opened_at_by_connection.pop(connection, None)
             self._idle.discard(connection, tenant)
             self._counts_by_tenant[tenant] -= 1
             if not self._counts_by_tenant[tenant]:
--- a/cassiahill/server_probes.py
+++ b/cassiahill/server_probes.py
@@ -140,6 +140,14 @@
     if connection is None:
         pool.open_if_needed(1, loop.clock.now())
         return statements.Code.BUSY
+    return (yield from ask_on(loop, dialect, pool, connection, statement, deadline))
+
+
+def ask_on(loop, dialect, pool, connection, statement, deadline):
+    """Send a status or replication statement on an acquired connection; a task.
+
+    See ``ServerGroup.ask_status_report``.
+    """
     timeout_error = errors.ConnectionLost("no answer to a status request")
     try:
         reply = yield loop.with_deadline(
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -31,6 +31,10 @@
 
 HEARTBEAT_INTERVAL_SECONDS = 0.4
 HEARTBEAT_TIMEOUT_SECONDS = 0.4
+# Interval of heartbeats to the promoter while connections await its statement.
+STATEMENT_RETRY_SECONDS = 0.1
+# A statement that was never confirmed is as old as this.
+MAX_CONFIRMED_AGE_SECONDS = 1e6
 
 
 class SessionFleet:
@@ -93,6 +97,9 @@
             own_member.failure_domain, loop.clock.now(), self._regions
         )
         self._last_tick_at = loop.clock.now()
+        self._confirm_due_at = loop.clock.now()
+        self._confirming = False
+        self._asks_again = False
         self.reference_failures = 0
         self.reports = heartbeat_reports.HeartbeatReports()
         self.election = promoter_election.PromoterElection(
@@ -205,9 +212,45 @@
                 stated_proof.age_seconds,
                 self._rate_heartbeats.answer(heartbeat.name, heartbeat.rate_report),
                 self._process_state.draining_seconds() or msgspec.UNSET,
+                self._settled_groups_for(heartbeat),
             )
         )
 
+    def _settled_groups_for(self, heartbeat):
+        """Return the statement for a member; unset if this is not the promoter."""
+        if not self.election.is_promoter:
+            return msgspec.UNSET
+        now = self._loop.clock.now()
+        if heartbeat.awaits_statement is True:
+            self._confirm_promoter(now)
+        settled = self._process_state.settled_groups()
+        return heartbeats.SettledGroups(
+            {name: settled[name] for name in heartbeat.watched if name in settled},
+            min(now - self.election.confirmed_at, MAX_CONFIRMED_AGE_SECONDS),
+        )
+
+    def _confirm_promoter(self, now):
+        """Let the store confirm the promoter's role, unless it was asked just now.
+
+        A statement needs it for connections that are newer than the last one.
+        """
+        if self._confirming or now < self._confirm_due_at:
+            return
+        self._confirming = True
+        self._confirm_due_at = now + STATEMENT_RETRY_SECONDS
+        self._loop.when_done(self.election.confirm_promoter(), self._on_confirmed)
+
+    def _on_confirmed(self, _future):
+        self._confirming = False
+        self._record_own_statement(self._loop.clock.now())
+
+    def _record_own_statement(self, now):
+        """Record this process's statement as the promoter for its own groups."""
+        if self.election.is_promoter:
+            self._process_state.record_settled_groups(
+                self._process_state.settled_groups(), self.election.confirmed_at, now
+            )
+
     def demand_by_domain(self, group):
         """Return the demand for a group by the failure domain of the proxies.
 
@@ -288,6 +331,9 @@
             self.reports.update(demand_by_group, now)
             self._process_state.apply_total_demand(self.reports.total_demand_by_group)
             self._rate_heartbeats.exchange_own(now)
+            self._record_own_statement(now)
+            if self._process_state.awaits_statement():
+                self._confirm_promoter(now)
         elif self._may_become_promoter():
             self._start_heartbeat(self._promoter_member())
             # Before the fleet is known, each process takes itself for the first
@@ -383,6 +429,7 @@
             servers_revision.era,
             self.registry.revision.era,
             self._rate_heartbeats.report_for(member),
+            self._process_state.awaits_statement() or msgspec.UNSET,
         )
         asked_at = self._loop.clock.now()
         deadline = asked_at + HEARTBEAT_TIMEOUT_SECONDS
@@ -419,6 +466,7 @@
                 self._process_state.apply_total_demand(
                     heartbeat_answer.total_demand_by_group
                 )
+                self._record_settled(member, heartbeat_answer.settled, asked_at)
                 reports_again = self._rate_heartbeats.apply_answer(
                     member.name, heartbeat_answer.rate_answer, asked_at
                 )
@@ -432,6 +480,22 @@
             )
         self.follower.catch_up_with(member, heartbeat_answer)
 
+    def _record_settled(self, promoter, settled, asked_at):
+        """Record the promoter's statement, and ask again soon if it does not do."""
+        if settled is msgspec.UNSET:
+            return
+        self._process_state.record_settled_groups(
+            settled.server_ids_by_group, asked_at - settled.confirmed_age, asked_at
+        )
+        if self._process_state.awaits_statement() and not self._asks_again:
+            self._asks_again = True
+            retry_at = self._loop.clock.now() + STATEMENT_RETRY_SECONDS
+            self._loop.call_at(retry_at, lambda: self._ask_for_statement(promoter))
+
+    def _ask_for_statement(self, promoter):
+        self._asks_again = False
+        self._start_heartbeat(promoter)
+
     def _record_contact(self, member, answered):
         """Record whether a member answered; ask other domains if one did not."""
         asks_others = self.peer_contacts.record(
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -251,6 +251,18 @@
         """Return the groups whose servers this process is connected to."""
         return self._groups.active_names
 
+    def settled_groups(self):
+        """Return the servers of the groups in which this process promotes nothing."""
+        return self._groups.settled_groups()
+
+    def record_settled_groups(self, server_ids_by_group, confirmed_at, heard_at):
+        """Record the promoter's statement about groups without a promotion."""
+        self._groups.record_settled_groups(server_ids_by_group, confirmed_at, heard_at)
+
+    def awaits_statement(self):
+        """Return whether connections prove no commits until such a statement."""
+        return self._groups.awaits_statement()
+
     def demand_by_group(self):
         """Return the average number of statements that wait or run, by group."""
         return self._groups.demand_by_name()
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -99,6 +99,15 @@
         self._next_attempt_at = 0.0
         self._check_pauses_at = None
 
+    @property
+    def is_idle(self):
+        """Whether no promotion is under way, of this or of a former promoter."""
+        return (
+            self._check_pauses_at is not None
+            and not self._in_progress
+            and not self._promotions.are_open
+        )
+
     def record_not_promoter(self):
         """Record that another process is the promoter.
 
--- a/tests/line_group.py
+++ b/tests/line_group.py
@@ -116,6 +116,8 @@
         Commits of the primary, and those among them that were acknowledged.
     acknowledged_before_promotion : list of LogPosition
         Commits that were acknowledged before the last promotion.
+    connections : list of InMemoryConnection
+        Those that were opened, also closed ones.
     """
 
     def __init__(self, loop, name="orders", servers=("a", "b", "c"), synchronous=True):
@@ -129,6 +131,7 @@
         self.committed = []
         self.acknowledged = []
         self.acknowledged_before_promotion = []
+        self.connections = []
         first_log = [LogPosition(1, 1)]
         self.by_id = {
             server_id: InMemoryServer(
@@ -153,7 +156,19 @@
 
     def connect(self, _loop, _dialect, server, on_closed):
         """Open a connection to a server; takes the place of ``LineConnection``."""
-        return InMemoryConnection(self, self.by_id[server.server_id], server, on_closed)
+        connection = InMemoryConnection(
+            self, self.by_id[server.server_id], server, on_closed
+        )
+        self.connections.append(connection)
+        return connection
+
+    def restart(self, server_id):
+        """Restart a server's process: its pause and its connections end."""
+        self.by_id[server_id].paused_term = 0
+        for connection in self.connections:
+            if connection.server.server_id == server_id:
+                connection.close()
+        self.connections = [open_ for open_ in self.connections if not open_.closed]
 
     def promote(self, server_id):
         """Make a server the primary; positions that its log lacks are rolled back."""
--- a/tests/promotion_builders.py
+++ b/tests/promotion_builders.py
@@ -146,12 +146,19 @@
 
     def __init__(self):
         self.fixture = GroupFixture()
+        self.fixture.group.start_proving_commits()
+        # By a promoter before those of the tests.
+        now = self.fixture.loop.clock.now()
+        self.fixture.group.commit_witnesses.record_statement(
+            list(self.servers), now, now
+        )
         self.platform = MemoryPlatform(self.fixture)
         self.evidence = KnownToOthers(self)
         self.promised = []
         self._tokens = itertools.count(1)
         self.group = None
         self._takeover = None
+        self._confirmed_at = float("-inf")
 
     @property
     def servers(self):
@@ -225,4 +232,10 @@
         for _ in range(round(seconds / 0.05)):
             now = self.fixture.loop.clock.now()
             self._takeover.start_if_needed(self.group.primary_symptoms(now))
+            if self._takeover._confirm_promoter().result():
+                self._confirmed_at = now
+            if self.evidence.others_are_reachable and self._takeover.is_idle:
+                self.fixture.group.commit_witnesses.record_statement(
+                    list(self.group.pools_by_id), self._confirmed_at, now
+                )
             self.fixture.loop.advance(0.05)
--- a/tests/promotion_history.py
+++ b/tests/promotion_history.py
@@ -23,6 +23,9 @@
 
 STEP_SECONDS = 0.1
 MAX_ABSENCE_SECONDS = 8.0  # Shorter than ``takeover.REMOVED_REPLICA_WAIT_SECONDS``.
+# The first promoter closes the orders of a former one, which it cannot rule out. Until
+# then no commit is promised, and none can be lost.
+WARM_UP_STEPS = 25
 RESIGNATION_SECONDS = 0.4  # Until another proxy has claimed the role.
 UNNOTICED_SUCCESSION_SECONDS = 3.0
 EXPIRY_SECONDS = 2.0  # An entry that expired while the store was away is back by then.
@@ -73,6 +76,8 @@
         Instant until which other proxies do not reach it.
     believes_until : float
         Instant until which it takes itself for the promoter.
+    confirmed_at : float
+        Instant at which the store last named it as the promoter.
     """
 
     def __init__(self, history, takeover_class):
@@ -96,6 +101,8 @@
             Regions("domain-z", {}),
         )
         self.group.active = True
+        self.group.start_proving_commits()
+        self.confirmed_at = 0.0
         self.group.set_limits(GroupLimits("orders", MAX_CONNECTIONS, True), 1)
         self.takeover = takeover_class(
             self._loop,
@@ -148,6 +155,23 @@
         elif hasattr(self.takeover, "record_not_promoter"):
             self.takeover.record_not_promoter()
 
+    def state_settled(self, others):
+        """Tell other proxies, and itself, that no promotion is under way."""
+        if not self.believes:
+            return
+        now = self._loop.clock.now()
+        if self._history.is_in_charge(self):
+            self.confirmed_at = now
+        server_ids = sorted(self.group.pools_by_id)
+        for other in others:
+            if other is not self and (other.is_unreachable or self.is_unreachable):
+                continue
+            witnesses = other.group.commit_witnesses
+            if self.takeover.is_idle:
+                witnesses.record_statement(server_ids, self.confirmed_at, now)
+            else:
+                witnesses.record_contact(now)
+
     def write(self, request_id):
         """Pass on a write; the client is told of its commit or not."""
         now = self._loop.clock.now()
@@ -201,6 +225,7 @@
         self.proxies[IDLE_PROXY].group.active = False
         self._install(self.proxies[0])
         self.loop.advance(0.5)
+        self.wait(WARM_UP_STEPS)
 
     @property
     def lost_commits(self):
@@ -222,6 +247,8 @@
             self.servers.refresh_entries()
             for proxy in self.proxies:
                 proxy.act()
+                if hasattr(proxy.takeover, "is_idle"):
+                    proxy.state_settled(self.proxies)
             number = next(self._request_numbers)
             self.proxies[number % CLIENT_PROXIES].write(f"request-{number}")
             for _ in range(2):
@@ -247,6 +274,10 @@
 
         self.loop.call_at(self.loop.clock.now() + RESIGNATION_SECONDS, take_over)
 
+    def is_in_charge(self, proxy):
+        """Return whether the store names a proxy as the promoter."""
+        return proxy is self._in_charge
+
     def _successor(self):
         """Return the proxy with connections that follows the promoter."""
         return self.proxies[self._in_charge is self.proxies[0]]
@@ -328,7 +359,7 @@
         """Restart a replica with its log; it is back at once."""
         server = self.servers.by_id[server_id]
         if not server.unreachable and self.servers.primary != server_id:
-            self.servers.restart(server)
+            self.servers.restart(server_id)
 
     def _do_restart_empty(self, server_id):
         """Restart a replica without its log, if the primary has all that was told.
@@ -347,7 +378,7 @@
             or not all(map(primary.has, servers.acknowledged))
         ):
             return
-        servers.restart(server)
+        servers.restart(server_id)
         server.log = server.log[:1]
         server.applied = 1
 
--- a/tests/promotion_model.py
+++ b/tests/promotion_model.py
@@ -126,15 +126,14 @@
         server.silent_since = None
         if server.crashed:
             server.crashed = False
-            self.restart(server)
+            self.restart(server_id)
         now = self.loop.clock.now()
         self.loop.call_at(now + REGISTRATION_SECONDS, lambda: self.register(server_id))
 
-    def restart(self, server):
+    def restart(self, server_id):
         """Start a server's process again; this ends its pause."""
-        server.started_at_ms += 1
-        server.paused_term = 0
-        self.close_connections(server)
+        self.by_id[server_id].started_at_ms += 1
+        super().restart(server_id)
 
     def close_connections(self, server):
         """Close all connections to a server, as the end of its process does."""
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -35,7 +35,7 @@
         promoter.run_for(0.3)
         [successor] = promoter.platform.promoted_ids
         # A restart has ended the only pause that could tell of the order.
-        promoter.servers[{"b": "c", "c": "b"}[successor]].paused_term = 0
+        promoter.fixture.servers.restart({"b": "c", "c": "b"}[successor])
         promoter.start_promoter(("a", "b", "c"))
         promoter.register("a", draining=True)
         promoter.servers[successor].not_receiving = True
--- a/tests/test_promotion_faults.py
+++ b/tests/test_promotion_faults.py
@@ -98,7 +98,7 @@
                 promoter.platform.promote("orders", "b", 1000)
                 promoter.servers["b"].paused_term = 0
                 promoter.servers["b"].not_receiving = True
-                promoter.servers["c"].paused_term = 0
+                promoter.fixture.servers.restart("c")
             return update_servers()
 
         promoter.evidence.update_servers = let_newer_promoter_act
@@ -124,10 +124,10 @@
 
 
 class BusySuccessorTest(unittest.TestCase):
-    """A successor at which all connections of the proxy are in use."""
+    """Replicas at which all connections of the proxy are in use."""
 
     def test_received_commit_is_promised(self):
-        """Idle read transactions at the successor make an outcome unknown."""
+        """Idle read transactions at the replicas make an outcome unknown."""
         fixture = GroupFixture()
         fixture.group.set_limits(fixture_limits(), 1)
         session = fixture.session()
@@ -151,9 +151,17 @@
             )
             is None
         ]
-        self.assertTrue(full_ids, busy_ids)
+        self.assertEqual(full_ids, ["b", "c"], busy_ids)
         self.assertIsNone(fixture.write(session).code)
-        fixture.group.announce_promotion(full_ids[0])
+        fixture.group.start_proving_commits()
+
+        def state_settled():
+            now = fixture.loop.clock.now()
+            fixture.group.commit_witnesses.record_statement("abc", now, now)
+            return now + 0.1
+
+        fixture.loop.repeat(fixture.loop.clock.now(), state_settled)
+        fixture.loop.advance(0.05)
         reply = fixture.write(session)
         self.assertIn(
             fixture.servers.by_id["a"].received,
@@ -182,7 +190,7 @@
             if promoter.platform.orders:
                 break
         promoter.servers["c"].not_receiving = True
-        promoter.servers["b"].paused_term = 0  # It restarts, or another one starts.
+        promoter.fixture.servers.restart("b")
         promoter.write(1)
         promoter.run_for(2.0)
         self.assertEqual(promoter.fixture.servers.primary, "c")
