--- a/tests/test_promotion_search.py
+++ b/tests/test_promotion_search.py
@@ -248,6 +248,60 @@
         )
 
 
+class TwoPromotersTest(PromotionTestCase):
+    """A former promoter that the store does not answer goes on for some seconds.
+
+    The tokens protect the new promoter's order from it. Announcements and pauses must
+    hold until that order takes effect, too.
+    """
+
+    def test_former_promoter_announces_a_server_that_its_successor_does_not_know(self):
+        """Guards against a notice of a former promoter that replaces a newer one.
+
+        The new promoter had its order for ``b`` accepted and did not know ``c``, which
+        acknowledged commits that were then confirmed at ``c``.
+        """
+        self.assert_nothing_lost(
+            ("drain", "a"),
+            ("crash", ("a", 1.0)),
+            ("expire", "c"),
+            ("new promoter", ("fresh", False)),
+        )
+
+    def test_former_promoter_ends_pauses(self):
+        """Guards against a former promoter that resumes a replica paused by another.
+
+        ``b`` acknowledged commits, although the order for ``c`` was accepted, and the
+        former promoter had withdrawn the announcement of ``c``.
+        """
+        self.assert_nothing_lost(
+            ("expire", "a"),
+            ("wait", 2),
+            ("new promoter", ("fresh", False)),
+            ("wait", 1),
+            ("expire", "a"),
+            ("wait", 1),
+            ("drain", "a"),
+            ("wait", 1),
+            ("deaf", "c"),
+        )
+
+    def test_two_accepted_orders_and_a_proxy_without_notices(self):
+        """Guards against two promoters that each have an order accepted.
+
+        A proxy that neither promoter reached promised a commit of ``c``, which led for
+        0.4 s until ``b`` did.
+        """
+        self.assert_nothing_lost(
+            ("crash", ("a", 2.0)),
+            ("new promoter", ("idle", True)),
+            ("dark when promoted", 1.0),
+            ("cut proxy", 2.0),
+            ("expire", "c"),
+            ("new promoter", ("fresh", False)),
+        )
+
+
 class BeforeEffectTest(PromotionTestCase):
     """A server acknowledges in the second between an order and its effect.
 
