Ignore a promotion's notice from a former promoter

Callers were told of commits that the next primary lacked. The promoter's orders carry fencing tokens, but its notices did not: a former promoter that the store did not answer announced another successor, or withdrew the announcement, after the order of its successor had been accepted. Commits were then confirmed at the wrong server, or not at all.

A notice now states the revision of its sender's term. A proxy ignores it if it has heard of a newer term, in a notice or in the store, and answers with that term. A promoter that hears of a newer term, in an answer or in a notice, drops its tokens (promoter_lost). A promoter also tells its predecessor, which a process that has just started would not find among the connected proxies. Notices of earlier releases state no term and are applied as before.

--- a/cassiahill/heartbeats.py
+++ b/cassiahill/heartbeats.py
@@ -181,23 +181,40 @@
     group : str
     successor : str or None
         Id of the server; None if no promotion is about to take effect any more.
+    term_era, term_revision : int
+        ``Revision`` of the sender's term as the promoter, by which an older notice is
+        told from a newer one. A proxy of an earlier release does not state it.
     """
 
     group: str
     successor: str | None = None
+    term_era: int = 0
+    term_revision: int = 0
+
+    @property
+    def promoter_term(self):
+        """``Revision`` of the sender's term as the promoter; None if not stated."""
+        if not self.term_revision:
+            return None
+        return Revision(self.term_era, self.term_revision)
 
 
-class NewestCommit(msgspec.Struct):
+class NewestCommit(msgspec.Struct, omit_defaults=True):
     """The newest commit of a group that a proxy has seen acknowledged.
 
     Attributes
     ----------
     term, number : int or None
         Its position; None if there is none.
+    newer_era, newer_revision : int
+        ``Revision`` of the newest promoter's term that the proxy knows of, if it has
+        ignored the notice because of that; otherwise 0.
     """
 
     term: int | None = None
     number: int | None = None
+    newer_era: int = 0
+    newer_revision: int = 0
 
     @property
     def position(self):
@@ -206,6 +223,13 @@
             return None
         return LogPosition(self.term, self.number)
 
+    @property
+    def newer_term(self):
+        """``Revision`` of the newer term for which a notice was ignored, or None."""
+        if not self.newer_revision:
+            return None
+        return Revision(self.newer_era, self.newer_revision)
+
 
 class StoredPromoter(msgspec.Struct):
     """The stored object that names the promoter."""
@@ -384,15 +408,25 @@
     return _decode(_promotion_notice_decoder, body)
 
 
-def encode_commit(position):
-    """Return the ``NewestCommit`` at a position, which may be None."""
-    if position is None:
-        return NewestCommit()
-    return NewestCommit(position.term, position.number)
+def encode_commit(position, newer_term=None):
+    """Return the ``NewestCommit`` at a position, which may be None.
+
+    Parameters
+    ----------
+    position : positions.LogPosition or None
+    newer_term : shared_store.Revision or None
+        Term of a newer promoter, because of which the notice was ignored.
+    """
+    commit = NewestCommit()
+    if position is not None:
+        commit.term, commit.number = position.term, position.number
+    if newer_term is not None:
+        commit.newer_era, commit.newer_revision = newer_term.era, newer_term.number
+    return commit
 
 
 def decode_commit(body):
-    """Return the newest commit in a response; raises as ``decode_heartbeat`` does."""
+    """Return the ``NewestCommit`` in a response; raises as ``decode_heartbeat``."""
     return _decode(_commit_decoder, body)
 
 
--- a/cassiahill/member_client.py
+++ b/cassiahill/member_client.py
@@ -90,7 +90,7 @@
 
         Returns
         -------
-        positions.LogPosition or None
+        heartbeats.NewestCommit
             Newest commit of the group that the member has seen acknowledged.
 
         Raises
@@ -106,7 +106,7 @@
                 (),
                 deadline,
             )
-            return heartbeats.decode_commit(response.body).position
+            return heartbeats.decode_commit(response.body)
         finally:
             connection.close()
 
--- a/cassiahill/promoter_election.py
+++ b/cassiahill/promoter_election.py
@@ -80,6 +80,11 @@
     Attributes
     ----------
     promoter : Promoter or None
+    predecessor_name : str or None
+        The promoter that this process has followed with its last claim.
+    newest_term : shared_store.Revision
+        The newest term of a promoter that this process has heard of; ``Revision()``
+        before the first one.
     shutting_down : bool
         Whether this process shuts down; it is not a promoter then.
     """
@@ -98,6 +103,8 @@
         self._resigned_until = float("-inf")
         self._former_name = None
         self.promoter = None
+        self.predecessor_name = None
+        self.newest_term = Revision()
         self.shutting_down = False
 
     @property
@@ -114,17 +121,51 @@
         revision = self._tokens.revision
         return f"{self._incarnation}.{revision.era}.{revision.number}"
 
+    @property
+    def term_revision(self):
+        """``Revision`` of this process's term; None if it is not the promoter."""
+        return self._tokens.revision if self.is_promoter else None
+
+    def record_term(self, revision):
+        """Record the term of a promoter that another process has stated.
+
+        A newer term than the own one ends this process's role, also while the store
+        does not answer it.
+
+        Parameters
+        ----------
+        revision : shared_store.Revision
+
+        Returns
+        -------
+        bool
+            Whether no newer term is known.
+        """
+        if revision < self.newest_term:
+            return False
+        self.newest_term = revision
+        if self._tokens is not None and self._tokens.revision < revision:
+            self._tokens = None
+            event_log.event(
+                "promoter_lost", to=None, revision=revision.number, era=revision.era
+            )
+        return True
+
     def next_token(self):
         """Return a fencing token for one order, or None if not the promoter."""
         return self._tokens.next_token() if self.is_promoter else None
 
-    def confirm_promoter(self):
+    def confirm_promoter(self, strictly=False):
         """Return the future of whether the store still names this process.
 
-        Without an answer from the store the process remains the promoter: a successor's
-        orders carry higher tokens.
+        Parameters
+        ----------
+        strictly : bool
+            Whether a missing answer from the store counts as a refusal. Otherwise the
+            process remains the promoter without one, which is enough to give an order:
+            a successor's orders carry higher tokens.
         """
-        return self._loop.spawn(self._confirm_promoter())
+        return self._loop.spawn(self._confirm_promoter(strictly))
 
     def resign(self):
         """Give up the role for a while, because this process cannot promote."""
@@ -153,6 +194,7 @@
         holder = str(value.get("holder"))
         incarnation = str(value.get("incarnation"))
         self.promoter = Promoter(holder, incarnation, stored.revision)
+        self.newest_term = max(self.newest_term, stored.revision)
         self._timeout_started_at = self._loop.clock.now()
         self._former_name = None
         event_log.event(
@@ -271,6 +313,7 @@
 
     def _claim_promoter_role(self, promoter):
         value = self._own_document()
+        self.predecessor_name = self._last_holder()
         try:
             if promoter is None:
                 stored = yield self._store.create(self._kind, PROMOTER_NAME, value)
@@ -306,7 +349,7 @@
         """Return the document that names this process as the promoter."""
         return {"holder": self._own_name, "incarnation": self._incarnation}
 
-    def _confirm_promoter(self):
+    def _confirm_promoter(self, strictly):
         """Read the promoter from the store; return whether it is this process."""
         known_promoter = self.promoter
         deadline = self._loop.clock.now() + CONFIRM_TIMEOUT_SECONDS
@@ -317,7 +360,7 @@
             )
         except errors.CassiahillError as error:
             event_log.event("promoter_unconfirmed", cause=error.detail)
-            return self.is_promoter
+            return self.is_promoter and not strictly
         if stored is None:
             self._record_missing(known_promoter)
         else:
@@ -333,6 +376,9 @@
     def _accept_own_claim(self, stored):
         """Become the promoter with the tokens of the stored revision."""
         self.apply_stored(stored)
+        if stored.revision < self.newest_term:
+            # Another process has become the promoter since.
+            return
         if self._tokens is None or stored.revision > self._tokens.revision:
             self._tokens = FencingTokens(stored.revision)
             event_log.event(
--- a/cassiahill/promotion_evidence.py
+++ b/cassiahill/promotion_evidence.py
@@ -25,6 +25,10 @@
         """
         return completed_future(True)
 
+    def is_promoter(self):
+        """Return whether this process is the promoter, as far as it knows."""
+        return True
+
     def announce_promotion(self, group, successor):
         """Tell the other proxies which server is about to be promoted.
 
@@ -41,11 +45,44 @@
         loop.LoopFuture
             Future of a list of ``positions.LogPosition``: for each proxy that has
             answered, the newest commit of the group that it has seen acknowledged
-            before.
+            before. None if a proxy knows a newer promoter, so that this process is
+            none any more.
         """
         return completed_future([])
 
 
+def answer_notice(notice, group, election):
+    """Apply a notice of a promotion unless a newer promoter is known.
+
+    Parameters
+    ----------
+    notice : heartbeats.PromotionNotice
+    group : server_group.ServerGroup or None
+        None if this process does not know the group.
+    election : promoter_election.PromoterElection
+
+    Returns
+    -------
+    heartbeats.NewestCommit
+    """
+    position = None if group is None else group.acknowledged_commits.position
+    term = notice.promoter_term
+    if term is not None and not election.record_term(term):
+        event_log.event(
+            "promotion_notice_ignored",
+            group=notice.group,
+            successor=notice.successor,
+            revision=term.number,
+            era=term.era,
+            newest_revision=election.newest_term.number,
+            newest_era=election.newest_term.era,
+        )
+        return heartbeats.encode_commit(position, election.newest_term)
+    if group is not None:
+        group.announce_promotion(notice.successor)
+    return heartbeats.encode_commit(position)
+
+
 class FleetEvidence(PromotionEvidence):
     """Asks the shared store and the proxies that are connected to a group.
 
@@ -69,29 +106,43 @@
         deadline = self._loop.clock.now() + EVIDENCE_TIMEOUT_SECONDS
         return self._loop.spawn(self._catalog_feed.update_servers(deadline))
 
+    def is_promoter(self):
+        """Return whether this process is the promoter, as far as it knows."""
+        return self._fleet.election.is_promoter
+
     def announce_promotion(self, group, successor):
         """Return the future of the newest commits that other proxies have seen."""
-        notice = heartbeats.PromotionNotice(group, successor)
+        term = self._fleet.election.term_revision
+        if term is None:
+            return completed_future(None)
+        notice = heartbeats.PromotionNotice(group, successor, term.era, term.number)
         return self._loop.spawn(self._tell_proxies(group, notice))
 
     def _tell_proxies(self, group, notice):
         deadline = self._loop.clock.now() + EVIDENCE_TIMEOUT_SECONDS
         names = self._fleet.reports.watchers_of(group) | self._owner_names(group)
+        # A former promoter that the store does not answer learns of its succession.
+        names = {*names, self._fleet.election.predecessor_name}
         members = self._fleet.other_members(names)
         futures = [
             self._loop.spawn(self._tell_proxy(member, notice, deadline))
             for member in members
         ]
-        positions = []
+        commits = []
         for future in futures:
-            positions.append((yield future))
-        return [position for position in positions if position is not None]
+            commits.append((yield future))
+        if any(commit.newer_term is not None for commit in commits):
+            return None
+        return [commit.position for commit in commits if commit.position is not None]
 
     def _tell_proxy(self, member, notice, deadline):
         try:
-            return (yield from self._fleet.announce_promotion(member, notice, deadline))
+            commit = yield from self._fleet.announce_promotion(member, notice, deadline)
         except errors.CassiahillError as error:
             event_log.event(
                 "promotion_unannounced", peer=member.name, cause=error.detail
             )
-            return None
+            return heartbeats.NewestCommit()
+        if commit.newer_term is not None:
+            self._fleet.election.record_term(commit.newer_term)
+        return commit
--- a/cassiahill/promotion_orders.py
+++ b/cassiahill/promotion_orders.py
@@ -62,7 +62,8 @@
     next_token, confirm_promoter : callable
         See ``takeover.Takeover``.
     announce : callable
-        Task that tells all proxies which server is to be promoted.
+        Task that tells all proxies which server is to be promoted, and returns whether
+        this process is still the promoter.
     """
 
     def __init__(
@@ -165,7 +166,8 @@
             if repeated:
                 if not (yield self._confirm_promoter()):
                     return False
-                yield from self._announce(successor)
+                if not (yield from self._announce(successor)):
+                    return False
             result = yield self._orders.promote(self._group.name, successor, token)
             event_log.event(
                 "promote_ordered",
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -235,7 +235,7 @@
 
         Returns
         -------
-        positions.LogPosition or None
+        heartbeats.NewestCommit
             Newest commit of the group that the member has seen acknowledged.
 
         Raises
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -383,12 +383,13 @@
                 return http1.json_response(self.fleet.view(known))
             case ("POST", heartbeats.PROMOTION_PATH):
                 notice = heartbeats.decode_promotion_notice(request.body)
-                group = self.groups_by_name.get(notice.group)
-                if group is None:
-                    return http1.json_response(heartbeats.NewestCommit())
-                group.announce_promotion(notice.successor)
-                position = group.acknowledged_commits.position
-                return http1.json_response(heartbeats.encode_commit(position))
+                return http1.json_response(
+                    promotion_evidence.answer_notice(
+                        notice,
+                        self.groups_by_name.get(notice.group),
+                        self.fleet.election,
+                    )
+                )
             case ("GET", path) if path == METRICS_PATH:
                 body = self.metrics.render(
                     proxy_dump.gauge_values(self, self._loop.clock.now())
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -249,8 +249,10 @@
             self._log_decision("takeover_unsafe", reason, primary, statuses)
             return False
         if prepared.server_id != successor:
-            yield from self._announce(prepared.server_id)
-            if self._missing_commits.may_lack(prepared, primary_answers=False):
+            announced = yield from self._announce(prepared.server_id)
+            if not announced or self._missing_commits.may_lack(
+                prepared, primary_answers=False
+            ):
                 self._log_decision("takeover_unsafe", reason, primary, statuses)
                 return False
         unsafe_replicas = yield from self._list_unsafe(
@@ -285,13 +287,24 @@
         """Tell all proxies of a promotion; learn which commits it must keep; a task.
 
         Later ones are passed on to clients only if the successor has received them.
+
+        Returns
+        -------
+        bool
+            Whether this process is still the promoter. A notice of a former promoter
+            has no effect, in this process neither.
         """
+        if not self._evidence.is_promoter():
+            return False
         self._group.announce_promotion(successor)
         seen_by_others = yield self._evidence.announce_promotion(
             self._group.name, successor
         )
+        if seen_by_others is None:
+            return False
         for position in seen_by_others:
             self._group.acknowledged_commits.record(position, self._loop.clock.now())
+        return self._evidence.is_promoter()
 
     @contextlib.contextmanager
     def _guarded_window(self, primary, successor, term):
@@ -420,7 +433,8 @@
                 self._group.sole_copies.record_primary_position(
                     primary, asked_at, old_primary.received
                 )
-        yield announced
+        if not (yield announced):
+            return None
         positions = [
             *(status.received for status in paused_statuses),
             old_primary.received,
--- a/tests/promotion_builders.py
+++ b/tests/promotion_builders.py
@@ -7,9 +7,11 @@
 from cassiahill.heartbeat_reports import HeartbeatReports
 from cassiahill.heartbeats import Member
 from cassiahill.loop import completed_future
+from cassiahill.promoter_election import PROMOTER_NAME, PromoterElection
 from cassiahill.promotion_evidence import PromotionEvidence
 from cassiahill.promotion_orders import OrderResult, PromotionOrders
 from cassiahill.server_group import ServerGroup
+from cassiahill.shared_store import MemorySharedStore, StoredObject
 from cassiahill.statements import Access, Run
 from tests.line_group import InMemoryDialect
 from tests.session_builders import GroupFixture
@@ -77,13 +79,23 @@
 
 
 class AnsweringMembers:
-    """Members that answer a request for a commit with given futures, by name."""
+    """Members that answer a notice of a promotion with given futures, by name.
 
-    def __init__(self, futures_by_name):
+    Attributes
+    ----------
+    election : promoter_election.PromoterElection
+    asked_names : set of str
+        Names of the members that the last notice was for.
+    """
+
+    def __init__(self, futures_by_name, election):
         self._futures_by_name = futures_by_name
+        self.election = election
+        self.asked_names = set()
         self.reports = HeartbeatReports()
 
-    def other_members(self, _names):
+    def other_members(self, names):
+        self.asked_names = names
         return [
             Member(name, (name, 1), (name, 2), "domain-a")
             for name in self._futures_by_name
@@ -93,6 +105,20 @@
         return (yield self._futures_by_name[member.name])
 
 
+def promoter_of_term(loop, revision):
+    """Return the ``PromoterElection`` of a promoter with a term's revision.
+
+    The store does not answer it.
+    """
+    store = MemorySharedStore()
+    store.available = False
+    election = PromoterElection(loop, store, "proxies", "proxy-2", lambda: {})
+    election._accept_own_claim(
+        StoredObject(PROMOTER_NAME, revision, election._own_document())
+    )
+    return election
+
+
 class KnownToOthers(PromotionEvidence):
     """What the store and the process that serves the clients know.
 
@@ -192,7 +218,7 @@
             self.group,
             self.platform,
             lambda: next(self._tokens),
-            lambda: completed_future(True),
+            lambda strictly=False: completed_future(True),
             lambda: None,
             evidence=self.evidence,
         )
--- a/tests/promotion_history.py
+++ b/tests/promotion_history.py
@@ -42,10 +42,19 @@
         self._proxy.read_entries()
         return completed_future(True)
 
+    def is_promoter(self):
+        return self._proxy.believes
+
     def announce_promotion(self, group, successor):
+        own_era = self._proxy.era
         others = self._reached_proxies()
         for other in others:
-            other.group.announce_promotion(successor)
+            if other.record_era(own_era):
+                other.group.announce_promotion(successor)
+        newest_era = max([own_era, *(other.newest_era for other in others)])
+        if not self._proxy.record_era(own_era) or newest_era > own_era:
+            self._proxy.record_era(newest_era)
+            return completed_future(None)
         positions = [other.group.acknowledged_commits.position for other in others]
         return completed_future(
             [position for position in positions if position is not None]
@@ -73,6 +82,10 @@
         Instant until which other proxies do not reach it.
     believes_until : float
         Instant until which it takes itself for the promoter.
+    era : int
+        That of its last term as the promoter.
+    newest_era : int
+        The newest one that it has heard of, in a notice or as the promoter.
     """
 
     def __init__(self, history, takeover_class):
@@ -85,6 +98,8 @@
         self.watch_lost_until = 0.0
         self.unreachable_until = 0.0
         self.believes_until = 0.0
+        self.era = 0
+        self.newest_era = 0
         self.group = ServerGroup(
             self._loop,
             InMemoryDialect(),
@@ -102,7 +117,7 @@
             self.group,
             history.platform,
             lambda: next(self._tokens) if self.believes else None,
-            lambda: completed_future(self.believes),
+            self._confirm_promoter,
             lambda: history.resign(self),
             evidence=OtherProxies(history, self),
         )
@@ -118,8 +133,26 @@
         """Whether other proxies do not reach this one."""
         return self._loop.clock.now() < self.unreachable_until
 
+    def _confirm_promoter(self, strictly=False):
+        """Return what the store's answer, or the lack of one, says of the role.
+
+        A former promoter that still believes in its role gets no answer.
+        """
+        confirms = not strictly or self._history.is_in_charge(self)
+        return completed_future(self.believes and confirms)
+
+    def record_era(self, era):
+        """Record a promoter's era; return whether no newer one is known."""
+        if era < self.newest_era:
+            return False
+        self.newest_era = era
+        if era > self.era:
+            self.believes_until = 0.0
+        return True
+
     def take_charge(self, era):
         """Become the promoter, with tokens above those of its predecessors."""
+        self.era = self.newest_era = era
         self._tokens = itertools.count(era * 1000 + 1)
         self.believes_until = float("inf")
         self.group.active = True
@@ -234,6 +267,10 @@
             proxy.group.close()
         self.loop.close()
 
+    def is_in_charge(self, proxy):
+        """Return whether the store names a proxy as the promoter."""
+        return proxy is self._in_charge
+
     def resign(self, proxy):
         """Let another proxy with connections take over from one that resigns."""
         if proxy is not self._in_charge:
--- a/tests/test_promotion_faults.py
+++ b/tests/test_promotion_faults.py
@@ -51,7 +51,9 @@
         promoter.start_promoter(["a", "b", "c"])
         promoter.run_for(1.0)
         is_promoter = [True]
-        promoter._takeover._confirm_promoter = lambda: completed_future(is_promoter[0])
+        promoter._takeover._confirm_promoter = lambda strictly=False: completed_future(
+            is_promoter[0]
+        )
         clients = promoter.fixture.group
         promoter.register("a", draining=True)
         update_servers = promoter.evidence.update_servers
@@ -83,7 +85,9 @@
         promoter.start_promoter(["a", "b", "c"])
         promoter.run_for(1.0)
         is_promoter = [True]
-        promoter._takeover._confirm_promoter = lambda: completed_future(is_promoter[0])
+        promoter._takeover._confirm_promoter = lambda strictly=False: completed_future(
+            is_promoter[0]
+        )
         promoter.register("a", draining=True)
         update_servers = promoter.evidence.update_servers
         calls = []
--- a/tests/test_session_fleet.py
+++ b/tests/test_session_fleet.py
@@ -224,6 +224,33 @@
         self.assertTrue(self.loop.result(_wait(fleet.election.confirm_promoter())))
         self.assertIsNotNone(fleet.election.next_token())
 
+    def test_silent_store_confirms_no_promoter_strictly(self):
+        """Guards against a former promoter that ends pauses of its successor."""
+        fleet = self.start("p1")
+        self.assertTrue(
+            self.loop.result(_wait(fleet.election.confirm_promoter(strictly=True)))
+        )
+        self.store.available = False
+        self.assertFalse(
+            self.loop.result(_wait(fleet.election.confirm_promoter(strictly=True)))
+        )
+        self.assertTrue(fleet.election.is_promoter)
+
+    def test_promoter_that_was_told_of_a_newer_term_claims_a_newer_one(self):
+        """Guards against a deployment without a promoter, or tokens below others'.
+
+        The store names the process as before, so that its claim is not refused.
+        """
+        fleet = self.start("p1")
+        own_revision = fleet.election.term_revision
+        heard_of = Revision(own_revision.era, own_revision.number + 1)
+        self.assertTrue(fleet.election.record_term(heard_of))
+        self.assertIsNone(fleet.election.next_token())
+        self.store.write(PROXIES_KIND, "proxy.other", {})
+        self.loop.advance(2.0)
+        self.assertGreater(fleet.election.term_revision, heard_of)
+        self.assertFalse(fleet.election.record_term(own_revision))
+
     def test_resigned_promoter_pauses_before_claiming_again(self):
         """Guards against a promoter that resigns and claims the role again at once."""
         fleet = self.start("p1")
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -143,7 +143,7 @@
             self.fixture.group,
             self.orders,
             lambda: next(self.tokens),
-            lambda: completed_future(self.is_promoter),
+            lambda strictly=False: completed_future(self.is_promoter),
             lambda: self.resigned_at.append(self.fixture.loop.clock.now()),
             self.nearness,
         )
@@ -518,7 +518,7 @@
             self.fixture.group,
             self.orders,
             lambda: next(self.tokens),
-            lambda: completed_future(True),
+            lambda strictly=False: completed_future(True),
             lambda: None,
         )
         self.run_for(2.2)
@@ -604,7 +604,7 @@
     def test_no_order_when_another_process_is_the_promoter(self):
         """Guards against orders of a former promoter after a partition."""
         self.set_up_group()
-        self.takeover._confirm_promoter = lambda: completed_future(False)
+        self.takeover._confirm_promoter = lambda strictly=False: completed_future(False)
         self.fixture.servers.by_id["a"].unreachable = True
         self.run_for(3.0)
         self.assertEqual(self.orders.promotions, [])
