End pauses and go on after a refusal only if the store names the promoter

A promoter that the store did not answer took itself for the promoter, ended the pauses of its successor and, after an order was refused, announced and ordered again. Pauses carry no fencing token, so no server refuses the end of one.

The store must now confirm the role right before RESUME is sent, after the statuses were read; a missing answer is a refusal, and the question is repeated each second. After a refused order each step of the group needs that confirmation. A promotion still starts without an answer of the store, as its order is fenced, and ends the pauses by itself. The role is also asked for once more right before an order, beside the read of the servers' list.

--- a/cassiahill/promotion_orders.py
+++ b/cassiahill/promotion_orders.py
@@ -64,6 +64,12 @@
     announce : callable
         Task that tells all proxies which server is to be promoted, and returns whether
         this process is still the promoter.
+
+    Attributes
+    ----------
+    was_refused : bool
+        Whether an order was refused since the store has last confirmed the promoter. A
+        newer promoter may have used a higher token.
     """
 
     def __init__(
@@ -80,6 +86,7 @@
         # Until then, an earlier order of any promoter may be carried out.
         self._open_until = float("-inf")
         self._unanswered_closings = 0
+        self.was_refused = False
 
     @property
     def are_open(self):
@@ -89,6 +96,7 @@
     def record_other_promoter(self):
         """Record that another process is the promoter, and may give orders."""
         self._follows_other_promoter = True
+        self.was_refused = False
 
     def record_first_promoter(self):
         """Record that no other process has given orders lately, as an embedder knows.
@@ -141,6 +149,8 @@
             self._unanswered_closings += 1
             return self._unanswered_closings >= MAX_UNANSWERED_CLOSINGS
         self._unanswered_closings = 0
+        if result is OrderResult.REFUSED:
+            self.was_refused = True
         if result is not OrderResult.ACCEPTED:
             return False
         yield self._loop.sleep_until(self._loop.clock.now() + ACCEPTED_ORDER_SECONDS)
@@ -182,6 +192,7 @@
             if result is OrderResult.ACCEPTED:
                 self._unanswered_closings = 0
             if result is OrderResult.REFUSED:
+                self.was_refused = True
                 return False
             if result is OrderResult.ACCEPTED and window is not None:
                 self._loop.spawn(window.watch_successor())
--- a/cassiahill/replica_statuses.py
+++ b/cassiahill/replica_statuses.py
@@ -1,5 +1,7 @@
 """Asks the servers of a group for their status, and ends pauses of replication."""
 
+import enum
+
 import attrs
 
 from cassiahill import event_log, statements
@@ -36,6 +38,14 @@
     is_primary: bool = False
 
 
+class ResumeResult(enum.Enum):
+    """Whether replicas are left in a pause."""
+
+    RESUMED = "resumed"  # None is.
+    UNANSWERED = "unanswered"  # One that did not answer may be.
+    UNCONFIRMED = "unconfirmed"  # The store has not confirmed the promoter's role.
+
+
 class ReplicaStatuses:
     """Statuses and pauses of the servers of one group.
 
@@ -85,21 +95,24 @@
             statuses.append((yield future))
         return statuses
 
-    def resume(self, server_ids, is_ours):
+    def resume(self, server_ids, is_ours, confirm_promoter):
         """Let paused replicas receive the log again, if the pause is ours.
 
-        Another promoter may have paused them since, and relies on that.
+        Another promoter may have paused them since, and relies on that. No token makes
+        a server refuse to end a pause, so the store must confirm right before that
+        there is no newer promoter.
 
         Parameters
         ----------
         server_ids : list of str
         is_ours : callable
             Takes the term of a pause.
+        confirm_promoter : callable
+            Returns the future of whether the store names this process.
 
         Returns
         -------
-        bool
-            Whether none of the replicas is left in such a pause.
+        ResumeResult
         """
         statuses = yield from self.ask_all(server_ids, statements.ReadStatus())
         paused_ids = [
@@ -107,6 +120,13 @@
             for status in statuses
             if status.paused_term and is_ours(status.paused_term)
         ]
+        if paused_ids and not (yield confirm_promoter()):
+            event_log.event(
+                "pauses_left_unconfirmed",
+                group=self._group.name,
+                servers=" ".join(paused_ids),
+            )
+            return ResumeResult.UNCONFIRMED
         resumed = yield from self.ask_all(paused_ids, statements.ResumeReceiving())
         left_ids = [
             status.server_id
@@ -120,4 +140,4 @@
                 servers=" ".join(paused_ids),
                 unanswered=" ".join(left_ids),
             )
-        return not left_ids
+        return ResumeResult.UNANSWERED if left_ids else ResumeResult.RESUMED
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -26,10 +26,16 @@
     OPEN_ORDERS_RETRY_SECONDS,
     PRIMARY_RECHECK_TIMEOUT_SECONDS,
 )
-from cassiahill.replica_statuses import POLL_INTERVAL_SECONDS, ReplicaStatus
+from cassiahill.replica_statuses import (
+    POLL_INTERVAL_SECONDS,
+    ReplicaStatus,
+    ResumeResult,
+)
 from cassiahill.successor_choice import choose_successor, replica_with_longest_log
 from cassiahill.successor_nearness import Nearness
 
+# Between questions to a store that has not confirmed that pauses may be ended.
+PAUSES_RETRY_SECONDS = 1.0
 RETRY_PAUSE_SECONDS = 0.3  # Pause after an attempt that promoted no server.
 PAUSE_AFTER_PROMOTION_SECONDS = 1.5  # Lets the new primary start to serve.
 # Longer than in a failover, because the old primary still sends the entries that the
@@ -54,7 +60,8 @@
         Returns a fencing token that no order has used yet, or None when this process
         is not the promoter.
     confirm_promoter : callable
-        Returns the future of whether this process is still the promoter.
+        Returns the future of whether this process is still the promoter. Takes
+        ``strictly``; see ``promoter_election.PromoterElection``.
     resign : callable
         Lets another proxy become the promoter.
     nearness : callable or None
@@ -91,7 +98,7 @@
             orders,
             self._statuses,
             next_token,
-            confirm_promoter,
+            self._confirm_role,
             self._announce,
         )
         self._blocked_attempts = 0
@@ -152,7 +159,7 @@
     def _replace_primary(self, primary, reason):
         """Promote a replica if that is safe; return whether it became the primary."""
         servers_updated = self._evidence.update_servers()
-        if not (yield self._confirm_promoter()):
+        if not (yield self._confirm_role()):
             return False
         yield servers_updated
         if self._promotions.are_open and not (yield from self._close_orders(primary)):
@@ -255,6 +262,7 @@
             ):
                 self._log_decision("takeover_unsafe", reason, primary, statuses)
                 return False
+        role_confirmed = self._confirm_role()
         unsafe_replicas = yield from self._list_unsafe(
             primary, replicas, prepared, term
         )
@@ -272,6 +280,8 @@
             )
             self._log_decision("takeover_unsafe", reason, primary, statuses)
             return False
+        if not (yield role_confirmed):
+            return False
         successor = prepared.server_id
         self._log_decision("takeover", reason, primary, statuses, successor, token)
         ordered_at = self._loop.clock.now()
@@ -318,6 +328,20 @@
         finally:
             window.close()
 
+    def _confirm_role(self, strictly=False):
+        """Return the future of whether this process may go on as the promoter.
+
+        After a refused order it may only if the store confirms that.
+        """
+        return self._loop.spawn(self._ask_for_role(strictly))
+
+    def _ask_for_role(self, strictly):
+        strictly = strictly or self._promotions.was_refused
+        confirmed = yield self._confirm_promoter(strictly=strictly)
+        if confirmed and strictly:
+            self._promotions.was_refused = False
+        return confirmed
+
     def _close_orders(self, primary):
         """Close earlier orders; return whether a promotion may be prepared; a task."""
         may_go_on = yield from self._promotions.close(primary)
@@ -340,8 +364,9 @@
         promoted : bool
             Whether the promotion has taken effect.
         """
-        if not (yield self._confirm_promoter()):
+        if not (yield self._confirm_role()):
             event_log.event("pauses_left_to_promoter", group=self._group.name)
+            self._check_pauses_at = self._loop.clock.now() + PAUSES_RETRY_SECONDS
             return
         if self._promotions.are_open:
             yield from self._close_orders(self._group.primary.server_id)
@@ -351,27 +376,36 @@
             return
         if not promoted:
             yield from self._announce(None)
-        if not (
-            yield from self._statuses.resume(replicas, lambda paused: paused == term)
-        ):
-            self._check_pauses_at = self._loop.clock.now() + ABANDONED_PAUSE_SECONDS
+        yield from self._resume(replicas, lambda paused: paused == term)
 
     def _end_abandoned_pauses(self):
         """End the pauses of a promoter that could not do so itself; a task."""
-        if not (yield self._confirm_promoter()):
+        if not (yield self._confirm_role()):
+            self._check_pauses_at = self._loop.clock.now() + PAUSES_RETRY_SECONDS
             return False
         if self._promotions.are_open:
             yield from self._close_orders(self._group.primary.server_id)
         if self._promotions.are_open:
             self._check_pauses_at = self._loop.clock.now() + OPEN_ORDERS_RETRY_SECONDS
             return False
-        ended = yield from self._statuses.resume(
-            list(self._group.pools_by_id), lambda _paused: True
-        )
-        retry_at = self._loop.clock.now() + ABANDONED_PAUSE_SECONDS
-        self._check_pauses_at = math.inf if ended else retry_at
+        self._check_pauses_at = math.inf
+        yield from self._resume(list(self._group.pools_by_id), lambda _paused: True)
         return False
 
+    def _resume(self, replicas, is_ours):
+        """Let replicas receive again, and set when pauses are looked at again; a task.
+
+        See ``replica_statuses.ReplicaStatuses.resume``.
+        """
+        result = yield from self._statuses.resume(
+            replicas, is_ours, lambda: self._confirm_role(strictly=True)
+        )
+        now = self._loop.clock.now()
+        if result is ResumeResult.UNANSWERED:
+            self._check_pauses_at = now + ABANDONED_PAUSE_SECONDS
+        elif result is ResumeResult.UNCONFIRMED:
+            self._check_pauses_at = now + PAUSES_RETRY_SECONDS
+
     def _list_unsafe(self, primary, replicas, successor, term):
         """Return the statuses of replicas that are not paused or have later entries.
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -5,7 +5,12 @@
 import unittest
 from unittest import mock
 
-from cassiahill import primary_symptoms, successor_choice, takeover
+from cassiahill import (
+    primary_symptoms,
+    promotion_evidence,
+    successor_choice,
+    takeover,
+)
 from cassiahill.loop import completed_future
 from cassiahill.positions import LogPosition
 from cassiahill.primary_symptoms import PrimarySymptoms
@@ -138,12 +143,13 @@
         self.tokens = itertools.count(1)
         self.resigned_at = []
         self.is_promoter = True
+        self.store_answers = True
         group_takeover = takeover.Takeover(
             self.fixture.loop,
             self.fixture.group,
             self.orders,
             lambda: next(self.tokens),
-            lambda strictly=False: completed_future(self.is_promoter),
+            self.confirm_promoter,
             lambda: self.resigned_at.append(self.fixture.loop.clock.now()),
             self.nearness,
         )
@@ -151,6 +157,11 @@
         self.near_domain = None
         self.former_domains = set()
 
+    def confirm_promoter(self, strictly=False):
+        """Return the future of whether this process is the promoter."""
+        answers = self.store_answers or not strictly
+        return completed_future(self.is_promoter and answers)
+
     def nearness(self, domain, former_domain):
         """Return the nearness of a replica; one domain may be used the most."""
         self.former_domains.add(former_domain)
@@ -562,6 +573,77 @@
         self.run_for(2.0)
         self.assertEqual(replica.paused_term, 0)
 
+    def test_pauses_are_ended_only_after_the_store_has_confirmed_the_role(self):
+        """Guards against a former promoter that ends pauses of its successor.
+
+        The store did not answer it, so it took itself for the promoter.
+        """
+        self.set_up_group()
+        self.store_answers = False
+        replica = self.fixture.servers.by_id["b"]
+        replica.paused_term = 2
+        self.run_for(takeover.ABANDONED_PAUSE_SECONDS + 4.0)
+        self.assertEqual(replica.paused_term, 2)
+        self.store_answers = True
+        self.run_for(takeover.PAUSES_RETRY_SECONDS + 1.0)
+        self.assertEqual(replica.paused_term, 0)
+
+    def test_failed_attempt_leaves_its_pauses_while_the_store_is_silent(self):
+        """Guards against pauses that a process ends which may be a former promoter."""
+        self.set_up_group([OrderResult.NOT_DONE] * 9)
+        self.store_answers = False
+        self.drain_primary()
+        self.run_for(0.5)
+        other = self.fixture.servers.by_id[
+            {"b": "c", "c": "b"}[self.orders.promotions[0][0]]
+        ]
+        self.assertGreater(other.paused_term, 0)
+        pauses = set()
+        for _ in range(340):
+            self.run_for(0.05)
+            pauses.add(bool(other.paused_term))
+            if len(self.orders.promotions) == 9 and not self.takeover._in_progress:
+                break
+        self.assertEqual(len(self.orders.promotions), 9)
+        self.assertEqual(pauses, {True})
+
+    def test_refused_promoter_acts_again_only_after_confirmation(self):
+        """Guards against announcements and orders of a promoter with a newer successor.
+
+        A refusal means that another process has used a higher token, or that the server
+        does not run.
+        """
+        self.set_up_group([OrderResult.REFUSED])
+        evidence = mock.Mock(wraps=promotion_evidence.PromotionEvidence())
+        self.takeover._evidence = evidence
+        self.store_answers = False
+        self.drain_primary()
+        self.run_for(0.5)
+        self.assertEqual(len(self.orders.promotions), 1)
+        announced_before = evidence.announce_promotion.call_count
+        self.run_for(5.0)
+        self.assertEqual(len(self.orders.promotions), 1)
+        self.assertEqual(evidence.announce_promotion.call_count, announced_before)
+        self.store_answers = True
+        self.run_for(5.0)
+        self.assertNotEqual(self.fixture.group.primary.server_id, "a")
+
+    def test_order_needs_the_role_at_the_end_of_the_preparation(self):
+        """Guards against an order of a process that was replaced in the meantime."""
+        self.set_up_group()
+        evidence = mock.Mock(wraps=promotion_evidence.PromotionEvidence())
+        self.takeover._evidence = evidence
+
+        def replace_promoter(_group, _successor):
+            self.is_promoter = False
+            return completed_future([])
+
+        evidence.announce_promotion.side_effect = replace_promoter
+        self.drain_primary()
+        self.run_for(2.0)
+        self.assertFalse(self.is_promoter)
+        self.assertEqual(self.orders.promotions, [])
+
     def test_draining_primary_serves_until_it_is_replaced(self):
         """Guards against writes that fail during a planned switchover."""
         self.set_up_group()
--- a/tests/test_takeover_search.py
+++ b/tests/test_takeover_search.py
@@ -86,7 +86,7 @@
             self.fixture.group,
             self.orders,
             lambda: next(self._tokens),
-            lambda: completed_future(self._takeover is is_in_charge),
+            lambda strictly=False: completed_future(self._takeover is is_in_charge),
             lambda: None,
         )
 
