Pause replicas under a term above that of each pause they hold

The term of a pause followed from the servers' terms alone. A status states the term of a held pause in a field of its own, so two promoters could pause under the same term, and each took the other's pauses for its own when it checked them before an order or ended them.

The new test fails on the code before: with pauses of term 6 held, replicas are paused under term 2.

--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -209,8 +209,11 @@
             )
             return False
         self._blocked_attempts = 0
+        # Another promoter's pauses have other terms, so that neither ends the other's.
         term = 1 + max(
-            status.term for status in statuses if status.received is not None
+            max(status.term, status.paused_term)
+            for status in statuses
+            if status.received is not None
         )
         promoted = self._loop.spawn(
             self._promote_safely(primary, successor, statuses, term, reason, token)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -5,6 +5,8 @@
 import unittest
 from unittest import mock
 
+import attrs
+
 from cassiahill import (
     primary_symptoms,
     promotion_evidence,
@@ -18,7 +20,7 @@
 from cassiahill.replica_statuses import ReplicaStatus
 from cassiahill.statements import Access, Run
 from cassiahill.successor_nearness import Nearness
-from tests.line_group import InMemoryServer
+from tests.line_group import InMemoryConnection, InMemoryServer
 from tests.promotion_builders import without_predecessor
 from tests.session_builders import GroupFixture
 
@@ -607,6 +609,32 @@
         self.assertEqual(len(self.orders.promotions), 9)
         self.assertEqual(pauses, {True})
 
+    def test_pause_has_a_term_above_that_of_each_held_pause(self):
+        """Guards against two promoters that pause replicas under the same term.
+
+        A status states the term of the log and that of a pause in separate fields.
+        """
+        self.set_up_group()
+
+        def report_log_term(connection, is_primary):
+            report = report_of(connection, is_primary)
+            return attrs.evolve(report, term=connection._server.term)
+
+        report_of = InMemoryConnection._report
+        self.fixture.servers.by_id["b"].paused_term = 6
+        self.fixture.servers.by_id["c"].paused_term = 6
+        with mock.patch.object(InMemoryConnection, "_report", report_log_term):
+            self.drain_primary()
+            terms = set()
+            for _ in range(40):
+                self.run_for(0.05)
+                terms |= {
+                    self.fixture.servers.by_id[server_id].paused_term
+                    for server_id in ("b", "c")
+                }
+        self.assertLessEqual(terms, {0, 6, 7})
+        self.assertIn(7, terms)
+
     def test_refused_promoter_acts_again_only_after_confirmation(self):
         """Guards against announcements and orders of a promoter with a newer successor.
 
