--- a/tests/test_promotion_search.py
+++ b/tests/test_promotion_search.py
@@ -301,6 +301,27 @@
             ("new promoter", ("fresh", False)),
         )
 
+    def test_next_announcement_while_a_former_order_is_open(self):
+        """Guards against commits that the server of a former promoter's order lacks.
+
+        They were held back because ``c`` lacked them. Then the next promoter announced
+        ``n1``, which had them, while the order for ``c`` was still to be carried out.
+        """
+        self.assert_nothing_lost(
+            ("drain", "a"),
+            ("crash", ("a", 0.3)),
+            ("new promoter", ("fresh", False)),
+            ("late order", 1.5),
+            ("wait", 1),
+            ("join", 0.5),
+            ("deaf", "c"),
+            ("late order", None),
+            ("dark when promoted", 2.0),
+            ("dark", ("a", 5.0)),
+            ("new promoter", ("idle", False)),
+            ("expire", "a"),
+        )
+
 
 class BeforeEffectTest(PromotionTestCase):
     """A server acknowledges in the second between an order and its effect.
