Wait for replicas that only other proxies know before a promotion

A promoter that has just started does not know a replica whose entry expired while the store was away and is not back yet. It did not pause that replica, which went on acknowledging commits of the old primary, and promoted another server. A proxy that the notices did not reach told its clients of one.

Proxies now name the replicas that they know in their answer to a notice. A promotion waits up to 3 s while one of them is unknown to the promoter (takeover_waits_for_unknown): entries are back two seconds after the store, and one that is still missing then is to be treated as gone.

The new test of test_takeover guards the bound of the wait as well.

--- a/cassiahill/heartbeats.py
+++ b/cassiahill/heartbeats.py
@@ -209,12 +209,15 @@
     newer_era, newer_revision : int
         ``Revision`` of the newest promoter's term that the proxy knows of, if it has
         ignored the notice because of that; otherwise 0.
+    replica_ids : list of str
+        Servers of the group that the proxy is connected to, without the primary.
     """
 
     term: int | None = None
     number: int | None = None
     newer_era: int = 0
     newer_revision: int = 0
+    replica_ids: list[str] = []
 
     @property
     def position(self):
--- a/cassiahill/missing_commits.py
+++ b/cassiahill/missing_commits.py
@@ -5,6 +5,8 @@
 REMOVED_REPLICA_WAIT_SECONDS = 10.0
 # Longer than a server that has crashed takes to come back with its log.
 MISSING_COMMIT_WAIT_SECONDS = 30.0
+# An entry that expired while the store was away is back two seconds after its return.
+UNKNOWN_REPLICA_WAIT_SECONDS = 3.0
 # Attempts of one incident follow one another within a second or two.
 MAX_CHECK_GAP_SECONDS = 5.0
 
@@ -23,6 +25,32 @@
         self._group = group
         self._missing_since = None
         self._checked_at = float("-inf")
+        self._unknown_since_by_id = {}
+
+    def awaited_ids(self, replica_ids):
+        """Return the replicas, known to other proxies only, that may register again.
+
+        Nobody has paused such a replica. It may acknowledge commits that are lost when
+        another server is promoted.
+
+        Parameters
+        ----------
+        replica_ids : set of str
+            Those that other proxies are connected to.
+        """
+        if not self._group.synchronous:
+            return []
+        now = self._loop.clock.now()
+        former = self._unknown_since_by_id
+        self._unknown_since_by_id = {
+            server_id: former.get(server_id, now)
+            for server_id in sorted(replica_ids - set(self._group.pools_by_id))
+        }
+        return [
+            server_id
+            for server_id, unknown_since in self._unknown_since_by_id.items()
+            if now - unknown_since < UNKNOWN_REPLICA_WAIT_SECONDS
+        ]
 
     def may_lack(self, successor, primary_answers):
         """Return whether a successor may lack acknowledged commits.
--- a/cassiahill/promotion_evidence.py
+++ b/cassiahill/promotion_evidence.py
@@ -50,6 +50,19 @@
         """
         return completed_future([])
 
+    def replicas_known_to_others(self, group):
+        """Return ids of the replicas that the proxies named in their last answers.
+
+        Parameters
+        ----------
+        group : str
+
+        Returns
+        -------
+        set of str
+        """
+        return set()
+
 
 def answer_notice(notice, group, election):
     """Apply a notice of a promotion unless a newer promoter is known.
@@ -78,9 +91,11 @@
             newest_era=election.newest_term.era,
         )
         return heartbeats.encode_commit(position, election.newest_term)
+    commit = heartbeats.encode_commit(position)
     if group is not None:
         group.announce_promotion(notice.successor)
-    return heartbeats.encode_commit(position)
+        commit.replica_ids = sorted(set(group.pools_by_id) - {group.primary.server_id})
+    return commit
 
 
 class FleetEvidence(PromotionEvidence):
@@ -100,6 +115,11 @@
         self._catalog_feed = catalog_feed
         self._fleet = fleet
         self._owner_names = owner_names
+        self._replica_ids_by_group = {}
+
+    def replicas_known_to_others(self, group):
+        """Return ids of the replicas that the proxies named in their last answers."""
+        return self._replica_ids_by_group.get(group, set())
 
     def update_servers(self):
         """Return the future of whether the list of servers is up to date."""
@@ -133,6 +153,9 @@
             commits.append((yield future))
         if any(commit.newer_term is not None for commit in commits):
             return None
+        self._replica_ids_by_group[group] = {
+            server_id for commit in commits for server_id in commit.replica_ids
+        }
         return [commit.position for commit in commits if commit.position is not None]
 
     def _tell_proxy(self, member, notice, deadline):
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -472,6 +472,17 @@
                 )
         if not (yield announced):
             return None
+        awaited_ids = self._missing_commits.awaited_ids(
+            self._evidence.replicas_known_to_others(self._group.name)
+        )
+        if awaited_ids:
+            event_log.event(
+                "takeover_waits_for_unknown",
+                group=self._group.name,
+                primary=primary,
+                unknown=" ".join(awaited_ids),
+            )
+            return None
         positions = [
             *(status.received for status in paused_statuses),
             old_primary.received,
--- a/tests/promotion_history.py
+++ b/tests/promotion_history.py
@@ -60,6 +60,15 @@
             [position for position in positions if position is not None]
         )
 
+    def replicas_known_to_others(self, group):
+        return {
+            server_id
+            for other in self._reached_proxies()
+            if other.group.active
+            for server_id in other.group.pools_by_id
+            if server_id != other.group.primary.server_id
+        }
+
     def _reached_proxies(self):
         proxies = self._history.proxies
         return [
--- a/tests/test_promotion_evidence.py
+++ b/tests/test_promotion_evidence.py
@@ -79,10 +79,12 @@
     def ask(self, futures_by_name):
         """Ask proxies that answer with these futures; return the positions."""
         self.members = AnsweringMembers(futures_by_name, self.election)
-        evidence = FleetEvidence(self.loop, None, self.members, lambda _group: set())
+        self.evidence = FleetEvidence(
+            self.loop, None, self.members, lambda _group: set()
+        )
 
         def wait_for_answers():
-            return (yield evidence.announce_promotion("orders", "b"))
+            return (yield self.evidence.announce_promotion("orders", "b"))
 
         return self.loop.result(wait_for_answers())
 
@@ -110,6 +112,23 @@
         self.assertIsNone(self.election.next_token())
         self.assertIsNone(self.ask({"proxy-1": seen(None)}))
 
+    def test_replicas_that_others_are_connected_to_are_known(self):
+        """Guards against a promoter that does not know of a replica.
+
+        Its entry has expired with an outage of the store, and the promoter has started
+        since. Other proxies still use the replica.
+        """
+        fixture = GroupFixture()
+        election = promoter_of_term(fixture.loop, OLDER_TERM)
+        notice = heartbeats.PromotionNotice("orders", "b", 2, 7)
+        commit = answer_notice(notice, fixture.group, election)
+        self.assertEqual(commit.replica_ids, ["b", "c"])
+        body = msgspec.json.encode(commit)
+        answers = {"proxy-1": completed_future(heartbeats.decode_commit(body))}
+        self.ask(answers)
+        known_ids = self.evidence.replicas_known_to_others("orders")
+        self.assertEqual(known_ids, {"b", "c"})
+
     def test_predecessor_is_told(self):
         """Guards against a former promoter that is none of the known connected proxies.
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -656,6 +656,21 @@
         self.run_for(5.0)
         self.assertNotEqual(self.fixture.group.primary.server_id, "a")
 
+    def test_replica_that_only_others_know_is_awaited_for_a_while(self):
+        """Guards against lost commits of a replica that the promoter cannot pause.
+
+        A replica that stays away is treated as gone, so that the group gets a primary.
+        """
+        self.set_up_group()
+        evidence = mock.Mock(wraps=promotion_evidence.PromotionEvidence())
+        evidence.replicas_known_to_others.side_effect = lambda _group: {"b", "new"}
+        self.takeover._evidence = evidence
+        self.drain_primary()
+        self.run_for(2.5)
+        self.assertEqual(self.orders.promotions, [])
+        self.run_for(2.0)
+        self.assertNotEqual(self.fixture.group.primary.server_id, "a")
+
     def test_order_needs_the_role_at_the_end_of_the_preparation(self):
         """Guards against an order of a process that was replaced in the meantime."""
         self.set_up_group()
