--- a/cassiahill/promotion_evidence.py
+++ b/cassiahill/promotion_evidence.py
@@ -25,6 +25,10 @@
         """
         return completed_future(True)
 
+    def is_promoter(self):
+        """Return whether this process is the promoter, as far as it knows."""
+        return True
+
     def announce_promotion(self, group, successor):
         """Tell the other proxies which server is about to be promoted.
 
@@ -41,10 +45,58 @@
         loop.LoopFuture
             Future of a list of ``positions.LogPosition``: for each proxy that has
             answered, the newest commit of the group that it has seen acknowledged
-            before.
+            before. None if a proxy knows a newer promoter, so that this process is
+            none any more.
         """
         return completed_future([])
 
+    def replicas_known_to_others(self, group):
+        """Return ids of the replicas that the proxies named in their last answers.
+
+        Parameters
+        ----------
+        group : str
+
+        Returns
+        -------
+        set of str
+        """
+        return set()
+
+
+def answer_notice(notice, group, election):
+    """Apply a notice of a promotion unless a newer promoter is known.
+
+    Parameters
+    ----------
+    notice : heartbeats.PromotionNotice
+    group : server_group.ServerGroup or None
+        None if this process does not know the group.
+    election : promoter_election.PromoterElection
+
+    Returns
+    -------
+    heartbeats.NewestCommit
+    """
+    position = None if group is None else group.acknowledged_commits.position
+    term = notice.promoter_term
+    if term is not None and not election.record_term(term):
+        event_log.event(
+            "promotion_notice_ignored",
+            group=notice.group,
+            successor=notice.successor,
+            revision=term.number,
+            era=term.era,
+            newest_revision=election.newest_term.number,
+            newest_era=election.newest_term.era,
+        )
+        return heartbeats.encode_commit(position, election.newest_term)
+    commit = heartbeats.encode_commit(position)
+    if group is not None:
+        group.announce_promotion(notice.successor)
+        commit.replica_ids = sorted(set(group.pools_by_id) - {group.primary.server_id})
+    return commit
+
 
 class FleetEvidence(PromotionEvidence):
     """Asks the shared store and the proxies that are connected to a group.
@@ -63,33 +115,52 @@
         self._catalog_feed = catalog_feed
         self._fleet = fleet
         self._owner_names = owner_names
+        self._replica_ids_by_group = {}
+
+    def replicas_known_to_others(self, group):
+        """Return ids of the replicas that the proxies named in their last answers."""
+        return self._replica_ids_by_group.get(group, set())
 
     def update_servers(self):
         """Return the future of whether the list of servers is up to date."""
         deadline = self._loop.clock.now() + EVIDENCE_TIMEOUT_SECONDS
         return self._loop.spawn(self._catalog_feed.update_servers(deadline))
 
+    def is_promoter(self):
+        """Return whether this process is the promoter, as far as it knows."""
+        return self._fleet.election.is_promoter
+
     def announce_promotion(self, group, successor):
         """Return the future of the newest commits that other proxies have seen."""
-        notice = heartbeats.PromotionNotice(group, successor)
+        term = self._fleet.election.term_revision
+        if term is None:
+            return completed_future(None)
+        notice = heartbeats.PromotionNotice(group, successor, term.era, term.number)
         return self._loop.spawn(self._tell_proxies(group, notice))
 
     def _tell_proxies(self, group, notice):
         deadline = self._loop.clock.now() + EVIDENCE_TIMEOUT_SECONDS
         names = self._fleet.reports.watchers_of(group) | self._owner_names(group)
+        # A former promoter that the store does not answer learns of its succession.
+        names = {*names, self._fleet.election.predecessor_name}
         members = self._fleet.other_members(names)
         futures = [
             self._loop.spawn(self._tell_proxy(member, notice, deadline))
             for member in members
         ]
-        positions = []
+        commits = []
         for future in futures:
-            positions.append((yield future))
-        return [position for position in positions if position is not None]
+            commits.append((yield future))
+        if any(commit.newer_term is not None for commit in commits):
+            return None
+        self._replica_ids_by_group[group] = {
+            server_id for commit in commits for server_id in commit.replica_ids
+        }
+        return [commit.position for commit in commits if commit.position is not None]
 
     def _tell_proxy(self, member, notice, deadline):
         try:
-            return (yield from self._fleet.announce_promotion(member, notice, deadline))
+            commit = yield from self._fleet.announce_promotion(member, notice, deadline)
         except errors.CassiahillError as error:
             event_log.event(
                 "promotion_unannounced",
@@ -97,4 +168,7 @@
                 peer=member.name,
                 cause=error.detail,
             )
-            return None
+            return heartbeats.NewestCommit()
+        if commit.newer_term is not None:
+            self._fleet.election.record_term(commit.newer_term)
+        return commit
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -278,7 +278,7 @@
 
         Returns
         -------
-        positions.LogPosition or None
+        heartbeats.NewestCommit
             Newest commit of the group that the member has seen acknowledged.
 
         Raises
@@ -482,7 +482,12 @@
 
     def _record_settled(self, promoter, settled, asked_at):
         """Record the promoter's statement, and ask again soon if it does not do."""
-        if settled is msgspec.UNSET:
+        known_promoter = self.election.promoter
+        if (
+            settled is msgspec.UNSET
+            or known_promoter is None
+            or known_promoter.revision < self.election.newest_term
+        ):
             return
         self._process_state.record_settled_groups(
             settled.server_ids_by_group, asked_at - settled.confirmed_age, asked_at
