Ask the nearest replica first for the proof of a commit; probe no other domain

The proof by a replica covers what the answer of another failure domain was to show, so commits no longer cause probes of all servers there, nor wait for them.

--- a/cassiahill/commit_confirmation.py
+++ b/cassiahill/commit_confirmation.py
@@ -39,9 +39,15 @@
     bool
         Whether the client may be told of the commit.
     """
+    if not group.synchronous:
+        return True
+    if group.commit_witnesses is not None:
+        return (yield from _prove(loop, group, server_id, position, deadline))
     if not (yield from _rule_out_partition(loop, group, deadline)):
         return False
-    return (yield from _confirm_at_replica(loop, group, server_id, position, deadline))
+    return (
+        yield from _confirm_at_successor(loop, group, server_id, position, deadline)
+    )
 
 
 def _rule_out_partition(loop, group, deadline):
@@ -62,17 +68,13 @@
     return loop.clock.now() < deadline
 
 
-def _confirm_at_replica(loop, group, server_id, position, deadline):
+def _prove(loop, group, server_id, position, deadline):
     """Return whether a replica proves that a promotion keeps a commit; a task.
 
     See ``commit_witnesses``.
     """
     if position is None:
         return True
-    if group.commit_witnesses is None:
-        return (
-            yield from _confirm_at_successor(loop, group, server_id, position, deadline)
-        )
     while loop.clock.now() < deadline:
         is_proved = yield from _ask_witnesses(
             loop, group, server_id, position, deadline
@@ -118,7 +120,7 @@
         if promotion is None:
             # An announcement that has lapsed does not tell that nothing is promoted.
             return not is_held or group.is_promotion_withdrawn
-        if server_id == promotion.successor:
+        if position is None or server_id == promotion.successor:
             return True
         is_held = True
         status_deadline = min(deadline, loop.clock.now() + STATUS_TIMEOUT_SECONDS)
--- a/cassiahill/commit_witnesses.py
+++ b/cassiahill/commit_witnesses.py
@@ -58,13 +58,25 @@
         self._heard_at = max(self._heard_at, heard_at)
 
     def usable_ids(self, primary_id, now):
-        """Return the ids of all servers but the primary that have such a connection."""
-        return [
+        """Return the ids of all servers but the primary that have such a connection.
+
+        Those that answer come first, and among them the nearest and least busy ones.
+        """
+        usable_ids = [
             server_id
             for server_id, pool in self._pools_by_id.items()
             if server_id != primary_id
             and pool.opened_before(self._limit(server_id, now))
         ]
+        return sorted(usable_ids, key=lambda server_id: self._order(server_id, now))
+
+    def _order(self, server_id, now):
+        pool = self._pools_by_id[server_id]
+        return (
+            pool.has_unanswered_requests(now),
+            pool.round_trip.usual_seconds,
+            pool.running_statements,
+        )
 
     def await_statement(self, primary_id):
         """Return whether a replica has idle connections, but none proves commits."""
