Handle pipelined HTTP requests only while their answers can be sent

Callers that pipelined requests with large answers and read them slowly lost the connection: of 40 answers of 1 MB each, 4 arrived, then it closed.

Cause: requests were handled one after another whatever the client had read, so that their answers exceeded the write buffer's limit of 8 MiB, which closes the stream.

A stream now tells when more than 1 MiB waits to be sent, and when that has been sent. The server handles the next request only then. A request that arrives meanwhile waits behind the others.

test_http1.test_large_answers_to_a_client_that_reads_late failed before, with 36 MB of 40 MB missing.

--- a/cassiahill/http1.py
+++ b/cassiahill/http1.py
@@ -129,7 +129,8 @@
 class _ServerConnection(_MessageCollector):
     """One accepted connection; answers pipelined requests in their order.
 
-    One request at a time is handled. Reading is paused when another arrives meanwhile.
+    One request at a time is handled, and none while the client is slow to read earlier
+    answers. Reading is paused when another request arrives meanwhile.
     """
 
     __slots__ = (
@@ -149,6 +150,7 @@
         self.stream = transport.Stream(
             server.loop, sock, self._on_data, self._on_closed
         )
+        self.stream.on_drained = self._handle_waiting_request
 
     def _on_data(self, data):
         # The parser is created with the first data, because a connection without one
@@ -180,7 +182,7 @@
             peer_name=self.stream.peer_name,
         )
         keep_alive = self._parser.should_keep_alive()
-        if self._handling_request:
+        if self._handling_request or self._waiting_requests or self.stream.is_congested:
             if self._waiting_requests is None:
                 self._waiting_requests = collections.deque()
             self._waiting_requests.append((request, keep_alive))
@@ -197,7 +199,7 @@
         answer = self._start_request(request, keep_alive)
         while answer is not None:
             self._respond(answer, keep_alive)
-            if self.stream.closing or not self._waiting_requests:
+            if not self._may_handle_waiting_request():
                 return
             request, keep_alive = self._waiting_requests.popleft()
             answer = self._start_request(request, keep_alive)
@@ -225,9 +227,22 @@
     def _respond_late(self, done_future, keep_alive):
         """Respond to a request whose handler has ended, and handle those behind it."""
         self._respond(_response_from_future(done_future), keep_alive)
-        if not self.stream.closing and self._waiting_requests:
+        self._handle_waiting_request()
+
+    def _handle_waiting_request(self):
+        """Handle the requests that wait, if the client reads the answers."""
+        if self._may_handle_waiting_request():
             self._handle_request(*self._waiting_requests.popleft())
 
+    def _may_handle_waiting_request(self):
+        return (
+            bool(self._waiting_requests)
+            and not self._handling_request
+            and not self.stream.closing
+            and not self.stream.closed
+            and not self.stream.is_congested
+        )
+
     def _respond(self, response, keep_alive):
         self._server.requests_in_flight -= 1
         self._handling_request = False
--- a/cassiahill/transport.py
+++ b/cassiahill/transport.py
@@ -10,6 +10,9 @@
 
 MAX_RECEIVE_BYTES = 65_536
 MAX_WRITE_BUFFER_BYTES = 8 * 1024 * 1024
+# Above this, the owner of a stream produces no more for it. The rest of
+# ``MAX_WRITE_BUFFER_BYTES`` is room for one more message of the largest size.
+CONGESTED_WRITE_BUFFER_BYTES = 1024 * 1024
 LISTEN_BACKLOG = 1024
 # With these values the kernel closes a connection about 4 s after the other end has
 # become unreachable.
@@ -43,6 +46,8 @@
         Whether the stream closes as soon as the buffered bytes have been sent.
     peer_name : str or None
         Common name in the certificate of the other end, once known.
+    on_drained : callable or None
+        Called without arguments when the stream is no longer congested.
     """
 
     __slots__ = (
@@ -57,6 +62,7 @@
         "_watched_events",
         "closed",
         "closing",
+        "on_drained",
         "peer_name",
     )
 
@@ -73,9 +79,15 @@
         self._reading_paused = False
         self.closed = False
         self.closing = False
+        self.on_drained = None
         self.peer_name = None
         self._update_watch()
 
+    @property
+    def is_congested(self):
+        """Whether the other end reads so slowly that nothing more should be written."""
+        return len(self._write_buffer) > CONGESTED_WRITE_BUFFER_BYTES
+
     def write(self, data):
         """Send bytes, and buffer those that the socket does not accept now.
 
@@ -157,7 +169,7 @@
         if self._in_handshake and not self._continue_handshake():
             return
         if events & WRITE and self._write_buffer:
-            del self._write_buffer[: self._send(self._write_buffer)]
+            self._send_buffered()
         if self.closed:
             return
         if events & READ:
@@ -183,9 +195,21 @@
         self._in_handshake = False
         self.peer_name = _common_name(self._sock.getpeercert())
         if self._write_buffer:
-            del self._write_buffer[: self._send(self._write_buffer)]
+            self._send_buffered()
         return not self.closed
 
+    def _send_buffered(self):
+        was_congested = self.is_congested
+        del self._write_buffer[: self._send(self._write_buffer)]
+        if (
+            was_congested
+            and not self.is_congested
+            and not self.closed
+            and self.on_drained is not None
+        ):
+            # In a later turn, because the stream is in the middle of an event.
+            self._loop.call_soon(self.on_drained)
+
     def _send(self, data):
         """Send what the socket accepts now; return the number of bytes."""
         try:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -110,6 +110,45 @@
         self.assertGreater(sent_bytes, transport.MAX_RECEIVE_BYTES)
         self.assertLessEqual(waiting_bytes, 2 * transport.MAX_RECEIVE_BYTES)
 
+    def test_large_answers_to_a_client_that_reads_late(self):
+        """Guards against answers that are lost because the client reads them slowly.
+
+        Pipelined requests were handled while their answers queued up, until those
+        exceeded the limit of the write buffer and the connection was closed.
+        """
+        request_count = 40
+        body = b"x" * 1_000_000
+        for is_late in (False, True):
+            handled = []
+
+            def handle_large(request, _connection, handled=handled, is_late=is_late):
+                handled.append(request.path)
+                response = http1.Response(200, body)
+                return loop.completed_future(response) if is_late else response
+
+            self.server.handler = handle_large
+            sock = self.connect()
+            sock.send(
+                b"".join(b"GET /%d HTTP/1.1\r\n\r\n" % n for n in range(request_count))
+            )
+            for _ in range(MAX_LOOP_TURNS):
+                self.loop.call_soon(lambda: None)
+                self.loop._run_once()
+            self.assertLessEqual(self.receive(sock, request_count * len(body)), 0)
+            self.assertEqual(handled, [f"/{n}" for n in range(request_count)])
+
+    def receive(self, sock, expected_bytes):
+        """Receive until an end or ``expected_bytes``; return the missing bytes."""
+        while expected_bytes > 0:
+            self.loop.call_at(self.loop.clock.now() + 0.001, lambda: None)
+            self.loop._run_once()
+            with contextlib.suppress(BlockingIOError):
+                chunk = sock.recv(1 << 20)
+                if not chunk:
+                    break
+                expected_bytes -= len(chunk)
+        return expected_bytes
+
     def test_client_receives_the_headers_of_its_response(self):
         """Guards against headers of one response that are taken for the next one's."""
         self.server.handler = lambda request, _connection: http1.json_response(
