Run pipelined statements only while their replies can be sent

A client that sent 40 reads with replies of 1 MB at once, and read the replies late, got 4 of them; then its session was closed. The same happened to a relayed session, at the relaying proxy or at the owner.

A session runs its next statement when its stream is no longer congested. A relaying proxy stops reading from the owner while the client is slow, with the timeout of the reply stopped as well, and passes nothing on while the owner is slow to read. A session that is about to close runs no further statement.

--- a/cassiahill/relays.py
+++ b/cassiahill/relays.py
@@ -34,6 +34,8 @@
     on_ended : callable
         Called once when the relay ends, with the ``Reply`` to an outstanding statement
         or None.
+    on_drained : callable
+        Called when the relay is no longer congested.
 
     Attributes
     ----------
@@ -50,6 +52,7 @@
         timeout_seconds,
         send_to_client,
         on_ended,
+        on_drained,
     ):
         self._loop = loop
         self._dialect = dialect
@@ -61,8 +64,10 @@
         self._shapes_by_name = {}
         self._in_transaction = False
         self._timer = None
+        self._reading_paused = False
         self.owner_accepted = LoopFuture()
         self._stream = transport.connect(loop, address, self._on_data, self._on_closed)
+        self._stream.on_drained = on_drained
         self._stream.write(first_line)
 
     @property
@@ -75,6 +80,23 @@
         """Number of statements without a reply yet."""
         return len(self._outstanding_requests)
 
+    @property
+    def is_congested(self):
+        """Whether the owner reads so slowly that nothing more should be sent."""
+        return self._stream.is_congested
+
+    def set_reading_paused(self, paused):
+        """Stop or resume reading replies, while the client is slow to read them.
+
+        No reply is late meanwhile.
+        """
+        if paused is self._reading_paused:
+            return
+        self._reading_paused = paused
+        self._stream.set_reading_paused(paused)
+        self._cancel_timer()
+        self._start_timer()
+
     def send(self, line, request):
         """Forward a statement to the owner.
 
@@ -98,7 +120,8 @@
 
     def _start_timer(self):
         """Start the timeout of the oldest outstanding request."""
-        if self._timer is None and self._outstanding_requests:
+        is_due = self._outstanding_requests and not self._reading_paused
+        if self._timer is None and is_due:
             timeout_at = (
                 self._loop.clock.now() + self._timeout_seconds + REPLY_GRACE_SECONDS
             )
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -60,6 +60,7 @@
         self._stream = transport.Stream(
             self._loop, sock, self._on_data, self._on_closed
         )
+        self._stream.on_drained = self._on_drained
 
     @property
     def is_idle(self):
@@ -180,13 +181,24 @@
         self._close_at_rest()
 
     def _may_process_line(self):
-        """Return whether a line waits, no request runs, and the client is there."""
+        """Return whether a line waits, no request runs, and its reply can be sent."""
         return (
             bool(self._pending_lines)
             and self._running_id is None
             and not self._stream.closed
+            and not self._stream.closing
+            and not self._stream.is_congested
+            and not (self._relay is not None and self._relay.is_congested)
         )
 
+    def _on_drained(self):
+        """Go on after the client has read earlier replies."""
+        if self._stream.closed or self._stream.closing:
+            return
+        if self._relay is not None:
+            self._relay.set_reading_paused(False)
+        self._process_lines()
+
     def _close_at_rest(self):
         """Close the session if it is idle and the proxy stops."""
         if (
@@ -268,6 +280,7 @@
             timeout_seconds,
             self._forward_to_client,
             self._on_relay_ended,
+            self._process_lines,
         )
 
     def _relay_request(self, request, line):
@@ -288,6 +301,8 @@
         """Forward an owner's reply to the client."""
         self.last_active_at = self._loop.clock.now()
         self._stream.write(data)
+        if self._stream.is_congested:
+            self._relay.set_reading_paused(True)
         self._close_at_rest()
 
     def _on_relay_ended(self, reply):
--- a/tests/line_group.py
+++ b/tests/line_group.py
@@ -116,6 +116,8 @@
         Commits of the primary, and those among them that were acknowledged.
     acknowledged_before_promotion : list of LogPosition
         Commits that were acknowledged before the last promotion.
+    read_rows : tuple of bytes
+        Rows in the reply to each read.
     """
 
     def __init__(self, loop, name="orders", servers=("a", "b", "c"), synchronous=True):
@@ -129,6 +131,7 @@
         self.committed = []
         self.acknowledged = []
         self.acknowledged_before_promotion = []
+        self.read_rows = ()
         first_log = [LogPosition(1, 1)]
         self.by_id = {
             server_id: InMemoryServer(
@@ -357,7 +360,8 @@
             self._wrote = True
             if self._state is TransactionState.IDLE:
                 return self._commit(TransactionState.IDLE)
-        return self._reply()
+            return self._reply()
+        return self._reply(rows=self._group.read_rows)
 
     def _run_proxy_statement(self, statement, is_primary):
         """Run a statement that the proxy issues itself."""
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -55,6 +55,30 @@
         answers = client.exchange(*[b"QUERY %d READ a" % n for n in range(1000)])
         self.assertEqual(len([answer for answer in answers if answer]), 1000)
 
+    def test_large_answers_to_a_client_that_reads_late(self):
+        """Guards against answers that are lost because the client reads them slowly.
+
+        Statements were run while their answers queued up, until those exceeded the
+        limit of the write buffer and the session was closed.
+        """
+        row = b"x" * 1_000_000
+        self.servers.backend_group.read_rows = (row,)
+        client = self.client()
+        statement_count = 40
+        client.send_lines(*[b"QUERY %d READ a" % n for n in range(statement_count)])
+        while self.servers.run_on_loop(self.makes_progress):
+            pass
+        answers = [client.read_answer() for _ in range(statement_count)]
+        self.assertEqual(len([answer for answer in answers if answer]), statement_count)
+        self.assertEqual(answers[0][0], b"ROW " + row)
+
+    def makes_progress(self):
+        """Return whether a session runs a statement or reads the client's lines."""
+        return any(
+            session._running_id is not None or not session._pending_lines
+            for session in self.servers.owner_server._sessions
+        )
+
     def test_line_feed_in_data_is_no_end_of_a_line(self):
         """Guards against data that is cut off, or that runs as another statement."""
         text = b"WRITE a Flat 3\nQUERY 2 WRITE b other\r"
