Keep a link between proxies open when many large messages meet on it

All calls of a link failed with an unknown outcome when several of them were large: 8 answers, or 8 requests, of 3 MB each at the same time closed it.

Cause: each message was written at once, so that together they exceeded the write buffer's limit of 8 MiB, which closes the stream. The limit on queued requests counted only those of a link that was not open yet.

A link now writes as long as its stream is not congested and goes on when it has drained. A request beyond 4 MiB that wait is refused, not sent. An answer beyond 32 MiB that wait becomes an unknown outcome of its own call alone, because its statement has run.

The three new tests in test_peer_calls failed before (connection lost). The calls of these tests have 60 s now, because none of them is about the deadline.

--- a/cassiahill/peer_calls.py
+++ b/cassiahill/peer_calls.py
@@ -14,6 +14,8 @@
 MAX_PAYLOAD_BYTES = peer_links.MAX_FRAME_BYTES - peer_links.MAX_HELLO_BYTES
 MAX_PENDING_CALLS = 10_000
 MAX_QUEUED_BYTES = 4 * 1024 * 1024
+# Answers that wait on one link for the other proxy to read earlier ones.
+MAX_QUEUED_ANSWER_BYTES = 32 * 1024 * 1024
 LINK_ANSWER_TIMEOUT_SECONDS = 2.0  # A link without any answer is closed after this.
 RECONNECT_DELAY_SECONDS = 0.1
 OK_KIND = "ok"
@@ -100,6 +102,9 @@
         elif len(future.result()) > MAX_PAYLOAD_BYTES:
             error = errors.ResponseTooLarge("the answer is larger than a frame")
             self._send_problem(link, sequence, error)
+        elif link.queued_bytes + len(future.result()) > MAX_QUEUED_ANSWER_BYTES:
+            error = errors.OutcomeUnknown("too many answers wait on the link")
+            self._send_problem(link, sequence, error)
         else:
             link.send(sequence, OK_KIND, future.result())
 
@@ -217,9 +222,10 @@
         if len(payload) > MAX_PAYLOAD_BYTES:
             return errors.RequestTooLarge("larger than a frame")
         pending_count = len(self._calls_by_sequence) + len(self._queued_calls)
-        if pending_count >= MAX_PENDING_CALLS or (
-            self._queued_bytes + len(payload) > MAX_QUEUED_BYTES
-        ):
+        queued_bytes = self._queued_bytes + len(payload)
+        if self._link is not None:
+            queued_bytes += self._link.queued_bytes
+        if pending_count >= MAX_PENDING_CALLS or queued_bytes > MAX_QUEUED_BYTES:
             return errors.Overloaded("too many calls to this proxy")
         if self._link is None and now < self._next_connect_at:
             return errors.BackendUnavailable("the proxy was unreachable just now")
--- a/cassiahill/peer_links.py
+++ b/cassiahill/peer_links.py
@@ -5,6 +5,7 @@
 are numbered without gaps, so that a repeated or lost message is noticed.
 """
 
+import collections
 import secrets
 import struct
 
@@ -47,16 +48,22 @@
         self._handler = handler
         self._nonce = secrets.token_bytes(NONCE_BYTES)
         self._buffer = bytearray()
-        self._queued_messages = []
+        self._queued_messages = collections.deque()
         self._queued_bytes = 0
         self._send_hasher = self._receive_hasher = None
-        self._last_sent_sequence = self._last_received_sequence = 0
+        self._last_queued_sequence = self._last_received_sequence = 0
         self.authenticated_peer = None
         self.stream = None
 
+    @property
+    def queued_bytes(self):
+        """Bytes of the payloads that wait for the other end to read earlier ones."""
+        return self._queued_bytes
+
     def start(self, stream):
         """Send the hello message on a stream that calls ``on_data`` with its input."""
         self.stream = stream
+        stream.on_drained = self._flush
         self._loop.call_at(
             self._loop.clock.now() + HELLO_TIMEOUT_SECONDS, self._check_hello_deadline
         )
@@ -67,7 +74,10 @@
         )
 
     def send(self, request_sequence, kind, payload):
-        """Queue one message until the end of the loop's turn; return its sequence.
+        """Queue one message; return its sequence.
+
+        It is sent at the end of the loop's turn, or later if the other end is slow to
+        read.
 
         Parameters
         ----------
@@ -80,20 +90,37 @@
             self._loop.call_soon(self._flush)
         elif self._queued_bytes + len(payload) > MAX_BATCH_BYTES:
             self._flush()
-        self._last_sent_sequence += 1
+        self._last_queued_sequence += 1
         self._queued_messages.append((request_sequence, kind, payload))
         self._queued_bytes += len(payload)
-        return self._last_sent_sequence
+        return self._last_queued_sequence
 
     def _flush(self):
-        if not self._queued_messages:
-            return
-        messages, self._queued_messages, self._queued_bytes = (
-            self._queued_messages,
-            [],
-            0,
+        """Send the queued messages as far as the other end reads them."""
+        while (
+            self._queued_messages
+            and not self.stream.closed
+            and not self.stream.is_congested
+        ):
+            self._write_batch(self._take_batch())
+
+    def _take_batch(self):
+        """Remove the next message, and as many more as fit into one batch."""
+        batch_bytes = 0
+        messages = []
+        while self._queued_messages:
+            payload_bytes = len(self._queued_messages[0][2])
+            if messages and batch_bytes + payload_bytes > MAX_BATCH_BYTES:
+                break
+            messages.append(self._queued_messages.popleft())
+            batch_bytes += payload_bytes
+        self._queued_bytes -= batch_bytes
+        return messages
+
+    def _write_batch(self, messages):
+        first_sequence = (
+            self._last_queued_sequence - len(self._queued_messages) - len(messages) + 1
         )
-        first_sequence = self._last_sent_sequence - len(messages) + 1
         if len(messages) == 1:
             request_sequence, kind, payload = messages[0]
         else:
