Refuse truncated answers, and end blocking calls at their deadline

A call to the platform whose connection ended after the headers of a success was taken for a confirmed change with an empty answer, and a call could hold its thread for several times its timeout.

Causes: http.client's read with a number of bytes does not tell that an answer is shorter than its Content-Length. The time-out of the socket, set when it connected, was the whole time of the call for each write again.

A shorter answer is now a lost connection with an unknown outcome. A DeadlineSocket gives each write and read the time that is left.

--- a/cassiahill/blocking_http.py
+++ b/cassiahill/blocking_http.py
@@ -2,11 +2,11 @@
 
 import contextlib
 import http.client
-import io
 import socket
 import threading
 
 from cassiahill import errors, http1
+from cassiahill.deadline_socket import DeadlineSocket
 
 # Bounds the memory of one answer. It is large because the list of all objects of a kind
 # comes in one answer.
@@ -14,30 +14,6 @@
 _READ_CHUNK_BYTES = 65_536
 
 
-class _DeadlineReader(io.RawIOBase):
-    """Reads from a socket with one deadline for all reads together."""
-
-    def __init__(self, sock, deadline, clock_source):
-        super().__init__()
-        self._sock = sock
-        self._deadline = deadline
-        self._clock = clock_source
-
-    def readable(self):
-        return True
-
-    def readinto(self, buffer):
-        remaining_seconds = self._deadline - self._clock.now()
-        if remaining_seconds <= 0:
-            raise TimeoutError("the deadline passed")
-        self._sock.settimeout(remaining_seconds)
-        return self._sock.recv_into(buffer)
-
-    def makefile(self, _mode):
-        """Return the buffered reader that ``HTTPResponse`` asks a socket for."""
-        return io.BufferedReader(self)
-
-
 class OpenSockets:
     """The sockets of requests in flight, so that another thread can abort them."""
 
@@ -116,13 +92,14 @@
     except OSError as error:
         detail = f"no connection to {host}:{port}: {error}"
         raise errors.ConnectionLost(detail, may_have_run="no") from error
+    connected_socket = connection.sock
+    connection.sock = DeadlineSocket(connected_socket, clock_source.now)
+    connection.sock.deadline = deadline
     tracked_sockets = open_sockets or OpenSockets()
     try:
-        with tracked_sockets.track(connection.sock):
+        with tracked_sockets.track(connected_socket):
             connection.request(request.method, target, request.body, headers)
-            reader = _DeadlineReader(connection.sock, deadline, clock_source)
-            response = http.client.HTTPResponse(reader, method=request.method)
-            response.begin()
+            response = connection.getresponse()
             body = _read_body(response)
     except (OSError, http.client.HTTPException, ValueError) as error:
         detail = f"no answer of {host}:{port}: {type(error).__name__}: {error}"
@@ -141,4 +118,7 @@
         if body_bytes > MAX_ANSWER_BYTES:
             raise ValueError("the answer is too large")
         chunks.append(chunk)
+    if response.length:
+        # ``read`` with a number of bytes does not tell that the connection ended early.
+        raise http.client.IncompleteRead(b"", response.length)
     return b"".join(chunks)
