End a caller's request at its deadline when the answer arrives slowly

A caller of the Python client waited for as long as a proxy sent a byte now and then: the time-out of the socket started anew with each read.

The client's connections use DeadlineSocket too, with the deadline of each request and the same time of grace as before.

test_client.test_answer_that_arrives_slowly_ends_at_the_deadline failed before (no error: the whole answer was read).

--- a/cassiahill/client_connections.py
+++ b/cassiahill/client_connections.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from cassiahill import errors
+from cassiahill.deadline_socket import DeadlineSocket
 
 AVOID_PROXY_SECONDS = 3.0  # A proxy that drained or failed is tried last for this long.
 MAX_IDLE_CONNECTIONS = 16
@@ -129,9 +130,7 @@
 
     def _send_on_connection(self, connection, path, body, deadline):
         """Return the status, the decoded answer, and whether the proxy will close."""
-        connection.sock.settimeout(
-            max(0.0, deadline - self._now()) + ANSWER_GRACE_SECONDS
-        )
+        connection.sock.deadline = max(deadline, self._now()) + ANSWER_GRACE_SECONDS
         try:
             connection.request("POST", path, msgspec.json.encode(body), self._headers)
             response = connection.getresponse()
@@ -184,6 +183,7 @@
                 f"proxy {host}:{port}: {error}", retry_after=0.0
             ) from error
         connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.sock = DeadlineSocket(connection.sock, self._now)
         return connection
 
     def _release_connection(self, address, connection):
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -1,11 +1,14 @@
 """Tests of ``cassiahill.client`` against proxies with scripted answers."""
 
 import contextlib
+import http.client
 import threading
 import unittest
+from unittest import mock
 
-from cassiahill import client, errors
+from cassiahill import client, client_connections, clock, errors
 from tests.fake_proxy import DROP, FakeProxy, error_entry, running_proxies
+from tests.slow_socket import SlowSocket
 
 # Script entries of a proxy: the answer to a statement, and those to an outcome request.
 OK = (200, {"columns": ["a"], "rows": [[1]], "row_count": 1, "session": "t1"}, False)
@@ -184,6 +187,26 @@
         # 5 retries are available at the start, and 50 requests earn 5 more.
         self.assertLessEqual(len(proxy.requests), 50 + 5 + 5)
 
+    def test_answer_that_arrives_slowly_ends_at_the_deadline(self):
+        """Guards against a caller that a proxy holds by a byte now and then."""
+        manual_clock = clock.ManualClock()
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+        def connect(connection):
+            connection.sock = SlowSocket(manual_clock, answer, connection.timeout, 1.0)
+
+        with (
+            mock.patch.object(http.client.HTTPConnection, "connect", connect),
+            client.Client([("127.0.0.1", 1)], "ana", now=manual_clock.now) as caller,
+            self.assertRaises(errors.OutcomeUnknown),
+        ):
+            started_at = manual_clock.now()
+            caller.session().write("g", "INSERT", timeout=5.0)
+        self.assertLessEqual(
+            manual_clock.now() - started_at,
+            5.0 + client_connections.ANSWER_GRACE_SECONDS,
+        )
+
     def test_threads_receive_the_answers_to_their_own_requests(self):
         """Guards against an answer that another thread receives."""
         proxy = FakeProxy(default=echo_statement)
