Ask a peer for the spread values in parts when they are too many

A process that started did not become ready when its peers held more than 4 MiB of spread values, for example the states of 16,000 hosts with long names: the answer to the request for all of them exceeds a frame, and the same request was sent again for ever. Pulls between running processes failed in the same way.

When the answer is too large, the request is now made again in two halves of its buckets.

test_gossip.test_new_member_learns_all_values failed before (three requests failed, not ready). A new test of malformed answers passed before and after.

--- a/cassiahill/gossip.py
+++ b/cassiahill/gossip.py
@@ -300,7 +300,7 @@
                             tuple(member.peer_address), SPREADING_KIND, payload
                         )
                 case rumors.RequestBuckets(peer, bucket_request):
-                    self._request_buckets(peer, bucket_request)
+                    self._loop.spawn(self._request_buckets(peer, bucket_request))
                 case rumors.FetchValue():
                     self._fetch_value(action)
                 case rumors.ValueInstalled(kind, name, generation, value):
@@ -325,7 +325,7 @@
 
     def _exchange_members(self, address, request):
         def on_answer(payload):
-            answer = msgspec.msgpack.decode(payload, type=swim.SyncAnswer)
+            answer = self._decode_answer(address, payload, swim.SyncAnswer)
             self._step_membership(swim.MessageReceived("", answer))
 
         self._call_peer(
@@ -333,17 +333,33 @@
         )
 
     def _request_buckets(self, peer, bucket_request):
-        def on_answer(payload):
-            answer = msgspec.msgpack.decode(payload, type=rumors.Rumors)
-            self._step_spreader(rumors.BucketsReceived(peer, answer))
+        """Request the rumors of buckets and pass on what comes; a task."""
+        try:
+            received = yield from self._collect_rumors(peer, bucket_request.buckets)
+        except errors.CassiahillError:
+            event = rumors.BucketRequestFailed(peer)
+        else:
+            event = rumors.BucketsReceived(peer, rumors.Rumors(received))
+        if not self._closed:
+            self._step_spreader(event)
 
-        self._call_member(
-            peer,
-            BUCKETS_KIND,
-            _encoder.encode(bucket_request),
-            on_answer,
-            lambda: self._step_spreader(rumors.BucketRequestFailed(peer)),
-        )
+    def _collect_rumors(self, peer, buckets):
+        """Return the rumors of buckets, asked for in parts if they are too many."""
+        member = self.membership.members_by_name.get(peer)
+        if member is None:
+            raise errors.NotFound(f"{peer} is no member")
+        address = tuple(member.peer_address)
+        request = _encoder.encode(rumors.BucketRequest(buckets))
+        try:
+            payload = yield self._start_call(address, BUCKETS_KIND, request)
+        except errors.ResponseTooLarge:
+            if len(buckets) == 1:
+                raise
+            middle = len(buckets) // 2
+            first_part = yield from self._collect_rumors(peer, buckets[:middle])
+            second_part = yield from self._collect_rumors(peer, buckets[middle:])
+            return first_part + second_part
+        return self._decode_answer(address, payload, rumors.Rumors).rumors
 
     def _fetch_value(self, fetch):
         key = (fetch.kind, fetch.name, fetch.generation)
@@ -373,9 +389,6 @@
             )
 
     def _call_peer(self, address, kind, payload, on_answer, on_failure):
-        deadline = self._loop.clock.now() + CALL_TIMEOUT_SECONDS
-        future = self._client_for(address).call(kind, payload, deadline)
-
         def finish(done_future):
             if self._closed:
                 return
@@ -383,13 +396,30 @@
                 on_answer(done_future.result())
             except errors.CassiahillError:
                 on_failure()
-            except (msgspec.MsgspecError, zlib.error):
-                self.refusals_by_reason["malformed answer"] += 1
-                logging.warning("event=malformed_answer address=%s", address)
+            except zlib.error:
+                self._record_malformed_answer(address)
                 on_failure()
 
+        future = self._start_call(address, kind, payload)
         self._loop.when_done(future, lambda done: self._loop.call_soon(finish, done))
 
+    def _start_call(self, address, kind, payload):
+        """Send a call to a peer; return the future of the answer's bytes."""
+        deadline = self._loop.clock.now() + CALL_TIMEOUT_SECONDS
+        return self._client_for(address).call(kind, payload, deadline)
+
+    def _decode_answer(self, address, payload, message_type):
+        """Return the message in a peer's answer, or raise ``errors.PeerRejected``."""
+        try:
+            return msgspec.msgpack.decode(payload, type=message_type)
+        except msgspec.MsgspecError as error:
+            self._record_malformed_answer(address)
+            raise errors.PeerRejected("malformed answer") from error
+
+    def _record_malformed_answer(self, address):
+        self.refusals_by_reason["malformed answer"] += 1
+        logging.warning("event=malformed_answer address=%s", address)
+
     def _client_for(self, address):
         client = self._clients_by_address.pop(address, None)
         if client is None:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -9,15 +10,27 @@
 from tests.loopback import free_address
 
 SECRET = b"fleet secret"
+VALUE_COUNT = 16_000  # Below rumor_spreading.MAX_VALUES.
+LONGEST_HOST_NAME = 253  # Characters of a DNS name.
+MAX_FAILED_REQUESTS = 3
 
 
-class GossipTest(unittest.TestCase):
-    def setUp(self):
-        self.loop = loop.EventLoop(clock.SystemClock())
-        self.addCleanup(self.loop.close)
-        self.seed = free_address()
-        self.nodes = [self.start(number, self.seed) for number in range(1)]
-        self.nodes += [self.start(number, free_address()) for number in range(1, 4)]
+def record_failed_bucket_requests(node):
+    """Return the list that will get the peer of each failed bucket request."""
+    failed = []
+    step = node.spreader.step
+
+    def record_failure(event, now):
+        if isinstance(event, rumors.BucketRequestFailed):
+            failed.append(event.peer)
+        return step(event, now)
+
+    node.spreader.step = record_failure
+    return failed
+
+
+class NodeTestCase(unittest.TestCase):
+    """Starts members on the event loop of the test, ``loop``, with one ``seed``."""
 
     def start(self, number, address):
         own_member = swim.Member(f"p{number}", address, "domain")
@@ -30,6 +43,15 @@
         self.addCleanup(node.close)
         return node
 
+
+class GossipTest(NodeTestCase):
+    def setUp(self):
+        self.loop = loop.EventLoop(clock.SystemClock())
+        self.addCleanup(self.loop.close)
+        self.seed = free_address()
+        self.nodes = [self.start(number, self.seed) for number in range(1)]
+        self.nodes += [self.start(number, free_address()) for number in range(1, 4)]
+
     def run_until(self, condition):
         while not condition():
             self.loop._run_once()
@@ -123,3 +145,58 @@
             self.assertTrue(
                 node._datagram_endpoint.send(self.seed, "m", payload), len(payload)
             )
+
+
+class ManyValuesTest(NodeTestCase):
+    def test_new_member_learns_all_values(self):
+        """Guards against a process that never starts because the values are too many.
+
+        Together they exceeded the largest answer of a peer, and the same request was
+        sent again and again.
+        """
+        # The deadline of a call is not what this test is about.
+        self.enterContext(mock.patch.object(gossip, "CALL_TIMEOUT_SECONDS", 60.0))
+        self.loop = loop.EventLoop(clock.SystemClock())
+        self.addCleanup(self.loop.close)
+        self.seed = free_address()
+        first = self.start(0, self.seed)
+        while not first.ready.done():
+            self.loop._run_once()
+        for number in range(VALUE_COUNT):
+            name = f"{number}.".ljust(LONGEST_HOST_NAME, "n")
+            first.publish(gossip.HOST_VALUE_KIND, name, 1, gossip.HOST_LEAVING)
+        everything = msgspec.msgpack.encode(rumors.BucketRequest(tuple(range(64))))
+        answer = first.handle_request("p1", gossip.BUCKETS_KIND, everything).result()
+        self.assertGreater(len(answer), peer_calls.MAX_PAYLOAD_BYTES)
+        second = self.start(1, free_address())
+        failed = record_failed_bucket_requests(second)
+        while not second.ready.done() and len(failed) < MAX_FAILED_REQUESTS:
+            self.loop._run_once()
+        self.assertTrue(second.ready.done())
+        self.assertEqual(len(second.leaving_hosts()), VALUE_COUNT)
+
+
+class MalformedAnswerTest(unittest.TestCase):
+    def test_malformed_answer_counts_as_failure(self):
+        """Guards against a peer that is waited for after a malformed answer."""
+        event_loop = loop.EventLoop(clock.SystemClock())
+        self.addCleanup(event_loop.close)
+        own_member = swim.Member("p0", free_address(), "domain")
+        node = gossip.Gossip(event_loop, own_member, [], SECRET, random.Random(1))
+        self.addCleanup(node.close)
+        address = free_address()
+        listener = peer_calls.PeerListener(
+            event_loop,
+            address,
+            lambda *_request: loop.completed_future(b"\xc1"),
+            SECRET,
+            "p1",
+        )
+        self.addCleanup(listener.close)
+        peer = swim.Member("p1", address, "domain")
+        node.membership.step(swim.MessageReceived("", swim.SyncAnswer((peer,))), 0.0)
+        failed = record_failed_bucket_requests(node)
+        while not failed:
+            event_loop._run_once()
+        self.assertEqual(failed[0], "p1")
+        self.assertGreater(node.refusals_by_reason["malformed answer"], 0)
