Limit the bytes of the statements that wait in a session

One client could make the proxy hold 65 MiB: reading paused after 64 waiting lines, whatever their length, and a line may have 1 MiB.

The waiting lines are now a queue of their own module, which is full after 64 lines or 1 MiB, whichever comes first. Reading resumes at half of both.

--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -1,7 +1,5 @@
 """Client sessions: each connection is a session that runs one request at a time."""
 
-import collections
-
 from cassiahill import (
     errors,
     event_log,
@@ -12,11 +10,11 @@
     transport,
 )
 from cassiahill.line_reader import LINE_END, LineReader
+from cassiahill.pending_lines import PendingLines
 from cassiahill.session_executor import SessionExecutor, Transaction
 from cassiahill.statement_sender import SessionRequest, SessionState
 from cassiahill.statements import Code, Reply, TransactionState
 
-MAX_PENDING_LINES = 64  # Reading pauses when a client pipelines more.
 CLOSE_TIMEOUT_SECONDS = 0.5  # Time for another proxy to close an ended relay.
 # Sessions are closed only after this idle time, which is longer than a client takes to
 # send a statement that it has ready.
@@ -46,7 +44,7 @@
         self._owner_domain = None
         self._loop = server.loop
         self._reader = LineReader()
-        self._pending_lines = collections.deque()
+        self._pending_lines = PendingLines()
         self._running_id = None
         self._processing_lines = False
         self._session_state = SessionState()
@@ -144,8 +142,8 @@
             self._refuse_and_close(Code.TOO_LARGE, error.detail)
             return
         for line in lines:
-            self._pending_lines.append((line, arrived_at))
-        if len(self._pending_lines) > MAX_PENDING_LINES:
+            self._pending_lines.append(line, arrived_at)
+        if self._pending_lines.is_full:
             self._stream.set_reading_paused(True)
         self._process_lines()
 
@@ -173,7 +171,7 @@
         try:
             while self._may_process_line():
                 line, arrived_at = self._pending_lines.popleft()
-                if len(self._pending_lines) == MAX_PENDING_LINES // 2:
+                if self._pending_lines.has_room:
                     self._stream.set_reading_paused(False)
                 self._process_line(line, arrived_at)
         finally:
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -72,6 +72,29 @@
         self.assertEqual(len([answer for answer in answers if answer]), statement_count)
         self.assertEqual(answers[0][0], b"ROW " + row)
 
+    def test_long_lines_behind_a_slow_statement(self):
+        """Guards against a client that fills the memory with few long lines."""
+        client = self.client()
+        line = b"QUERY 1 EXECUTE " + b"x" * 1_000_000
+        line_count = self.servers.run_on_loop(lambda: self.feed_until_paused(line))
+        self.assertLessEqual(line_count, 3)
+        answers = [client.read_answer()[0] for _ in range(1 + line_count)]
+        self.assertEqual(answers[0], b"COMPLETE signature")
+        for answer in answers[1:]:
+            self.assertTrue(answer.startswith(b"ERROR"))
+        (answer,) = client.exchange(b"QUERY 2 SET name value")
+        self.assertTrue(answer[0].startswith(b"COMPLETE"))
+
+    def feed_until_paused(self, line):
+        """Feed lines to the owner's session behind a read; return how many it took."""
+        session = only_element(self.servers.owner_server._sessions)
+        session._on_data(b"QUERY 0 READ a\r\n")
+        line_count = 0
+        while not session._stream._reading_paused and line_count < 100:
+            session._on_data(line + b"\r\n")
+            line_count += 1
+        return line_count
+
     def makes_progress(self):
         """Return whether a session runs a statement or reads the client's lines."""
         return any(
