Test a relayed session whose owner reads slowly

The session was lost, with an unknown outcome, when a client sent lines of 1 MB faster than the owner read them: the buffer to the owner exceeded its limit of 8 MiB.

--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -268,6 +268,36 @@
         self.assertTrue(client.read_answer()[0].startswith(b"ERROR INDOUBT"))
         self.assertEqual(client.read_line(), b"")
 
+    def test_long_lines_to_an_owner_that_reads_late(self):
+        """Guards against a session that is lost because its owner reads slowly.
+
+        The relaying proxy passed all lines on, until they exceeded the limit of the
+        write buffer to the owner.
+        """
+        client = self.client()
+        relaying_session = only_element(self.servers.relaying_server._sessions)
+        owner_session = only_element(self.servers.owner_server._sessions)
+        line = b"QUERY 1 READ " + b"x" * 1_000_000 + b"\r\n"
+
+        def feed_lines():
+            # The owner does not read in this turn.
+            line_count = 0
+            while line_count < 30 and not relaying_session._stream._reading_paused:
+                relaying_session._on_data(line)
+                line_count += 1
+            return line_count, relaying_session._stream.closed
+
+        self.servers.run_on_loop(lambda: owner_session._stream.set_reading_paused(True))
+        line_count, lost = self.servers.run_on_loop(feed_lines)
+        self.assertFalse(lost)
+        self.servers.run_on_loop(
+            lambda: owner_session._stream.set_reading_paused(False)
+        )
+        answers = [client.read_answer() for _ in range(line_count)]
+        self.assertTrue(all(answers))
+        (answer,) = client.exchange(b"QUERY 2 READ a")
+        self.assertTrue(answer)
+
     def test_statement_on_its_way_to_a_stopping_owner_has_not_run(self):
         """Guards against an unknown outcome of a write that a planned stop cut off.
 
