--- a/cassiahill/request_executor.py
+++ b/cassiahill/request_executor.py
@@ -5,20 +5,16 @@
 import itertools
 
 from cassiahill import admission, backend_requests, connection_manager, errors, pool
+from cassiahill.answer_timeouts import AnswerTimeout
 from cassiahill.loop import failed_future
 from cassiahill.messages import Rank
+from cassiahill.write_permits import WritePermits
 
 # Time after the database's own timeout for its last answer to arrive.
 ANSWER_GRACE_SECONDS = 0.1
-# An answer is awaited for this long, or for a multiple of the slowest recent one, so
-# that a connection without answers does not hold its caller up to the deadline.
-MIN_ANSWER_TIMEOUT_SECONDS = 1.0
-SLOWEST_ANSWER_MULTIPLE = 8.0
-SLOWEST_ANSWER_DECAY = 0.995  # factor per answer
 # After a shorter wait, a missing answer does not show that the connection is broken.
 MIN_SILENCE_SECONDS = 0.25
 SENT_COUNT_NAMES_BY_RANK = {rank: "handed_over_" + rank.name.lower() for rank in Rank}
-MAX_DEFERRED_WRITES = 256  # writes that wait while an open transaction holds locks
 
 
 class RequestExecutor:
@@ -79,10 +75,8 @@
         # transactions that wait for slots.
         self._max_transactions = max(1, pool_settings.capacity - server_settings.slots)
         self._opening_transaction_count = 0
-        self._max_permitted_writes = max(1, server_settings.slots - 1)
-        self._permitted_write_ids = set()
-        self._deferred_writes_by_id = {}
-        self._slowest_answer_seconds = 0.0
+        self._write_permits = WritePermits(server_settings.slots)
+        self._answer_timeout = AnswerTimeout()
         self._unfinished_requests_by_id = {}
         self._ids_awaiting_connection = set()
         self._pending_decisions = collections.deque()
@@ -184,7 +178,7 @@
             transaction.ended = True
             transaction.holds_locks = False
             self.open_transactions.pop(transaction, None)
-            for _ in range(len(self._deferred_writes_by_id)):
+            for _ in self._write_permits.deferred_ids:
                 self._requeue_deferred_write()
             self._on_finished()
 
@@ -231,7 +225,7 @@
         now = self._loop.clock.now()
         for request_id in [
             *self._ids_awaiting_connection,
-            *self._deferred_writes_by_id,
+            *self._write_permits.deferred_ids,
         ]:
             request = self._unfinished_requests_by_id.get(request_id)
             if request is not None and now >= request.deadline:
@@ -282,18 +276,8 @@
             )
         elif self._refuses_all_requests():
             self._complete_request(request, self.make_refusal())
-        elif (
-            not self._acquire_write_permit(request)
-            and len(self._deferred_writes_by_id) >= MAX_DEFERRED_WRITES
-        ):
-            self._complete_request(
-                request, errors.Overloaded("too many writes wait for locks")
-            )
-        elif not self._acquire_write_permit(request):
-            self._deferred_writes_by_id[request_id] = request
-            self._apply_decisions(
-                self._policy.withdraw(request_id, self._loop.clock.now())
-            )
+        elif not self._write_permits.acquire(request, self.open_transactions):
+            self._defer_write(request)
         elif request.connection_id is not None:
             self._send_request(request)
         else:
@@ -302,36 +286,21 @@
 
     # Locks of open transactions
 
-    def _acquire_write_permit(self, request):
-        """Return whether a request may be sent now although it may wait for locks.
-
-        Requests that wait for the locks of an open transaction hold their slots. One
-        slot is kept free of them, so that the transaction can go on and release its
-        locks. Requests that cannot wait for locks need no permit.
-        """
-        if (
-            request.read_only
-            or request.ends_transaction
-            or request.request_id in self._permitted_write_ids
-        ):
-            return True
-        if request.transaction is not None and request.transaction.holds_locks:
-            return True
-        if len(self._permitted_write_ids) >= self._max_permitted_writes and any(
-            transaction.holds_locks for transaction in self.open_transactions
-        ):
-            return False
-        self._permitted_write_ids.add(request.request_id)
-        return True
+    def _defer_write(self, request):
+        """Let a write wait for a permit, or refuse it if too many wait."""
+        if not self._write_permits.defer(request):
+            self._complete_request(
+                request, errors.Overloaded("too many writes wait for locks")
+            )
+            return
+        self._apply_decisions(
+            self._policy.withdraw(request.request_id, self._loop.clock.now())
+        )
 
     def _requeue_deferred_write(self):
         """Queue the deferred write of the highest rank again."""
-        if self._deferred_writes_by_id:
-            request = min(
-                self._deferred_writes_by_id.values(),
-                key=lambda deferred: (deferred.rank, deferred.request_id),
-            )
-            del self._deferred_writes_by_id[request.request_id]
+        request = self._write_permits.take_deferred()
+        if request is not None:
             self._enqueue_request(request)
 
     # Grants of connections, and sending of requests on them
@@ -372,12 +341,8 @@
             request.deadline, now + request.timeout_seconds + ANSWER_GRACE_SECONDS
         )
         if not self._may_wait_for_locks(request):
-            answer_timeout_seconds = max(
-                MIN_ANSWER_TIMEOUT_SECONDS,
-                SLOWEST_ANSWER_MULTIPLE * self._slowest_answer_seconds,
-            )
             request.answer_deadline = min(
-                request.answer_deadline, now + answer_timeout_seconds
+                request.answer_deadline, now + self._answer_timeout.seconds
             )
         if request.transaction is not None and not request.read_only:
             request.transaction.holds_locks = not request.ends_transaction
@@ -400,10 +365,7 @@
         connection = self.connections.get(request.connection_id)
         connection_usable = connection is not None and not connection.closed
         if error is None:
-            answer_seconds = self._loop.clock.now() - request.sent_at
-            self._slowest_answer_seconds = max(
-                answer_seconds, self._slowest_answer_seconds * SLOWEST_ANSWER_DECAY
-            )
+            self._answer_timeout.record_answer(self._loop.clock.now() - request.sent_at)
             (
                 self._keep_or_release_connection
                 if connection_usable
@@ -415,11 +377,8 @@
             request.sent_at is not None
             and self._loop.clock.now() >= request.answer_deadline
         ):
-            # Doubles the next timeout, so that statements that need longer get through.
-            waited_seconds = request.answer_deadline - request.sent_at
-            self._slowest_answer_seconds = max(
-                self._slowest_answer_seconds,
-                2 * waited_seconds / SLOWEST_ANSWER_MULTIPLE,
+            self._answer_timeout.record_missing_answer(
+                request.answer_deadline - request.sent_at
             )
         may_have_run = getattr(error, "may_have_run", errors.MayHaveRun.UNKNOWN)
         not_run = may_have_run is errors.MayHaveRun.NO
@@ -482,15 +441,14 @@
         if request.request_id in self._ids_awaiting_connection:
             self._ids_awaiting_connection.discard(request.request_id)
             self.connections.cancel(request.request_id)
-        self._deferred_writes_by_id.pop(request.request_id, None)
+        self._write_permits.drop_deferred(request.request_id)
         now = self._loop.clock.now()
         if request.sent_at is not None:
             self.counts[SENT_COUNT_NAMES_BY_RANK[request.rank]] += 1
             self._apply_decisions(self._policy.finish(request.request_id, now))
         elif admitted:
             self._apply_decisions(self._policy.withdraw(request.request_id, now))
-        if request.request_id in self._permitted_write_ids:
-            self._permitted_write_ids.discard(request.request_id)
+        if self._write_permits.release(request.request_id):
             self._requeue_deferred_write()
         self.counts[error.code if error is not None else "done"] += 1
         if error is None:
