--- /dev/null
+++ b/tests/test_takeover_pauses.py
@@ -0,0 +1,117 @@
+"""Tests of ``cassiahill.takeover``: replicas that receive nothing for a while."""
+
+import unittest
+
+from cassiahill import takeover
+from cassiahill.loop import completed_future
+from cassiahill.promotion_orders import OrderResult
+from tests.takeover_builders import TakeoverTestCase
+
+
+class PausedReplicasTest(TakeoverTestCase):
+    def test_replicas_receive_again_after_a_promotion(self):
+        """Guards against replicas that stay paused and get ever staler."""
+        self.set_up_group()
+        self.fixture.servers.by_id["a"].unreachable = True
+        self.run_for(3.0)
+        paused = [server.paused_term for server in self.fixture.servers.by_id.values()]
+        self.assertEqual(paused, [0, 0, 0])
+
+    def test_old_primary_acknowledges_only_through_the_successor(self):
+        """Guards against the loss of a commit by an order that is carried out late."""
+        self.set_up_group([OrderResult.UNANSWERED] * 5)
+        self.fixture.group.put_server(
+            self.fixture.servers.registered("a", draining=True),
+            self.fixture.servers.registered("a"),
+        )
+        self.run_for(1.0)
+        successor = self.orders.promotions[0][0]
+        other = {"b": "c", "c": "b"}[successor]
+        self.assertGreater(self.fixture.servers.by_id[other].paused_term, 0)
+        self.fixture.servers.by_id[successor].not_receiving = True
+        self.assertFalse(self.fixture.servers.commit(self.fixture.servers.by_id["a"]))
+
+    def test_replicas_stay_paused_while_an_order_may_come_late(self):
+        """Guards against commits that are rolled back by an order carried out late.
+
+        Until then the old primary must get no acknowledgement from other replicas.
+        """
+        self.set_up_group([OrderResult.UNANSWERED] * 6)
+        self.fixture.group.put_server(
+            self.fixture.servers.registered("a", draining=True),
+            self.fixture.servers.registered("a"),
+        )
+        self.run_for(0.5)
+        successor = self.orders.promotions[0][0]
+        other = {"b": "c", "c": "b"}[successor]
+        self.run_for(7.0)
+        self.assertGreater(self.fixture.servers.by_id[other].paused_term, 0)
+        self.run_for(5.0)
+        self.assertEqual(len({token for _, token in self.orders.promotions}), 1)
+        self.assertEqual(self.fixture.group.primary.server_id, successor)
+
+    def test_former_promoter_does_not_end_the_pauses_of_its_successor(self):
+        """Guards against commits that a replica acknowledges during a promotion.
+
+        The former promoter's repeated order was refused, and it then let the replicas
+        receive again, although its successor's order was about to be carried out.
+        """
+        # The second order is for the primary, and closes the first one.
+        results = [OrderResult.UNANSWERED, OrderResult.ACCEPTED, OrderResult.UNANSWERED]
+        self.set_up_group(results + [OrderResult.REFUSED] * 6)
+        self.drain_primary()
+        self.run_for(0.5)
+        self.is_promoter = False
+        former = self.takeover
+        self.takeover = takeover.Takeover(
+            self.fixture.loop,
+            self.fixture.group,
+            self.orders,
+            lambda: next(self.tokens),
+            lambda: completed_future(True),
+            lambda: None,
+        )
+        self.run_for(2.2)
+        successor = self.orders.promotions[-1][0]
+        other = self.fixture.servers.by_id[{"b": "c", "c": "b"}[successor]]
+        term = other.paused_term
+        self.run_for(0.9)
+        self.assertFalse(former._in_progress)
+        self.assertEqual(other.paused_term, term)
+
+    def test_replica_whose_pause_was_ended_blocks_the_promotion(self):
+        """Guards against commits that a replica acknowledges after it has restarted.
+
+        A restart ends the pause. The acknowledgement went to another proxy.
+        """
+        self.set_up_group()
+        servers = self.fixture.servers
+        self.isolate_primary()
+        other = servers.by_id["b"]
+        while not other.paused_term:
+            self.run_for(0.05)
+        other.paused_term = 0
+        other.not_receiving = False
+        self.assertTrue(servers.commit(servers.by_id["a"]))
+        servers.acknowledged.append(servers.by_id["a"].received)
+        self.run_for(4.0)
+        self.assertTrue(self.orders.promotions)
+        self.assert_nothing_acknowledged_is_lost()
+
+    def test_pauses_of_a_lost_promoter_are_ended(self):
+        """Guards against a replica that receives nothing any more.
+
+        The promoter was lost after it had paused the replica, and the primary answered
+        again. The replica stays paused while an order may still be carried out.
+        """
+        self.set_up_group()
+        replica = self.fixture.servers.by_id["b"]
+        replica.paused_term = 2
+        self.run_for(takeover.ABANDONED_PAUSE_SECONDS - 1.0)
+        self.assertEqual(replica.paused_term, 2)
+        self.run_for(2.0)
+        self.assertEqual(replica.paused_term, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_takeover_search.py
+++ b/tests/test_takeover_search.py
@@ -11,7 +11,7 @@
 from cassiahill.promotion_orders import OrderResult
 from cassiahill.statements import Access, Run
 from tests.session_builders import GroupFixture
-from tests.test_takeover import RecordingOrders
+from tests.takeover_builders import RecordingOrders
 
 SERVERS = ("a", "b", "c")
 ACTIONS = st.one_of(
