Refuse integers beyond 64 bits as malformed parameters

A caller that sent such an integer got an internal error with an unknown outcome when another proxy owned the backend server: MessagePack can't encode the integer, so that nothing was sent.

The parameters are checked with the other fields of the statement, so that the caller is told that the request is malformed and did not run.

The new test in test_messages failed before (no MalformedRequest).

--- a/cassiahill/messages.py
+++ b/cassiahill/messages.py
@@ -11,6 +11,9 @@
 MAX_SQL_CHARACTERS = 65_536
 MAX_KEY_CHARACTERS = 200
 MAX_TIMEOUT_MS = 60_000
+# MessagePack, which carries the parameters to another proxy, holds no other integers.
+MIN_INTEGER = -(2**63)
+MAX_INTEGER = 2**64 - 1
 DEFAULT_TIMEOUT_MS = 5_000
 
 # SQL that begins with a transaction control statement, after whitespace and comments.
@@ -302,7 +305,7 @@
     ------
     errors.MalformedRequest
         When the SQL is empty or too long, controls a transaction, or a parameter is
-        not a JSON scalar.
+        not a JSON scalar or is an integer beyond 64 bits.
     """
     if not sql.strip() or len(sql) > MAX_SQL_CHARACTERS:
         raise errors.MalformedRequest("sql is empty or too long")
@@ -313,6 +316,8 @@
     for param in params:
         if not isinstance(param, str | int | float | bool | None):
             raise errors.MalformedRequest("params must be JSON scalars")
+        if isinstance(param, int) and not MIN_INTEGER <= param <= MAX_INTEGER:
+            raise errors.MalformedRequest("an integer in params exceeds 64 bits")
     return Statement(sql, tuple(params))
 
 
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cassiahill import errors, messages
+from cassiahill import errors, messages, peer_messages
 
 
 def parse_request(body, now=10.0):
@@ -15,6 +15,19 @@
 
 
 class MessagesTest(unittest.TestCase):
+    def test_integers_that_no_message_between_proxies_carries(self):
+        """Guards against an unknown outcome of a request that was never sent.
+
+        A larger integer could not be encoded for the owner of the backend server.
+        """
+        for integer in (-(2**63), 2**64 - 1):
+            statement = messages.build_statement("SELECT ?", [integer])
+            pairs = peer_messages.statements_to_pairs([statement])
+            self.assertTrue(peer_messages.encode(pairs))
+        for integer in (-(2**63) - 1, 2**64, 10**400):
+            with self.assertRaises(errors.MalformedRequest):
+                messages.build_statement("SELECT ?", [integer])
+
     def test_timeout_becomes_a_deadline(self):
         """Guards against a timeout that restarts at each step of a request."""
         request = parse_request(
