Tell a too large answer of the platform from an outage

Cause: the limit was reported as a lost connection. It is AnswerTooLarge now, as in the users' platform's store, is raised at once, and does not count as an outage.

Two new tests in test_objects failed before (PlatformUnavailable; a second attempt). The test of blocking_http asks for the more precise error.

--- a/cassiahill/blocking_http.py
+++ b/cassiahill/blocking_http.py
@@ -74,6 +74,7 @@
     ------
     errors.ConnectionLost
         With ``may_have_run`` ``no`` when nothing was sent, else ``unknown``.
+        ``errors.ResponseTooLarge`` when the body exceeds ``MAX_ANSWER_BYTES``.
     """
     timeout_seconds = deadline - clock_source.now()
     if timeout_seconds <= 0:
@@ -116,7 +117,7 @@
     while chunk := response.read(_READ_CHUNK_BYTES):
         body_bytes += len(chunk)
         if body_bytes > MAX_ANSWER_BYTES:
-            raise ValueError("the answer is too large")
+            raise errors.ResponseTooLarge("the answer is too large")
         chunks.append(chunk)
     if response.length:
         # ``read`` with a number of bytes does not tell that the connection ended early.
--- a/cassiahill/objects.py
+++ b/cassiahill/objects.py
@@ -228,6 +228,8 @@
                 self._open_sockets,
             )
             return http1.decode_response(response)
+        except errors.ResponseTooLarge as error:
+            raise errors.AnswerTooLarge(error.detail) from error
         except errors.ConnectionLost as error:
             raise errors.PlatformUnavailable(
                 error.detail, may_have_run=error.may_have_run
@@ -328,6 +330,9 @@
             answered = True
             try:
                 return call()
+            except errors.AnswerTooLarge:
+                # The platform works, and another attempt would get the same answer.
+                raise
             except errors.PlatformUnavailable as error:
                 answered = False
                 may_have_run = error.may_have_run is not errors.MayHaveRun.NO
--- a/tests/test_blocking_http.py
+++ b/tests/test_blocking_http.py
@@ -75,7 +75,7 @@
         """Guards against an answer that fills the memory."""
         with mock.patch.object(blocking_http, "MAX_ANSWER_BYTES", 100):
             for head in (b"Content-Length: 101\r\n", b""):
-                with self.assertRaises(errors.ConnectionLost):
+                with self.assertRaises(errors.ResponseTooLarge):
                     self.send(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n" + b"x" * 101)
 
     def test_too_long_headers(self):
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -3,8 +3,9 @@
 import threading
 import unittest
 from concurrent.futures import ThreadPoolExecutor
+from unittest import mock
 
-from cassiahill import clock, errors, objects, platform_calls
+from cassiahill import blocking_http, clock, errors, objects, platform_calls
 from tests import operator_builders
 
 DEADLINE = 1e12
@@ -85,6 +86,16 @@
         self.assertEqual(caught.exception.may_have_run, "unknown")
         self.assertEqual(self.store.get("c", "x", self.deadline()).value, b"1")
 
+    def test_too_large_answer(self):
+        """Guards against a list that is too large and seems to be an outage."""
+        for number in range(3):
+            self.store.put(KIND, str(number), b"x" * 100, None, self.deadline())
+        with (
+            mock.patch.object(blocking_http, "MAX_ANSWER_BYTES", 300),
+            self.assertRaises(errors.AnswerTooLarge),
+        ):
+            self.store.list(KIND, self.deadline())
+
     def test_call_without_an_address_fails(self):
         """Guards against a drain that never ends because storing figures fails.
 
@@ -166,6 +177,21 @@
             retrying.put("c", "x", b"", None, 10.0)
         self.assertEqual(failing.call_count, 2)
 
+    def test_too_large_answer_is_no_outage(self):
+        """Guards against a list that is read in vain until the deadline.
+
+        Each attempt takes the largest answer, and its failure held other calls back.
+        """
+        failing, retrying = self.make_stores()
+        too_large = errors.AnswerTooLarge("the answer is too large")
+        with mock.patch.object(
+            failing, "get", side_effect=[too_large, "answer"]
+        ) as get:
+            with self.assertRaises(errors.AnswerTooLarge):
+                retrying.get("c", "x", 5.0)
+            self.assertEqual(get.call_count, 1)
+        self.assertEqual(retrying._limiter.consecutive_failures, 0)
+
     def test_reads_are_not_retried_after_the_deadline(self):
         """Guards against a read that is retried for ever during an outage."""
         failing, retrying = self.make_stores(*["unknown"] * 99)
