Split the reads outside transactions from the session executor

Reads and their hedges are in session_reads; the begin of a transaction and the end of a refused attempt, which both need, are in the statement sender. _confirm_commit and its callers are unchanged. No change of behaviour; three tests moved with the reads, unchanged.

--- a/cassiahill/session_executor.py
+++ b/cassiahill/session_executor.py
@@ -13,17 +13,13 @@
     event_log,
     placement,
     request_queue,
-    statements,
 )
 from cassiahill.catalog import Consistency
-from cassiahill.statement_sender import RetryableFailure, StatementSender
+from cassiahill.session_reads import SessionReads
+from cassiahill.statement_sender import StatementSender
 from cassiahill.statements import NOT_RUN_CODES, Access, Code, Reply, TransactionState
 
 MAX_ATTEMPTS = 8
-# A read whose latency exceeds the usual one by this factor is sent to a second server,
-# because the answer may be lost or the server unreachable. The first answer is used.
-HEDGE_LATENCY_FACTOR = 6.0
-MIN_HEDGE_DELAY_SECONDS = 0.12
 
 
 @attrs.define(eq=False)
@@ -74,6 +70,7 @@
         self._session_state = state
         self._tenant = tenant
         self._sender = StatementSender(loop, group, state)
+        self._reads = SessionReads(loop, group, route, self._sender)
 
     @property
     def tenant(self):
@@ -88,7 +85,7 @@
     @property
     def needs_primary_for_reads(self):
         """Whether reads, too, must run on the group's primary."""
-        return self._reads_need_primary()
+        return self._reads.need_primary
 
     def withdraw(self, request_id):
         """Remove a queued request whose client has disconnected."""
@@ -113,9 +110,7 @@
             if request.access is Access.WRITE:
                 outcome = yield from self._run_write(lease, request)
             else:
-                outcome = yield from self._run_hedged_read(
-                    lease, request, queued_request
-                )
+                outcome = yield from self._reads.run(lease, request, queued_request)
             if isinstance(outcome, Reply):
                 return outcome
             self._log_retry(request, lease, outcome, attempt)
@@ -162,117 +157,6 @@
         )
         return reply
 
-    def _run_hedged_read(self, lease, request, queued_request):
-        """Run a read, and hedge it on a second server when the first is slow."""
-        loop = self._loop
-        asked_at = loop.clock.now()
-        first_read = loop.spawn(self._run_read(lease, request))
-        usual_seconds = self._group.read_durations.usual_seconds(self._route.database)
-        hedge_at = asked_at + max(
-            MIN_HEDGE_DELAY_SECONDS, HEDGE_LATENCY_FACTOR * usual_seconds
-        )
-        if hedge_at < request.deadline:
-            yield loop.first_done(first_read, loop.sleep_until(hedge_at))
-            if not first_read.done():
-                queued_request.failed_server_ids.add(lease.connection.server.server_id)
-                return (yield from self._run_hedge(first_read, request, queued_request))
-        outcome = yield first_read
-        self._group.read_durations.record(
-            self._route.database, loop.clock.now() - asked_at
-        )
-        return outcome
-
-    def _run_hedge(self, first_read, request, queued_request):
-        """Run the read on a second server and return the first reply of the two."""
-        loop = self._loop
-        lease_future = self._group.acquire(
-            attrs.evolve(queued_request, resolve_lease=None)
-        )
-        yield loop.first_done(first_read, lease_future)
-        if first_read.done():
-            self._release_unused(lease_future, queued_request)
-            return first_read.result()
-        hedge_lease = lease_future.result()
-        if hedge_lease is None:
-            return (yield first_read)
-        event_log.event(
-            "read_repeated",
-            request=request.request_id,
-            server=hedge_lease.connection.server.server_id,
-            after=loop.clock.now() - request.arrived_at,
-        )
-        second_read = loop.spawn(self._run_read(hedge_lease, request))
-        finished = yield loop.first_done(first_read, second_read)
-        if isinstance(finished.result(), Reply):
-            return finished.result()
-        return (yield second_read if finished is first_read else first_read)
-
-    def _release_unused(self, lease_future, queued_request):
-        """Release a lease that is granted after the read has ended."""
-
-        def release_lease(future):
-            if future.result() is not None:
-                self._sender.release(future.result())
-
-        self._group.withdraw(queued_request.request_id)
-        self._loop.when_done(lease_future, release_lease)
-
-    def _run_read(self, lease, request):
-        if self._reads_need_primary():
-            return (yield from self._run_primary_read(lease, request))
-        return (yield from self._run_read_at_position(lease, request))
-
-    def _run_primary_read(self, lease, request):
-        """Run a read in a read-write transaction, which only a primary begins.
-
-        A server that is no longer the primary does not refuse a single read.
-        """
-        transaction = Transaction(False, request.arrived_at, lease)
-        begin_failure = yield from self._send_begin(transaction, request)
-        if begin_failure is not None:
-            return begin_failure
-        reply = yield from self._sender.send(lease, request)
-        if reply is None:
-            self._sender.discard(lease)
-            return RetryableFailure("no answer to a read")
-        if reply.code in NOT_RUN_CODES:
-            return self._end_refused_attempt(lease, reply.code)
-        self._sender.release(lease)
-        return attrs.evolve(reply, state=TransactionState.IDLE)
-
-    def _run_read_at_position(self, lease, request):
-        """Run a read that the server refuses below the lease's log position."""
-        setup_failure = yield from self._sender.set_up_connection(lease, request)
-        if setup_failure is not None:
-            self._sender.release(lease)
-            return setup_failure
-        asked_at = self._loop.clock.now()
-        reply = yield from self._sender.send(
-            lease, request, required_position=lease.required_position
-        )
-        self._record_load(lease, asked_at, reply)
-        if reply is None:
-            self._sender.discard(lease)
-            return RetryableFailure("no answer to a read")
-        if reply.code in NOT_RUN_CODES:
-            return self._end_refused_attempt(lease, reply.code)
-        self._sender.release(lease)
-        return reply
-
-    def _record_load(self, lease, asked_at, reply):
-        """Record what the end of a read shows of its server's load."""
-        now = self._loop.clock.now()
-        server_id = lease.connection.server.server_id
-        if reply is None or reply.code is Code.BUSY:
-            self._group.server_load.record_failed_read(server_id, now)
-        elif reply.code is None:
-            self._group.server_load.record_read(
-                server_id,
-                now - asked_at,
-                self._group.read_durations.usual_seconds(self._route.database),
-                now,
-            )
-
     # Statements inside a transaction
 
     def run_in_transaction(self, transaction, request):
@@ -358,7 +242,9 @@
             if lease is None:
                 return self._refuse_request(request, queued_request)
             transaction.lease = lease
-            outcome = yield from self._send_begin(transaction, request)
+            outcome = yield from self._sender.begin(
+                lease, transaction.read_only, request
+            )
             if outcome is None:
                 return None
             transaction.lease = None
@@ -367,27 +253,6 @@
             self._log_retry(request, lease, outcome, attempt)
         return self._refuse_request(request, queued_request)
 
-    def _send_begin(self, transaction, request):
-        """Begin on the leased connection; return None or a ``RetryableFailure``."""
-        lease = transaction.lease
-        setup_failure = yield from self._sender.set_up_connection(lease, request)
-        if setup_failure is not None:
-            self._sender.release(lease)
-            return setup_failure
-        asked_at = self._loop.clock.now()
-        begin = statements.Begin(transaction.read_only)
-        reply = yield from self._sender.send_internal(
-            lease, begin, request.deadline, lease.required_position
-        )
-        if reply is None:
-            self._sender.discard(lease)
-            return RetryableFailure("no answer to a begin")
-        if reply.code is not None:
-            return self._end_refused_attempt(lease, reply.code)
-        if not transaction.read_only:
-            self._group.confirm_primary(lease.connection, asked_at, reply)
-        return None
-
     def _run_commit(self, transaction, request):
         lease = transaction.lease
         asked_at = self._loop.clock.now()
@@ -423,12 +288,7 @@
     # Steps of statements inside and outside a transaction
 
     def _end_refused_attempt(self, lease, code):
-        """Record a refusal, release the connection, return a ``RetryableFailure``."""
-        self._group.replies.record_refusal(
-            lease.connection, code, lease.required_position
-        )
-        self._sender.release(lease)
-        return RetryableFailure(code.value)
+        return self._sender.end_refused_attempt(lease, code)
 
     def _requirement_getter(self, request, since, transaction=None):
         """Return a function that returns what the request needs of a server now.
@@ -442,7 +302,7 @@
         transaction : Transaction or None
         """
         if transaction is None:
-            on_primary = request.access is Access.WRITE or self._reads_need_primary()
+            on_primary = request.access is Access.WRITE or self._reads.need_primary
         else:
             on_primary = not transaction.read_only
         if on_primary:
@@ -453,9 +313,6 @@
             last_commit = self._session_state.last_commit
         return lambda: self._group.read_requirement(acknowledged_before, last_commit)
 
-    def _reads_need_primary(self):
-        return self._route.consistency is Consistency.PRIMARY
-
     def _make_queued_request(self, request, get_requirement):
         """Return the ``QueuedRequest`` with which a request waits for a connection."""
         return request_queue.QueuedRequest(
--- a/cassiahill/statement_sender.py
+++ b/cassiahill/statement_sender.py
@@ -134,6 +134,43 @@
         self._group.replies.record_position(connection, reply)
         return reply
 
+    def begin(self, lease, read_only, request):
+        """Begin a transaction on a leased connection.
+
+        Returns
+        -------
+        RetryableFailure or None
+            ``RetryableFailure`` when the transaction did not begin; the connection is
+            then no longer leased.
+        """
+        setup_failure = yield from self.set_up_connection(lease, request)
+        if setup_failure is not None:
+            self.release(lease)
+            return setup_failure
+        asked_at = self._loop.clock.now()
+        reply = yield from self.send_internal(
+            lease,
+            statements.Begin(read_only),
+            request.deadline,
+            lease.required_position,
+        )
+        if reply is None:
+            self.discard(lease)
+            return RetryableFailure("no answer to a begin")
+        if reply.code is not None:
+            return self.end_refused_attempt(lease, reply.code)
+        if not read_only:
+            self._group.confirm_primary(lease.connection, asked_at, reply)
+        return None
+
+    def end_refused_attempt(self, lease, code):
+        """Record a refusal, release the connection, return a ``RetryableFailure``."""
+        self._group.replies.record_refusal(
+            lease.connection, code, lease.required_position
+        )
+        self.release(lease)
+        return RetryableFailure(code.value)
+
     def release(self, lease):
         """Return a connection to its pool, after a rollback if needed."""
         lease.record_statement_end(self._loop.clock.now())
--- a/tests/test_session_executor.py
+++ b/tests/test_session_executor.py
@@ -7,7 +7,7 @@
 from cassiahill.server_group import ServerGroup
 from cassiahill.statements import Access, Code, Run, Shape, TransactionState
 from tests.line_group import InMemoryDialect, InMemoryGroup, InMemoryServer
-from tests.session_builders import TIMEOUT_SECONDS, GroupFixture
+from tests.session_builders import GroupFixture
 from tests.stepped_loop import SteppedLoop
 
 
@@ -94,26 +94,6 @@
         self.assertIsNone(reply.code)
         self.assertEqual(self.fixture.ran("read 1"), ["a"])
 
-    def test_primary_read_avoids_a_replaced_primary(self):
-        """Guards against a read that misses a commit of the new term."""
-        session = self.fixture.session(Consistency.PRIMARY)
-        self.fixture.servers.promote("b")
-        reply = self.fixture.read(session)
-        self.assertIsNone(reply.code)
-        self.assertEqual(self.fixture.ran("read 1"), ["b"])
-
-    def test_unanswered_read_is_retried_once(self):
-        """Guards against waiting for a lost answer, and against repeated retries."""
-        session = self.fixture.session(Consistency.BOUNDED)
-        for server in self.fixture.servers.by_id.values():
-            server.lose_answers = 1
-        started_at = self.fixture.loop.clock.now()
-        self.fixture.servers.by_id["a"].lose_answers = 0
-        self.fixture.servers.by_id["c"].lose_answers = 0
-        self.fixture.read(session)
-        self.assertLess(self.fixture.loop.clock.now() - started_at, TIMEOUT_SECONDS)
-        self.assertLessEqual(len(self.fixture.ran("read 1")), 2)
-
     def test_requests_are_refused_at_once_when_partitioned(self):
         """Guards against requests that wait until a network partition ends."""
         self.fixture.servers.by_id["a"].unreachable = True
@@ -158,16 +138,6 @@
         self.assertIs(fixture.write(session).code, Code.BUSY)
         self.assertLess(fixture.loop.clock.now() - started_at, 0.05)
 
-    def test_slow_read_is_hedged_once(self):
-        """Guards against one slow read that occupies slots of all servers."""
-        session = self.fixture.session(Consistency.BOUNDED)
-        self.fixture.loop.advance(1.2)
-        for server in self.fixture.servers.by_id.values():
-            server.seconds = 0.5
-        reply = self.fixture.read(session)
-        self.assertIsNone(reply.code)
-        self.assertLessEqual(len(self.fixture.ran("read 1")), 2)
-
     def test_read_is_refused_without_freshness_evidence(self):
         """Guards against a read of unknown age while the primary is unreachable."""
         self.fixture.servers.by_id["a"].unreachable = True
