--- a/tests/line_group.py
+++ b/tests/line_group.py
@@ -118,6 +118,8 @@
         Commits that were acknowledged before the last promotion.
     connections : list of InMemoryConnection
         Those that were opened, also closed ones.
+    read_rows : tuple of bytes
+        Rows in the reply to each read.
     """
 
     def __init__(self, loop, name="orders", servers=("a", "b", "c"), synchronous=True):
@@ -132,6 +134,7 @@
         self.acknowledged = []
         self.acknowledged_before_promotion = []
         self.connections = []
+        self.read_rows = ()
         first_log = [LogPosition(1, 1)]
         self.by_id = {
             server_id: InMemoryServer(
@@ -372,7 +375,8 @@
             self._wrote = True
             if self._state is TransactionState.IDLE:
                 return self._commit(TransactionState.IDLE)
-        return self._reply()
+            return self._reply()
+        return self._reply(rows=self._group.read_rows)
 
     def _run_proxy_statement(self, statement, is_primary):
         """Run a statement that the proxy issues itself."""
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -55,6 +55,53 @@
         answers = client.exchange(*[b"QUERY %d READ a" % n for n in range(1000)])
         self.assertEqual(len([answer for answer in answers if answer]), 1000)
 
+    def test_large_answers_to_a_client_that_reads_late(self):
+        """Guards against answers that are lost because the client reads them slowly.
+
+        Statements were run while their answers queued up, until those exceeded the
+        limit of the write buffer and the session was closed.
+        """
+        row = b"x" * 1_000_000
+        self.servers.backend_group.read_rows = (row,)
+        client = self.client()
+        statement_count = 40
+        client.send_lines(*[b"QUERY %d READ a" % n for n in range(statement_count)])
+        while self.servers.run_on_loop(self.makes_progress):
+            pass
+        answers = [client.read_answer() for _ in range(statement_count)]
+        self.assertEqual(len([answer for answer in answers if answer]), statement_count)
+        self.assertEqual(answers[0][0], b"ROW " + row)
+
+    def test_long_lines_behind_a_slow_statement(self):
+        """Guards against a client that fills the memory with few long lines."""
+        client = self.client()
+        line = b"QUERY 1 EXECUTE " + b"x" * 1_000_000
+        line_count = self.servers.run_on_loop(lambda: self.feed_until_paused(line))
+        self.assertLessEqual(line_count, 3)
+        answers = [client.read_answer()[0] for _ in range(1 + line_count)]
+        self.assertEqual(answers[0], b"COMPLETE signature")
+        for answer in answers[1:]:
+            self.assertTrue(answer.startswith(b"ERROR"))
+        (answer,) = client.exchange(b"QUERY 2 SET name value")
+        self.assertTrue(answer[0].startswith(b"COMPLETE"))
+
+    def feed_until_paused(self, line):
+        """Feed lines to the owner's session behind a read; return how many it took."""
+        session = only_element(self.servers.owner_server._sessions)
+        session._on_data(b"QUERY 0 READ a\r\n")
+        line_count = 0
+        while not session._stream._reading_paused and line_count < 100:
+            session._on_data(line + b"\r\n")
+            line_count += 1
+        return line_count
+
+    def makes_progress(self):
+        """Return whether a session runs a statement or reads the client's lines."""
+        return any(
+            session._running_id is not None or not session._pending_lines
+            for session in self.servers.owner_server._sessions
+        )
+
     def test_line_feed_in_data_is_no_end_of_a_line(self):
         """Guards against data that is cut off, or that runs as another statement."""
         text = b"WRITE a Flat 3\nQUERY 2 WRITE b other\r"
@@ -221,6 +268,36 @@
         self.assertTrue(client.read_answer()[0].startswith(b"ERROR INDOUBT"))
         self.assertEqual(client.read_line(), b"")
 
+    def test_long_lines_to_an_owner_that_reads_late(self):
+        """Guards against a session that is lost because its owner reads slowly.
+
+        The relaying proxy passed all lines on, until they exceeded the limit of the
+        write buffer to the owner.
+        """
+        client = self.client()
+        relaying_session = only_element(self.servers.relaying_server._sessions)
+        owner_session = only_element(self.servers.owner_server._sessions)
+        line = b"QUERY 1 READ " + b"x" * 1_000_000 + b"\r\n"
+
+        def feed_lines():
+            # The owner does not read in this turn.
+            line_count = 0
+            while line_count < 30 and not relaying_session._stream._reading_paused:
+                relaying_session._on_data(line)
+                line_count += 1
+            return line_count, relaying_session._stream.closed
+
+        self.servers.run_on_loop(lambda: owner_session._stream.set_reading_paused(True))
+        line_count, lost = self.servers.run_on_loop(feed_lines)
+        self.assertFalse(lost)
+        self.servers.run_on_loop(
+            lambda: owner_session._stream.set_reading_paused(False)
+        )
+        answers = [client.read_answer() for _ in range(line_count)]
+        self.assertTrue(all(answers))
+        (answer,) = client.exchange(b"QUERY 2 READ a")
+        self.assertTrue(answer)
+
     def test_statement_on_its_way_to_a_stopping_owner_has_not_run(self):
         """Guards against an unknown outcome of a write that a planned stop cut off.
 
