--- a/tests/test_soak_membership.py
+++ b/tests/test_soak_membership.py
@@ -81,6 +81,44 @@
         )
         self.assertIn("order of orders-1 by proxy-7 with token 7 accepted", violation)
 
+    def lose_commit_of_new_server(self):
+        """Let only an unlisted server acknowledge a commit that a promotion loses."""
+        new_server = self.group.add_server("orders-n1", "zone-0")
+        new_server.registered = new_server.listed = False
+        for server_id in ("orders-1", "orders-2"):
+            self.servers[server_id].deaf = True
+        self.order("orders-1")
+        self.commit()
+        with mock.patch("builtins.print") as printed:
+            self.loop.advance(EFFECT_SECONDS)
+        [[account], _] = printed.call_args
+        self.assertIn("lost 1 acknowledged commits", account)
+
+    def test_loss_of_a_commit_that_a_client_was_told_of(self):
+        """Guards against passing over promised commits that a new server had."""
+        self.lose_commit_of_new_server()
+        self.assertEqual(len(self.group.violations), 1)
+
+    def test_commit_of_an_unlisted_server_that_no_client_was_told_of(self):
+        """Guards against blame for a server that no proxy could know or pause.
+
+        With seed 2012 a server that had just started acknowledged a commit 24 ms before
+        a promotion took effect; its client was told that the outcome is unknown.
+        """
+        self.orders._reported_data = set()
+        self.lose_commit_of_new_server()
+        self.assertEqual(self.group.violations, [])
+
+    def test_commit_of_a_listed_server_that_no_client_was_told_of(self):
+        """Guards against passing over losses that a promoter could prevent."""
+        self.orders._reported_data = set()
+        self.order("orders-1")
+        self.servers["orders-1"].deaf = True
+        self.commit()
+        with mock.patch("builtins.print"):
+            self.loop.advance(EFFECT_SECONDS)
+        self.assertEqual(len(self.group.violations), 1)
+
     def test_unacknowledged_commits_are_not_counted(self):
         """Guards against reports of commits that no client was told of."""
         self.order("orders-1")
