--- a/tests/test_soak_partitions.py
+++ b/tests/test_soak_partitions.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from cassiahill import clock, errors, http1, loop, transport
+from cassiahill.loop import LoopFuture
 from tests import adapter_path
 from tests.stepped_loop import SteppedLoop
 
@@ -89,6 +90,63 @@
         self.run_task(check())
 
 
+class UnreachableConnectionTest(unittest.TestCase):
+    def setUp(self):
+        self.loop = loop.EventLoop(clock.SystemClock())
+        self.addCleanup(self.loop.close)
+        self.target_opened = LoopFuture()
+        self.target_closed = LoopFuture()
+        listener = transport.Listener(self.loop, ("127.0.0.1", 0), self.accept)
+        self.addCleanup(listener.close)
+        self.link = links.Link(self.loop, listener.address)
+
+    def accept(self, sock):
+        transport.Stream(
+            self.loop,
+            sock,
+            lambda _: self.target_opened.set_result(None),
+            lambda: self.target_closed.set_result(None),
+        )
+
+    def close_behind(self, begin_fault):
+        """Close a connection while a fault hides it; return when the target knows.
+
+        A task.
+        """
+        stream = transport.connect(
+            self.loop, self.link.address, lambda _: None, lambda: None
+        )
+        stream.write(b"STARTUP orders proxy-0 orders-0\r\n")
+        yield self.target_opened
+        begin_fault()
+        stream.close()
+        deadline = self.loop.clock.now() + 5.0
+        yield self.loop.with_deadline(
+            self.target_closed, deadline, AssertionError("the connection stays open")
+        )
+
+    def check_target_drops_connection(self, begin_fault):
+        with mock.patch.object(links, "UNREACHABLE_CONNECTION_SECONDS", 0.05):
+            task = self.loop.spawn(self.close_behind(begin_fault))
+            self.loop.when_done(task, lambda _: self.loop.stop())
+            self.loop.run()
+            task.result()
+
+    def test_silenced_connection(self):
+        """Guards against closed connections that use up a server's limit for ever.
+
+        A server with 23 of them answered no proxy any more, so that its group got no
+        primary (seeds 803, 2005 and 2012 with group faults).
+        """
+        self.check_target_drops_connection(self.link.silence_open_connections)
+
+    def test_connection_behind_a_cut(self):
+        """Guards against closed connections that stay open during a long cut."""
+        self.check_target_drops_connection(
+            lambda: self.link.set_blocked_callers({"proxy-0"})
+        )
+
+
 class PeerLinksTest(unittest.TestCase):
     def setUp(self):
         self.loop = SteppedLoop()
