--- a/tests/test_soak_partitions.py
+++ b/tests/test_soak_partitions.py
@@ -13,6 +13,7 @@
 
 with adapter_path.importable():
     from soak import (
+        group_faults,
         groups,
         links,
         membership,
@@ -135,8 +136,8 @@
     def test_silenced_connection(self):
         """Guards against closed connections that use up a server's limit for ever.
 
-        A server with 23 of them answered no proxy any more, so that its group got no
-        primary (seeds 803, 2005 and 2012 with group faults).
+        With seeds 2001 and 2005 and group faults a server with 31 and 29 of them
+        refused all proxies, and its group got no primary.
         """
         self.check_target_drops_connection(self.link.silence_open_connections)
 
@@ -295,5 +296,34 @@
         self.assertEqual(self.servers["orders-2"].paused_term, 0)
 
 
+class EndOfReplacementsTest(PartitionTestCase):
+    def setUp(self):
+        super().setUp()
+        self.faults = group_faults.GroupFaults(self.run_stub, 1)
+
+    def test_departure_after_the_faults(self):
+        """Guards against a recovery that is checked before the last primary has left.
+
+        With seed 2005 a primary and a replica left 11 s before the check, and the
+        promoter waited 10 s for the replica.
+        """
+        self.servers["orders-0"].draining = True
+        task = self.loop.spawn(self.faults.await_replacements())
+        self.loop.advance(5.0)
+        self.assertFalse(task.done())
+        self.group.remove_server("orders-0")
+        self.loop.advance(group_faults.POLL_SECONDS)
+        self.assertTrue(task.done())
+
+    def test_departure_that_never_ends(self):
+        """Guards against a run without an end while a group has no primary."""
+        self.servers["orders-0"].draining = True
+        task = self.loop.spawn(self.faults.await_replacements())
+        self.loop.advance(
+            group_faults.MAX_REPLACEMENT_SECONDS + group_faults.POLL_SECONDS
+        )
+        self.assertTrue(task.done())
+
+
 if __name__ == "__main__":
     unittest.main()
