Test that no promised commit is lost behind a cut; name who promised it

Cause: nothing in the test run cuts a primary off with proxies and a server that starts there.

The account of a loss names the proxy to which each commit was acknowledged.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,8 @@
 REPOSITORY_ROOT = pathlib.Path(__file__).parent.parent
 SEEDS = ("1",)
 FAULT_SECONDS = "8"
+CUT_SEEDS = ("4",)
+CUT_SECONDS = "20"  # Time for two or three cuts.
 PROCESS_TIMEOUT_SECONDS = 240  # Allows for a busy machine; a run takes about 30 s.
 
 
@@ -22,11 +24,19 @@
         """Guards against runs for wrong callers that only real processes show."""
         self.check_run("--tenants", "12")
 
-    def check_run(self, *options):
+    def test_no_lost_commits_behind_cuts(self):
+        """Guards against commits that a cut-off primary and a new server acknowledge.
+
+        The promoter can neither reach nor know them, and its announcement does not
+        reach the proxies behind the cut, which tell their clients of such commits.
+        """
+        self.check_run("--group-faults", "cuts", seconds=CUT_SECONDS, seeds=CUT_SEEDS)
+
+    def check_run(self, *options, seconds=FAULT_SECONDS, seeds=SEEDS):
         """Run the soak and check that it finds no violation."""
-        command = [sys.executable, "platform/soak/run.py", "--seconds", FAULT_SECONDS]
+        command = [sys.executable, "platform/soak/run.py", "--seconds", seconds]
         completed = subprocess.run(
-            [*command, "--seeds", *SEEDS, *options],
+            [*command, "--seeds", *seeds, *options],
             cwd=REPOSITORY_ROOT,
             capture_output=True,
             text=True,
--- a/tests/test_soak_membership.py
+++ b/tests/test_soak_membership.py
@@ -38,7 +38,7 @@
         position = self.group.commit(primary, [("item", "data")])
         self.group.replicate()
         if self.group.is_on_replica(position):
-            self.group.record_acknowledgement(primary, position)
+            self.group.record_acknowledgement(primary, position, "proxy-3")
         return position
 
     def order(self, server_id, token=1):
@@ -75,7 +75,7 @@
         [violation] = self.group.violations
         self.assertIn("lost 1 acknowledged commits; its log ends at 1.1", violation)
         self.assertIn("by proxy-7 with token 7", violation)
-        self.assertIn(f"{position} acknowledged by orders-0", violation)
+        self.assertIn(f"{position} acknowledged by orders-0 to proxy-3", violation)
         self.assertIn(
             "now at orders-0 (1.2); orders-2 (1.2); a client was told", violation
         )
