--- a/tests/test_soak_partitions.py
+++ b/tests/test_soak_partitions.py
@@ -270,6 +270,40 @@
         self.assertEqual(peer_link.blocked_callers, set(NAMES[2:]))
 
 
+class RandomCutTest(PartitionTestCase):
+    def setUp(self):
+        super().setUp()
+        self.partitions = partitions.Partitions(self.run_stub, 1, only_with_half=True)
+        self.partitions.start_beside = mock.Mock()
+        self.partitions.find_promoter = lambda: self.run_stub.proxies[0]
+        self.counts = self.run_stub.faults.counts
+
+    def test_cut_with_half_of_the_proxies(self):
+        """Guards against cuts behind which no server starts or no proxy is left."""
+        self.partitions._begin()
+        self.loop.advance(partitions.JOIN_DELAY_RANGE_SECONDS[1])
+        primary = self.servers["orders-0"]
+        self.partitions.start_beside.assert_called_once_with(primary)
+        self.assertEqual(primary.side, 1)
+        self.assertEqual(len(self.blocked_callers("orders-0")), 2)
+        self.assertEqual(self.counts, {"cut_primary_with_half": 1})
+
+    def test_promoter_stays_outside(self):
+        """Guards against cuts after which nobody promotes a server outside."""
+        with mock.patch.object(partitions, "PROMOTER_OUTSIDE_PROBABILITY", 1.0):
+            for _ in range(10):
+                names = self.partitions._choose_half_without_promoter()
+                self.assertEqual(len(names), 2)
+                self.assertNotIn(NAMES[0], names)
+
+    def test_group_without_a_primary(self):
+        """Guards against counting cuts that did not take place."""
+        self.group.primary_id = None
+        self.partitions._begin()
+        self.partitions.end()
+        self.assertEqual(self.counts, {})
+
+
 class PromoterIsolationTest(PartitionTestCase):
     def test_former_promoter_without_the_store(self):
         """Guards against a former promoter that learns at once that it was replaced."""
