--- a/cassiahill/http1.py
+++ b/cassiahill/http1.py
@@ -116,7 +116,13 @@
 
     def on_body(self, body):
         """Append a part of the body."""
-        self.body = self.body + body if self.body else body
+        if not self.body:
+            self.body = body
+        else:
+            if isinstance(self.body, bytes):
+                self.body = bytearray(self.body)
+            # Not copied for each part, because a client may send one byte in each.
+            self.body.extend(body)
         if len(self.body) > self._max_body_bytes:
             raise errors.RequestTooLarge("the body is too large")
 
@@ -178,7 +184,7 @@
             path=path,
             query=query,
             headers=self.headers,
-            body=self.body,
+            body=bytes(self.body),
             peer_name=self.stream.peer_name,
         )
         keep_alive = self._parser.should_keep_alive()
@@ -440,7 +446,7 @@
     def on_message_complete(self):
         """Complete the future of the pending response; called by the parser."""
         response = ReceivedResponse(
-            self._parser.get_status_code(), self.body, self.headers
+            self._parser.get_status_code(), bytes(self.body), self.headers
         )
         response_future = self._take_pending_response()
         if not self._parser.should_keep_alive():
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -8,6 +8,8 @@
 from hypothesis import strategies as st
 
 from cassiahill import clock, http1, loop, transport
+from tests import counting_bytes
+from tests.counting_bytes import CountingBytes
 
 GOOD_REQUEST = b"GET /good HTTP/1.1\r\n\r\n"
 MAX_LOOP_TURNS = 200
@@ -161,6 +163,15 @@
                 self.loop._run_once()
             self.assertEqual(future.result().headers["store-era"], path[1:])
 
+    def test_body_in_many_small_chunks(self):
+        """Guards against a body that is copied for each chunk of one byte."""
+        counting_bytes.reset_count()
+        collector = http1._MessageCollector()
+        for _ in range(10_000):
+            collector.on_body(CountingBytes(b"x"))
+        self.assertEqual(collector.body, b"x" * 10_000)
+        self.assertLessEqual(CountingBytes.copied_bytes, 10_000)
+
     def test_failing_handler_is_an_internal_error(self):
         """Guards against an internal error that is reported as malformed input."""
         received = self.send_and_receive(b"GET /fail HTTP/1.1\r\n\r\n", b"}")
--- a/tests/test_line_reader.py
+++ b/tests/test_line_reader.py
@@ -7,6 +7,8 @@
 
 from cassiahill import errors
 from cassiahill.line_reader import MAX_LINE_BYTES, LineReader
+from tests import counting_bytes
+from tests.counting_bytes import CountingBytes
 
 # Line ends, their halves and what stands around them come up more often than by chance.
 PIECES = st.lists(
@@ -38,6 +40,16 @@
         *lines, rest = stream.split(b"\r\n")
         self.assertEqual(read_in_cuts(stream, cuts), (lines, bool(rest)))
 
+    def test_line_in_many_small_pieces(self):
+        """Guards against a line that is copied for each piece of one byte."""
+        counting_bytes.reset_count()
+        reader = LineReader()
+        for _ in range(10_000):
+            self.assertEqual(reader.feed(CountingBytes(b"x")), [])
+        self.assertEqual(reader.feed(b"\r\n"), [b"x" * 10_000])
+        self.assertFalse(reader.is_in_line)
+        self.assertLessEqual(CountingBytes.copied_bytes, 10_000)
+
     def test_long_lines_are_refused(self):
         """Guards against a connection that fills the memory."""
         for data in (b"x" * (MAX_LINE_BYTES + 1), b"x" * MAX_LINE_BYTES + b"y\r\n"):
