Ask the other proxies which replicas they have removed before a promotion

Callers would lose commits that a proxy behind a cut has promised on the proof of a replica there: a promoter that starts after the entries of both have lapsed knows neither, so it did not keep the wait of 10 s.

The answers to the notice of a promotion now tell which replicas a proxy has removed since the primary last answered it, and for how long.

--- a/cassiahill/heartbeats.py
+++ b/cassiahill/heartbeats.py
@@ -235,6 +235,9 @@
         ignored the notice because of that; otherwise 0.
     replica_ids : list of str
         Servers of the group that the proxy is connected to, without the primary.
+    removed_seconds_by_id : dict of str to float
+        For how long replicas are removed that may still run beside the primary; see
+        ``server_group.ServerGroup.removed_seconds_by_id``.
     """
 
     term: int | None = None
@@ -242,6 +245,7 @@
     newer_era: int = 0
     newer_revision: int = 0
     replica_ids: list[str] = []
+    removed_seconds_by_id: dict[str, float] = {}
 
     @property
     def position(self):
--- a/cassiahill/missing_commits.py
+++ b/cassiahill/missing_commits.py
@@ -52,6 +52,26 @@
             if now - unknown_since < UNKNOWN_REPLICA_WAIT_SECONDS
         ]
 
+    def awaited_removed_ids(self, removed_seconds_by_id):
+        """Return the replicas that others have removed and that may run by the primary.
+
+        A promoter that started after the removal does not know of it.
+
+        Parameters
+        ----------
+        removed_seconds_by_id : dict of str to float
+            For how long other proxies have removed replicas.
+        """
+        if not self._group.synchronous:
+            return []
+        now = self._loop.clock.now()
+        return [
+            server_id
+            for server_id, seconds in sorted(removed_seconds_by_id.items())
+            if server_id not in self._group.pools_by_id
+            and now - seconds >= self._group.primary_answered_at
+        ]
+
     def may_lack(self, successor, primary_answers):
         """Return whether a successor may lack acknowledged commits.
 
@@ -88,7 +108,5 @@
             return False
         if primary_answers:
             return True
-        latest = self._group.primary_positions.latest_sample
-        answered_at = float("-inf") if latest is None else latest.asked_at
-        waited_since = max(answered_at, sole_copies.lost_at)
+        waited_since = max(self._group.primary_answered_at, sole_copies.lost_at)
         return self._loop.clock.now() - waited_since <= REMOVED_REPLICA_WAIT_SECONDS
--- a/cassiahill/promotion_evidence.py
+++ b/cassiahill/promotion_evidence.py
@@ -7,6 +7,7 @@
 
 from cassiahill import errors, event_log, heartbeats
 from cassiahill.loop import completed_future
+from cassiahill.missing_commits import REMOVED_REPLICA_WAIT_SECONDS
 
 # The store and reachable proxies answer in milliseconds; the group waits meanwhile.
 EVIDENCE_TIMEOUT_SECONDS = 0.25
@@ -63,6 +64,13 @@
         """
         return set()
 
+    def removed_by_others(self, group):
+        """Return for how long other proxies have removed replicas, by their ids.
+
+        As ``replicas_known_to_others``.
+        """
+        return {}
+
 
 def answer_notice(notice, group, election):
     """Apply a notice of a promotion unless a newer promoter is known.
@@ -95,6 +103,9 @@
     if group is not None:
         group.announce_promotion(notice.successor)
         commit.replica_ids = sorted(set(group.pools_by_id) - {group.primary.server_id})
+        commit.removed_seconds_by_id = group.removed_seconds_by_id(
+            REMOVED_REPLICA_WAIT_SECONDS
+        )
     return commit
 
 
@@ -116,11 +127,16 @@
         self._fleet = fleet
         self._owner_names = owner_names
         self._replica_ids_by_group = {}
+        self._removed_seconds_by_group = {}
 
     def replicas_known_to_others(self, group):
         """Return ids of the replicas that the proxies named in their last answers."""
         return self._replica_ids_by_group.get(group, set())
 
+    def removed_by_others(self, group):
+        """Return for how long other proxies have removed replicas, by their ids."""
+        return self._removed_seconds_by_group.get(group, {})
+
     def update_servers(self):
         """Return the future of whether the list of servers is up to date."""
         deadline = self._loop.clock.now() + EVIDENCE_TIMEOUT_SECONDS
@@ -156,6 +172,11 @@
         self._replica_ids_by_group[group] = {
             server_id for commit in commits for server_id in commit.replica_ids
         }
+        self._removed_seconds_by_group[group] = {
+            server_id: seconds
+            for commit in commits
+            for server_id, seconds in commit.removed_seconds_by_id.items()
+        }
         return [commit.position for commit in commits if commit.position is not None]
 
     def _tell_proxy(self, member, notice, deadline):
--- a/cassiahill/removed_replicas.py
+++ b/cassiahill/removed_replicas.py
@@ -25,8 +25,12 @@
         not_before : float
             Replicas that were removed earlier are left out.
         """
-        return [
-            server_id
+        return list(self.removed_at_by_id(asked_at, not_before))
+
+    def removed_at_by_id(self, asked_at, not_before):
+        """Return the instants of the removals that ``removed_since`` names, by id."""
+        return {
+            server_id: removed_at
             for server_id, removed_at in self._removed_at_by_id.items()
             if removed_at >= asked_at and removed_at > not_before
-        ]
+        }
--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -337,11 +337,30 @@
         -------
         list of str
         """
-        latest = self.primary_positions.latest_sample
-        return self.removed_replicas.removed_since(
-            float("-inf") if latest is None else latest.asked_at,
-            self._loop.clock.now() - max_age_seconds,
+        return list(self.removed_seconds_by_id(max_age_seconds))
+
+    def removed_seconds_by_id(self, max_age_seconds):
+        """Return for how long the replicas of ``removed_with_primary`` are removed.
+
+        Returns
+        -------
+        dict of str to float
+            Seconds, by server id.
+        """
+        now = self._loop.clock.now()
+        removed_at_by_id = self.removed_replicas.removed_at_by_id(
+            self.primary_answered_at, now - max_age_seconds
         )
+        return {
+            server_id: now - removed_at
+            for server_id, removed_at in removed_at_by_id.items()
+        }
+
+    @property
+    def primary_answered_at(self):
+        """Instant at which the last question was sent that a primary has answered."""
+        latest = self.primary_positions.latest_sample
+        return float("-inf") if latest is None else latest.asked_at
 
     def confirm_primary(self, connection, asked_at, reply):
         """Record a reply that only a primary gives; see ``ServerReplies``."""
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -210,12 +210,7 @@
         if removed_replicas and self._group.synchronous:
             # Such a replica may be on the primary's side of a network partition and
             # acknowledge its commits there.
-            event_log.event(
-                "takeover_waits_for_gone",
-                group=self._group.name,
-                primary=primary,
-                gone=" ".join(removed_replicas),
-            )
+            self._log_wait_for_removed(primary, removed_replicas)
             return False
         self._blocked_attempts = 0
         # Another promoter's pauses have other terms, so that neither ends the other's.
@@ -492,6 +487,12 @@
                 unknown=" ".join(awaited_ids),
             )
             return None
+        removed_ids = self._missing_commits.awaited_removed_ids(
+            self._evidence.removed_by_others(self._group.name)
+        )
+        if removed_ids:
+            self._log_wait_for_removed(primary, removed_ids)
+            return None
         positions = [
             *(status.received for status in paused_statuses),
             old_primary.received,
@@ -575,6 +576,14 @@
             return None
         return successor
 
+    def _log_wait_for_removed(self, primary, removed_ids):
+        event_log.event(
+            "takeover_waits_for_gone",
+            group=self._group.name,
+            primary=primary,
+            gone=" ".join(removed_ids),
+        )
+
     def _log_effect(self, prepared, ordered_at, statuses):
         """Log that a promotion took effect, and what was known shortly before."""
         event_log.event(
--- a/tests/promotion_history.py
+++ b/tests/promotion_history.py
@@ -3,7 +3,13 @@
 import functools
 import itertools
 
-from cassiahill import catalog, errors, promotion_evidence, takeover
+from cassiahill import (
+    catalog,
+    errors,
+    missing_commits,
+    promotion_evidence,
+    takeover,
+)
 from cassiahill.catalog import GroupLimits
 from cassiahill.loop import completed_future
 from cassiahill.regions import Regions
@@ -72,6 +78,15 @@
             if server_id != other.group.primary.server_id
         }
 
+    def removed_by_others(self, group):
+        return {
+            server_id: seconds
+            for other in self._reached_proxies()
+            for server_id, seconds in other.group.removed_seconds_by_id(
+                missing_commits.REMOVED_REPLICA_WAIT_SECONDS
+            ).items()
+        }
+
     def _reached_proxies(self):
         proxies = self._history.proxies
         return [
