State that no promotion is under way only after an accepted order of the term

The 15 s bound orders that are carried out late, not a former promoter that is suspended right before it gives one: until the platform has seen a token of the new term, it accepts that order, and the statement to the proxies would be untrue.

--- a/cassiahill/promotion_orders.py
+++ b/cassiahill/promotion_orders.py
@@ -67,6 +67,9 @@
 
     Attributes
     ----------
+    are_fenced : bool
+        Whether the platform has accepted an order of this term, so that it refuses
+        those of all former promoters, however late they are given.
     was_refused : bool
         Whether an order was refused since the store has last confirmed the promoter. A
         newer promoter may have used a higher token.
@@ -87,6 +90,7 @@
         self._open_until = float("-inf")
         self._unanswered_closings = 0
         self.was_refused = False
+        self.are_fenced = False
 
     @property
     def are_open(self):
@@ -107,6 +111,7 @@
 
     def begin_term(self, now):
         """Record that this process has become the promoter."""
+        self.are_fenced = not self._follows_other_promoter
         if self._follows_other_promoter:
             self._open_until = now + ABANDONED_PAUSE_SECONDS
 
@@ -159,6 +164,7 @@
         ):
             return False
         self._open_until = float("-inf")
+        self.are_fenced = True
         return True
 
     def promote(self, successor, token, window=None):
@@ -191,6 +197,7 @@
                 self._open_until = self._loop.clock.now() + ABANDONED_PAUSE_SECONDS
             if result is OrderResult.ACCEPTED:
                 self._unanswered_closings = 0
+                self.are_fenced = True
             if result is OrderResult.REFUSED:
                 self.was_refused = True
                 return False
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -113,6 +113,7 @@
             self._check_pauses_at is not None
             and not self._in_progress
             and not self._promotions.are_open
+            and self._promotions.are_fenced
         )
 
     def record_not_promoter(self):
@@ -390,12 +391,14 @@
         if not (yield self._confirm_role()):
             self._check_pauses_at = self._loop.clock.now() + PAUSES_RETRY_SECONDS
             return False
-        if self._promotions.are_open:
+        if self._promotions.are_open or not self._promotions.are_fenced:
             yield from self._close_orders(self._group.primary.server_id)
         if self._promotions.are_open:
             self._check_pauses_at = self._loop.clock.now() + OPEN_ORDERS_RETRY_SECONDS
             return False
         self._check_pauses_at = math.inf
+        if not self._promotions.are_fenced:
+            self._check_pauses_at = self._loop.clock.now() + PAUSES_RETRY_SECONDS
         yield from self._resume(list(self._group.pools_by_id), lambda _paused: True)
         return False
 
--- a/tests/test_takeover_pauses.py
+++ b/tests/test_takeover_pauses.py
@@ -116,6 +116,27 @@
         self.run_for(2.0)
         self.assertEqual(replica.paused_term, 0)
 
+    def test_term_without_an_accepted_order_is_never_idle(self):
+        """Guards against a statement that a former promoter's order makes untrue.
+
+        Until the platform has seen a token of this term, it accepts orders of a former
+        promoter that was suspended right before it gave them.
+        """
+        self.set_up_group([OrderResult.NOT_DONE] * 12)
+        self.takeover = takeover.Takeover(
+            self.fixture.loop,
+            self.fixture.group,
+            self.orders,
+            lambda: next(self.tokens),
+            self.confirm_promoter,
+            lambda: None,
+        )
+        while len(self.orders.promotions) < 12:
+            self.run_for(0.5)
+            self.assertFalse(self.takeover.is_idle)
+        self.run_for(4.0)
+        self.assertTrue(self.takeover.is_idle)
+
     def test_pauses_are_ended_only_after_the_store_has_confirmed_the_role(self):
         """Guards against a former promoter that ends pauses of its successor.
 
