Keep the oldest idle connection to a replica; ask a silent store less often

A replica proves commits on connections that are older than the promoter's statement. The one idle connection that a pool keeps was the one used last, which may be the newest, so that writes were refused while the store was away.

--- a/cassiahill/server_pool.py
+++ b/cassiahill/server_pool.py
@@ -366,12 +366,20 @@
         ----------
         now : float
         keep_count : int
-            Number of connections to keep open. With 0, all are closed soon, because
-            this process does not serve the group and the group owners need them.
+            Number of connections to keep open, the oldest one among them, which may
+            prove commits. With 0, all are closed soon, because this process does not
+            serve the group and the group owners need them.
         """
+        oldest = min(
+            self._opened_at_by_connection,
+            key=self._opened_at_by_connection.get,
+            default=None,
+        )
         for connection in self._idle:
             if self.connection_count <= keep_count:
                 return
+            if connection is oldest and keep_count:
+                continue
             if now - connection.used_at > self._max_idle_seconds(keep_count):
                 connection.close()
 
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -32,7 +32,9 @@
 HEARTBEAT_INTERVAL_SECONDS = 0.4
 HEARTBEAT_TIMEOUT_SECONDS = 0.4
 # Interval of heartbeats to the promoter while connections await its statement.
-STATEMENT_RETRY_SECONDS = 0.1
+STATEMENT_RETRY_SECONDS = 0.2
+# Interval of questions for the promoter's role to a store that does not answer.
+UNCONFIRMED_RETRY_SECONDS = 1.0
 # A statement that was never confirmed is as old as this.
 MAX_CONFIRMED_AGE_SECONDS = 1e6
 
@@ -242,7 +244,10 @@
 
     def _on_confirmed(self, _future):
         self._confirming = False
-        self._record_own_statement(self._loop.clock.now())
+        now = self._loop.clock.now()
+        if self.election.confirmed_at < now - promoter_election.CONFIRM_TIMEOUT_SECONDS:
+            self._confirm_due_at = now + UNCONFIRMED_RETRY_SECONDS
+        self._record_own_statement(now)
 
     def _record_own_statement(self, now):
         """Record this process's statement as the promoter for its own groups."""
