Remove the announcement of a promotion; ask a second replica for a slow proof

Since commits are proved by replicas, no notice releases or holds back a commit, and the answer of another failure domain shows nothing more: announced_promotion, the probes of other domains and the withdrawal of notices go. What remains of a notice is the question for the newest acknowledged commit.

A replica that does not answer delayed each proof by 0.15 s and cost a connection each time, behind a cut or a lost packet. The next replica is asked after 30 ms, and the first has 0.4 s. Behind a cut that is noticed the unknown outcome is told at once.

The order of domains in group_servers and the last answer elsewhere had no user left.

--- a/cassiahill/commit_confirmation.py
+++ b/cassiahill/commit_confirmation.py
@@ -1,22 +1,14 @@
-"""Holds back an acknowledged commit until a partition can be ruled out.
-
-A partition is noticed only after a while. Until then a replica that starts on the
-primary's side may acknowledge a commit which the other side, that does not know this
-replica, loses by a promotion. So the client is told of a commit only if a server in
-another failure domain has answered recently, or answers after the acknowledgement.
-A replica must prove that a promotion would keep the commit, whether this process knows
-of one or not.
+"""Holds back an acknowledged commit until a replica proves that it is kept.
+
+Otherwise a promotion, of which this process need not know, may lose a commit that a
+client was told of; see ``commit_witnesses``.
 """
 
-from cassiahill import announced_promotion, statements
-from cassiahill.reachability import DOMAIN_UNREACHABLE_SECONDS
+from cassiahill import statements
 
-# A commit that is acknowledged within this time after a cut has begun may be lost.
-RECENT_ANSWER_SECONDS = 0.1
-# Longer than a partition that has begun before can stay unnoticed.
-MAX_HOLD_SECONDS = DOMAIN_UNREACHABLE_SECONDS + 0.2
 POLL_INTERVAL_SECONDS = 0.005
-STATUS_TIMEOUT_SECONDS = 0.15
+STATUS_TIMEOUT_SECONDS = 0.4  # Allows for a lost packet.
+HEDGE_DELAY_SECONDS = 0.03  # Until a second replica is asked.
 
 
 def confirm_commit(loop, group, server_id, position, deadline):
@@ -39,97 +31,86 @@
     bool
         Whether the client may be told of the commit.
     """
-    if not group.synchronous:
-        return True
-    if group.commit_witnesses is not None:
-        return (yield from _prove(loop, group, server_id, position, deadline))
-    if not (yield from _rule_out_partition(loop, group, deadline)):
-        return False
-    return (
-        yield from _confirm_at_successor(loop, group, server_id, position, deadline)
-    )
-
-
-def _rule_out_partition(loop, group, deadline):
-    """Return whether no partition has begun around the primary; a task."""
-    acknowledged_at = loop.clock.now()
-    if group.has_replica_in_own_domain or not group.synchronous:
-        return True
-    if group.servers.elsewhere_answered_at > acknowledged_at - RECENT_ANSWER_SECONDS:
-        return True
-    group.probes.probe_elsewhere(acknowledged_at)
-    hold_until = acknowledged_at + MAX_HOLD_SECONDS
-    while loop.clock.now() < min(deadline, hold_until):
-        if group.servers.elsewhere_answered_at > acknowledged_at:
-            return True
-        if group.partitioned:
-            return False
-        yield loop.sleep_until(loop.clock.now() + POLL_INTERVAL_SECONDS)
-    return loop.clock.now() < deadline
-
-
-def _prove(loop, group, server_id, position, deadline):
-    """Return whether a replica proves that a promotion keeps a commit; a task.
-
-    See ``commit_witnesses``.
-    """
-    if position is None:
+    if not group.synchronous or group.commit_witnesses is None or position is None:
         return True
+    reports_by_id = {}
     while loop.clock.now() < deadline:
+        if group.commit_witnesses.proves(position):
+            return True
         is_proved = yield from _ask_witnesses(
-            loop, group, server_id, position, deadline
+            loop, group, server_id, position, reports_by_id, deadline
         )
         if is_proved is not False:
             return is_proved is True
+        if group.is_partitioned_from_replicas:
+            return False
         yield loop.sleep_until(loop.clock.now() + POLL_INTERVAL_SECONDS)
     return False
 
 
-def _ask_witnesses(loop, group, server_id, position, deadline):
-    """Return whether a replica proves a commit; None if none can any more; a task.
+def _ask_witnesses(loop, group, server_id, position, reports_by_id, deadline):
+    """Ask one replica after the other until one proves the commit; a task.
 
     A server that has acknowledged the commit and has stepped down since proves nothing.
+
+    Parameters
+    ----------
+    loop, group, server_id, position, deadline
+        See ``confirm_commit``.
+    reports_by_id : dict of str to loop.LoopFuture
+        Questions without an answer yet, to which new ones are added.
+
+    Returns
+    -------
+    bool or None
+        Whether the commit is proved; None if it cannot be any more.
     """
     now = loop.clock.now()
     status_deadline = min(deadline, now + STATUS_TIMEOUT_SECONDS)
-    witnesses = group.commit_witnesses
-    if witnesses.proves(position):
-        return True
-    witnesses.ask_for_connections(server_id, now)
-    for replica_id in witnesses.usable_ids(server_id, now):
-        report = yield from group.ask_witness(replica_id, status_deadline)
-        if not isinstance(report, statements.ServerReport):
+    group.commit_witnesses.ask_for_connections(server_id, now)
+    for replica_id in group.commit_witnesses.usable_ids(server_id, now):
+        if replica_id in reports_by_id:
             continue
-        received = announced_promotion.has_received(report, position)
+        report = loop.spawn(group.ask_witness(replica_id, status_deadline))
+        reports_by_id[replica_id] = report
+        hedge_at = loop.clock.now() + HEDGE_DELAY_SECONDS
+        yield loop.first_done(report, loop.sleep_until(hedge_at))
+        is_proved = _take_answers(group, reports_by_id, position)
+        if is_proved is not False:
+            return is_proved
+    return _take_answers(group, reports_by_id, position)
+
+
+def _take_answers(group, reports_by_id, position):
+    """Return whether an answer proves a commit; None if none can any more."""
+    is_proved = False
+    for replica_id, report in list(reports_by_id.items()):
+        if not report.done():
+            continue
+        del reports_by_id[replica_id]
+        if not isinstance(report.result(), statements.ServerReport):
+            continue
+        received = _has_received(report.result(), position)
         if received:
-            witnesses.record_received(report.received)
-        if received is not False:
-            return received
-    return False
+            group.commit_witnesses.record_received(report.result().received)
+            return True
+        if received is None:
+            is_proved = None
+    return is_proved
 
 
-def _confirm_at_successor(loop, group, server_id, position, deadline):
-    """Return whether the successor of the primary, if there is one, has a commit.
+def _has_received(report, position):
+    """Return whether a server has a commit; None if that cannot be told any more.
 
-    A task. The commit may be in the log of a replica only that the promotion leaves
-    behind.
+    Parameters
+    ----------
+    report : statements.ServerReport
+        Status of the server.
+    position : positions.LogPosition
+        Of a commit that another server has acknowledged.
     """
-    is_held = False
-    while loop.clock.now() < deadline:
-        promotion = group.announced_promotion
-        if promotion is None:
-            # An announcement that has lapsed does not tell that nothing is promoted.
-            return not is_held or group.is_promotion_withdrawn
-        if position is None or server_id == promotion.successor:
-            return True
-        is_held = True
-        status_deadline = min(deadline, loop.clock.now() + STATUS_TIMEOUT_SECONDS)
-        report = yield from group.ask_status_report(
-            promotion.successor, statements.ReadStatus(), status_deadline
-        )
-        if isinstance(report, statements.ServerReport):
-            received = announced_promotion.has_received(report, position)
-            if received is not False:
-                return received is True
-        yield loop.sleep_until(loop.clock.now() + POLL_INTERVAL_SECONDS)
-    return False
+    received = report.received
+    if report.is_primary or (received is not None and received.term > position.term):
+        # Its log has gone on in a new term, and does not show where the old one ended.
+        return None
+    return received is not None and received >= position
--- a/cassiahill/group_servers.py
+++ b/cassiahill/group_servers.py
@@ -137,14 +137,6 @@
             if pool.server.failure_domain == self._own_domain
         ]
 
-    def ids_elsewhere(self):
-        """Return the ids of the servers in other failure domains."""
-        return [
-            server_id
-            for server_id, pool in self.pools_by_id.items()
-            if pool.server.failure_domain != self._own_domain
-        ]
-
     def contacts(self, now):
         """Return a ``reachability.Contact`` for each server."""
         return [
@@ -156,16 +148,6 @@
             for pool in self.pools_by_id.values()
         ]
 
-    @property
-    def elsewhere_answered_at(self):
-        """Instant at which a server in another failure domain last answered.
-
-        Infinite if the group has none.
-        """
-        return reachability.last_answer_elsewhere(
-            self._own_domain, self.contacts(self._loop.clock.now())
-        )
-
     def is_in_other_region(self, server_id):
         """Return whether a server is known and in another region."""
         pool = self.pools_by_id.get(server_id)
--- a/cassiahill/heartbeats.py
+++ b/cassiahill/heartbeats.py
@@ -198,20 +198,20 @@
 
 
 class PromotionNotice(msgspec.Struct):
-    """Tells a proxy which server is about to be promoted.
+    """Asks a proxy what a server that is about to be promoted must have.
 
     Attributes
     ----------
     group : str
-    successor : str or None
-        Id of the server; None if no promotion is about to take effect any more.
+    successor : str
+        Id of the server.
     term_era, term_revision : int
         ``Revision`` of the sender's term as the promoter, by which an older notice is
         told from a newer one. A proxy of an earlier release does not state it.
     """
 
     group: str
-    successor: str | None = None
+    successor: str
     term_era: int = 0
     term_revision: int = 0
 
--- a/cassiahill/promotion_evidence.py
+++ b/cassiahill/promotion_evidence.py
@@ -31,15 +31,12 @@
         return True
 
     def announce_promotion(self, group, successor):
-        """Tell the other proxies which server is about to be promoted.
-
-        From their answers on they tell clients only of commits that it has received.
+        """Ask the other proxies what a server that is about to be promoted must have.
 
         Parameters
         ----------
         group : str
-        successor : str or None
-            None if no promotion is about to take effect any more.
+        successor : str
 
         Returns
         -------
@@ -100,8 +97,13 @@
         )
         return heartbeats.encode_commit(position, election.newest_term)
     commit = heartbeats.encode_commit(position)
+    event_log.event(
+        "promotion_announced",
+        group=notice.group,
+        successor=notice.successor,
+        acknowledged=position,
+    )
     if group is not None:
-        group.announce_promotion(notice.successor)
         commit.replica_ids = sorted(set(group.pools_by_id) - {group.primary.server_id})
         commit.removed_seconds_by_id = group.removed_seconds_by_id(
             REMOVED_REPLICA_WAIT_SECONDS
--- a/cassiahill/reachability.py
+++ b/cassiahill/reachability.py
@@ -100,30 +100,6 @@
     )
 
 
-def last_answer_elsewhere(own_domain, contacts):
-    """Return the instant of the last answer from another failure domain.
-
-    Parameters
-    ----------
-    own_domain : str
-        Failure domain of this process.
-    contacts : iterable of Contact
-
-    Returns
-    -------
-    float
-        Infinite when there is no contact in another failure domain.
-    """
-    return max(
-        (
-            contact.answered_at
-            for contact in contacts
-            if contact.failure_domain != own_domain
-        ),
-        default=float("inf"),
-    )
-
-
 def partitioned_since(since, own_domain, contacts, now):
     """Return the instant since which this process is partitioned, or None.
 
--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -8,11 +8,9 @@
 
 from cassiahill import (
     acknowledged_commits,
-    announced_promotion,
     busy_servers,
     commit_witnesses,
     connection_quotas,
-    event_log,
     group_dump,
     group_servers,
     line_connections,
@@ -139,7 +137,6 @@
         self.sole_copies = sole_copies.SoleCopies()
         self.acknowledged_commits = acknowledged_commits.AcknowledgedCommits()
         self.commit_witnesses = None
-        self._announced_promotion = None
         self.read_durations = read_durations.ReadDurations()
         self.outstanding_writes = outstanding_writes.OutstandingWrites(loop.clock)
         self.slot_share = slot_shares.SlotShare()
@@ -254,7 +251,7 @@
         """
         if not self.synchronous:
             return True
-        if self.partitioned and not self.has_replica_in_own_domain:
+        if self.is_partitioned_from_replicas:
             return False
         return self.commit_witnesses is None or bool(
             self.commit_witnesses.usable_ids(
@@ -266,6 +263,11 @@
         """Pass commits on only if a replica proves that a promotion keeps them."""
         self.commit_witnesses = commit_witnesses.CommitWitnesses(self.pools_by_id)
 
+    @property
+    def is_partitioned_from_replicas(self):
+        """Whether no known replica is on this process's side of a partition."""
+        return self.partitioned and not self.has_replica_in_own_domain
+
     @property
     def has_replica_in_own_domain(self):
         """Whether a known replica is in the failure domain of this process."""
@@ -295,34 +297,6 @@
             return placement.NotProvable()
         return placement.AtPosition(position)
 
-    @property
-    def announced_promotion(self):
-        """The ``AnnouncedPromotion`` that is about to take effect, or None."""
-        promotion = self._announced_promotion
-        if promotion is None or self._loop.clock.now() >= promotion.ends_at:
-            return None
-        return promotion
-
-    @property
-    def is_promotion_withdrawn(self):
-        """Whether the last announced promotion, if any, does not take place."""
-        return self._announced_promotion is None
-
-    def announce_promotion(self, successor):
-        """Record which server is about to be promoted, or None if none is any more."""
-        event_log.event(
-            "promotion_announced",
-            group=self.name,
-            successor=successor,
-            acknowledged=self.acknowledged_commits.position,
-        )
-        self._announced_promotion = None
-        if successor is not None:
-            self._announced_promotion = announced_promotion.AnnouncedPromotion(
-                successor,
-                self._loop.clock.now() + announced_promotion.ANNOUNCEMENT_SECONDS,
-            )
-
     def removed_with_primary(self, max_age_seconds):
         """Return ids of the replicas that were removed since the primary last answered.
 
--- a/cassiahill/server_probes.py
+++ b/cassiahill/server_probes.py
@@ -60,11 +60,6 @@
             PRIMARY_PROBE_INTERVAL_SECONDS, SERVER_PROBE_INTERVAL_SECONDS, now
         )
 
-    def probe_elsewhere(self, now):
-        """Probe the servers in other failure domains."""
-        for server_id in self._group.servers.ids_elsewhere():
-            self.probe_server(server_id, now)
-
     def probe_server(self, server_id, now):
         """Probe a server unless a probe is under way or no connection is idle."""
         pool = self._group.pools_by_id.get(server_id)
--- a/cassiahill/session_executor.py
+++ b/cassiahill/session_executor.py
@@ -155,7 +155,6 @@
                 request=request.request_id,
                 group=self._group.name,
                 position=reply.position,
-                successor=getattr(self._group.announced_promotion, "successor", None),
             )
             return Reply(code=Code.OUTCOME_UNKNOWN, detail="it may be undone")
         self._session_state.last_commit = (
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -172,7 +172,9 @@
         if not (yield self._confirm_role()):
             return False
         yield servers_updated
-        if self._promotions.are_open and not (yield from self._close_orders(primary)):
+        if self._promotions.are_open and not (
+            yield from self._promotions.close(primary)
+        ):
             self._check_pauses_at = self._loop.clock.now() + OPEN_ORDERS_RETRY_SECONDS
             return False
         # Higher than the token of an order that has closed earlier ones.
@@ -226,7 +228,7 @@
         yield self._loop.first_done(promoted)
         # Until the replicas have answered, a message that resumes one of them may still
         # be on its way, so that the next attempt could not rely on its own pauses.
-        yield from self._end_attempt(replicas, term, promoted.result())
+        yield from self._end_attempt(replicas, term)
         return promoted.result()
 
     def _nearness_by_id(self):
@@ -302,19 +304,15 @@
         return promoted
 
     def _announce(self, successor):
-        """Tell all proxies of a promotion; learn which commits it must keep; a task.
-
-        Later ones are passed on to clients only if the successor has received them.
+        """Ask all proxies which commits a promotion must keep; a task.
 
         Returns
         -------
         bool
-            Whether this process is still the promoter. A notice of a former promoter
-            has no effect, in this process neither.
+            Whether this process is still the promoter.
         """
         if not self._evidence.is_promoter():
             return False
-        self._group.announce_promotion(successor)
         seen_by_others = yield self._evidence.announce_promotion(
             self._group.name, successor
         )
@@ -350,40 +348,28 @@
             self._promotions.was_refused = False
         return confirmed
 
-    def _close_orders(self, primary):
-        """Close earlier orders; return whether a promotion may be prepared; a task."""
-        may_go_on = yield from self._promotions.close(primary)
-        if not self._promotions.are_open:
-            yield from self._announce(None)
-        return may_go_on
-
-    def _end_attempt(self, replicas, term, promoted):
+    def _end_attempt(self, replicas, term):
         """Let the replicas receive again, unless another promoter is in charge.
 
         They stay paused while an earlier order may be carried out: its server lacks
-        what they would acknowledge. The announcement of a promotion that does not take
-        place is withdrawn.
+        what they would acknowledge.
 
         Parameters
         ----------
         replicas : list of str
         term : int
             Term of the pauses.
-        promoted : bool
-            Whether the promotion has taken effect.
         """
         if not (yield self._confirm_role()):
             event_log.event("pauses_left_to_promoter", group=self._group.name)
             self._check_pauses_at = self._loop.clock.now() + PAUSES_RETRY_SECONDS
             return
         if self._promotions.are_open:
-            yield from self._close_orders(self._group.primary.server_id)
+            yield from self._promotions.close(self._group.primary.server_id)
         if self._promotions.are_open:
             event_log.event("pauses_left_to_orders", group=self._group.name)
             self._check_pauses_at = self._loop.clock.now() + OPEN_ORDERS_RETRY_SECONDS
             return
-        if not promoted:
-            yield from self._announce(None)
         yield from self._resume(replicas, lambda paused: paused == term)
 
     def _end_abandoned_pauses(self):
@@ -392,7 +378,7 @@
             self._check_pauses_at = self._loop.clock.now() + PAUSES_RETRY_SECONDS
             return False
         if self._promotions.are_open or not self._promotions.are_fenced:
-            yield from self._close_orders(self._group.primary.server_id)
+            yield from self._promotions.close(self._group.primary.server_id)
         if self._promotions.are_open:
             self._check_pauses_at = self._loop.clock.now() + OPEN_ORDERS_RETRY_SECONDS
             return False
