End an attempt with the promoter's term in which it began

A process that lost the promoter's role and got it back went on with its attempt.

An attempt now compares the term whenever it confirms the role and before it announces anything. The new test of test_takeover fails on the code before.

--- a/cassiahill/promotion_evidence.py
+++ b/cassiahill/promotion_evidence.py
@@ -8,6 +8,7 @@
 from cassiahill import errors, event_log, heartbeats
 from cassiahill.loop import completed_future
 from cassiahill.missing_commits import REMOVED_REPLICA_WAIT_SECONDS
+from cassiahill.shared_store import Revision
 
 # The store and reachable proxies answer in milliseconds; the group waits meanwhile.
 EVIDENCE_TIMEOUT_SECONDS = 0.25
@@ -26,9 +27,9 @@
         """
         return completed_future(True)
 
-    def is_promoter(self):
-        """Return whether this process is the promoter, as far as it knows."""
-        return True
+    def own_term(self):
+        """Return the ``Revision`` of this process's term as the promoter, or None."""
+        return Revision()
 
     def announce_promotion(self, group, successor):
         """Ask the other proxies what a server that is about to be promoted must have.
@@ -144,9 +145,9 @@
         deadline = self._loop.clock.now() + EVIDENCE_TIMEOUT_SECONDS
         return self._loop.spawn(self._catalog_feed.update_servers(deadline))
 
-    def is_promoter(self):
-        """Return whether this process is the promoter, as far as it knows."""
-        return self._fleet.election.is_promoter
+    def own_term(self):
+        """Return the ``Revision`` of this process's term as the promoter, or None."""
+        return self._fleet.election.term_revision
 
     def announce_promotion(self, group, successor):
         """Return the future of the newest commits that other proxies have seen."""
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -103,6 +103,7 @@
         )
         self._blocked_attempts = 0
         self._in_progress = False
+        self._attempt_term = None
         self._next_attempt_at = 0.0
         self._check_pauses_at = None
 
@@ -150,6 +151,7 @@
         else:
             return
         self._in_progress = True
+        self._attempt_term = self._evidence.own_term()
         future = self._loop.spawn(task)
         self._loop.when_done(future, self._on_finished)
 
@@ -311,7 +313,7 @@
         bool
             Whether this process is still the promoter.
         """
-        if not self._evidence.is_promoter():
+        if not self._is_in_own_term():
             return False
         seen_by_others = yield self._evidence.announce_promotion(
             self._group.name, successor
@@ -320,7 +322,7 @@
             return False
         for position in seen_by_others:
             self._group.acknowledged_commits.record(position, self._loop.clock.now())
-        return self._evidence.is_promoter()
+        return self._is_in_own_term()
 
     @contextlib.contextmanager
     def _guarded_window(self, primary, successor, term):
@@ -344,10 +346,20 @@
     def _ask_for_role(self, strictly):
         strictly = strictly or self._promotions.was_refused
         confirmed = yield self._confirm_promoter(strictly=strictly)
+        confirmed = confirmed and self._is_in_own_term()
         if confirmed and strictly:
             self._promotions.was_refused = False
         return confirmed
 
+    def _is_in_own_term(self):
+        """Return whether this process is the promoter of the attempt's term.
+
+        If it has lost the role and got it back meanwhile, another promoter may have
+        given orders that the attempt does not know of.
+        """
+        term = self._evidence.own_term()
+        return term is not None and term == self._attempt_term
+
     def _end_attempt(self, replicas, term):
         """Let the replicas receive again, unless another promoter is in charge.
 
--- a/tests/promotion_history.py
+++ b/tests/promotion_history.py
@@ -51,8 +51,8 @@
         self._proxy.read_entries()
         return completed_future(True)
 
-    def is_promoter(self):
-        return self._proxy.believes
+    def own_term(self):
+        return self._proxy.era if self._proxy.believes else None
 
     def announce_promotion(self, group, successor):
         own_era = self._proxy.era
--- a/tests/test_promotion_search.py
+++ b/tests/test_promotion_search.py
@@ -304,8 +304,9 @@
     def test_next_announcement_while_a_former_order_is_open(self):
         """Guards against commits that the server of a former promoter's order lacks.
 
-        They were held back because ``c`` lacked them. Then the next promoter announced
-        ``n1``, which had them, while the order for ``c`` was still to be carried out.
+        The next promoter did not reach or know the primary, so it closed no order. It
+        announced a server that had the commits, while the order for another one, which
+        lacked them, was still to be carried out.
         """
         self.assert_nothing_lost(
             ("drain", "a"),
@@ -321,6 +322,31 @@
             ("new promoter", ("idle", False)),
             ("expire", "a"),
         )
+        self.assert_nothing_lost(
+            ("expire", "a"),
+            ("new promoter", ("fresh", False)),
+            ("deaf", "b"),
+            ("join", 0.5),
+            ("lose watch", 5.0),
+            ("deaf", "b"),
+            ("silent", "a"),
+            ("drain", "b"),
+            ("new promoter", ("fresh", False)),
+        )
+        self.assert_nothing_lost(
+            ("join", 0.05),
+            ("expire", "a"),
+            ("late order", 1.5),
+            ("silent", "a"),
+            ("new promoter", ("fresh", True)),
+            ("silent", "a"),
+            ("dark when promoted", 1.0),
+            ("dark when promoted", 5.0),
+            ("join", 0.5),
+            ("late order", 11.0),
+            ("silent", "a"),
+            ("new promoter", ("standing", False)),
+        )
 
 
 class BeforeEffectTest(PromotionTestCase):
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -7,6 +7,7 @@
 from cassiahill.loop import completed_future
 from cassiahill.primary_symptoms import PrimarySymptoms
 from cassiahill.promotion_orders import OrderResult
+from cassiahill.shared_store import Revision
 from tests.takeover_builders import TakeoverTestCase
 
 
@@ -149,6 +150,26 @@
         self.run_for(5.0)
         self.assertNotEqual(self.fixture.group.primary.server_id, "a")
 
+    def test_attempt_ends_with_its_term(self):
+        """Guards against an attempt that goes on in a later term of its process.
+
+        Another promoter had an order accepted in between. The attempt took all orders
+        for closed and ended the pauses.
+        """
+        self.set_up_group()
+        self.takeover._promotions.record_other_promoter()
+        evidence = mock.Mock(wraps=promotion_evidence.PromotionEvidence())
+        evidence.own_term.side_effect = lambda: term
+        self.takeover._evidence = evidence
+        term = Revision(1, 5)
+        self.drain_primary()
+        self.run_for(0.5)
+        self.assertEqual(self.orders.promotions, [("a", 1)])
+        term = Revision(1, 8)
+        self.run_for(1.2)
+        self.assertTrue(self.takeover._promotions.are_open)
+        evidence.announce_promotion.assert_not_called()
+
     def test_order_needs_the_role_at_the_end_of_the_preparation(self):
         """Guards against an order of a process that was replaced in the meantime."""
         self.set_up_group()
