Ignore a promoter's statement that a newer one has overtaken

Heartbeats overlap while connections await a statement. An older answer could name a server again that the promoter had removed since. By reading; the new test failed before.

--- a/cassiahill/commit_witnesses.py
+++ b/cassiahill/commit_witnesses.py
@@ -37,6 +37,8 @@
     def record_statement(self, server_ids, confirmed_at, heard_at):
         """Record the promoter's statement that no promotion is under way.
 
+        One that was made before a known one may list servers that have left since.
+
         Parameters
         ----------
         server_ids : collection of str
@@ -46,12 +48,14 @@
         heard_at : float
             Instant before the statement was made.
         """
+        if heard_at < self._heard_at:
+            return
         former = self._stated_at_by_id
         self._stated_at_by_id = {
             server_id: max(confirmed_at, former.get(server_id, confirmed_at))
             for server_id in server_ids
         }
-        self._heard_at = max(self._heard_at, heard_at)
+        self._heard_at = heard_at
 
     def record_contact(self, heard_at):
         """Record that the promoter was heard during a promotion."""
--- a/cassiahill/server_pool.py
+++ b/cassiahill/server_pool.py
@@ -223,7 +223,7 @@
         Parameters
         ----------
         instant : float or None
-            None stands for the beginning of time.
+            None if no connection counts.
         """
         return instant is not None and any(
             opened_at < instant for opened_at in self._opened_at_by_connection.values()
--- a/tests/test_commit_confirmation.py
+++ b/tests/test_commit_confirmation.py
@@ -124,6 +124,20 @@
         self.assertEqual(reply.result().code, Code.BUSY)
 
 
+class LateStatementTest(unittest.TestCase):
+    """Two statements whose answers overtake each other."""
+
+    def test_older_statement_names_no_server_again(self):
+        """Guards against commits of a replica that the promoter knows no more."""
+        fixture = make_proving_fixture()
+        now = fixture.loop.clock.now()
+        witnesses = fixture.group.commit_witnesses
+        witnesses.record_statement("ab", now, now)
+        self.assertEqual(witnesses.usable_ids("a", now), ["b"])
+        witnesses.record_statement("abc", now, now - 0.1)
+        self.assertEqual(witnesses.usable_ids("a", now), ["b"])
+
+
 class SilentPromoterTest(unittest.TestCase):
     """A process that has not heard of the promoter for long."""
 
