Show that the search of promotions finds a proof on any connection

A version that takes a replica's word on a connection of any age loses commits of a replica that restarts or joins during a promotion; the real one loses none.

--- a/tests/test_promotion_search.py
+++ b/tests/test_promotion_search.py
@@ -5,11 +5,12 @@
 """
 
 import unittest
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cassiahill import takeover
+from cassiahill import commit_witnesses, takeover
 from tests.promotion_history import PromotionHistory
 
 SERVERS = st.sampled_from(("a", "a", "b", "c"))
@@ -422,6 +423,18 @@
         ]
         self.assertTrue(self.lost_commits(history, AsksNobody))
 
+    def test_proof_on_any_connection_is_found(self):
+        """Guards against a search that finds nothing if restarts do not count."""
+        for end in (("restart", "b"), ("join", 0.05)):
+            history = [("cut proxy", 5.0), ("drain", "a"), ("deaf", "c"), end]
+            self.assert_nothing_lost(*history)
+            with mock.patch.object(
+                commit_witnesses.CommitWitnesses,
+                "_limit",
+                lambda _self, _server_id, _now: float("inf"),
+            ):
+                self.assertTrue(self.lost_commits(history), end)
+
 
 if __name__ == "__main__":
     unittest.main()
