Let the store confirm the promoter only for groups that it can settle

Proxies that awaited a statement made the promoter ask the store five times a second also for a group whose promotion was under way, or for a server that the promoter does not list, where no confirmation helps. Heartbeats name the groups now, and only servers in the last statement count.

--- a/cassiahill/commit_witnesses.py
+++ b/cassiahill/commit_witnesses.py
@@ -82,12 +82,16 @@
             pool.running_statements,
         )
 
-    def await_statement(self, primary_id):
-        """Return whether a replica has idle connections, but none proves commits."""
+    def await_confirmation(self, primary_id):
+        """Return whether the promoter's next confirmation lets a replica prove commits.
+
+        The last statement names the replica, and its idle connections are newer.
+        """
         return any(
             server_id != primary_id
+            and server_id in self._stated_at_by_id
             and pool.idle_count
-            and not pool.has_idle_opened_before(self._stated_at_by_id.get(server_id))
+            and not pool.has_idle_opened_before(self._stated_at_by_id[server_id])
             for server_id, pool in self._pools_by_id.items()
         )
 
--- a/cassiahill/heartbeats.py
+++ b/cassiahill/heartbeats.py
@@ -109,9 +109,9 @@
     rate_report : RateReport
         Unset in a deployment without tenants, and in heartbeats to others than the
         promoter.
-    awaits_statement : bool
-        Whether the sender has connections that prove no commits yet; see
-        ``commit_witnesses``.
+    awaiting : list of str
+        Groups in which replicas prove no commits on the sender's connections until the
+        store has confirmed the promoter again; see ``commit_witnesses``.
     """
 
     name: str
@@ -125,7 +125,7 @@
     servers_era: int = 0
     members_era: int = 0
     rate_report: RateReport | msgspec.UnsetType = msgspec.UNSET
-    awaits_statement: bool | msgspec.UnsetType = msgspec.UNSET
+    awaiting: list[str] | msgspec.UnsetType = msgspec.UNSET
 
 
 class SettledGroups(msgspec.Struct):
--- a/cassiahill/process_state.py
+++ b/cassiahill/process_state.py
@@ -80,9 +80,9 @@
         confirmed_at, heard_at : float
         """
 
-    def awaits_statement(self):
-        """Return whether connections prove no commits before the next statement."""
-        return False
+    def groups_awaiting_confirmation(self):
+        """Return the groups for which the promoter is to let the store confirm it."""
+        return []
 
     def is_partitioned(self):
         """Return whether this process does not reach the other failure domains."""
--- a/cassiahill/proxy_groups.py
+++ b/cassiahill/proxy_groups.py
@@ -137,13 +137,14 @@
             else:
                 group.commit_witnesses.record_contact(heard_at)
 
-    def awaits_statement(self):
-        """Return whether connections prove no commits before the next statement."""
-        return any(
-            group.active
-            and group.commit_witnesses.await_statement(group.primary.server_id)
-            for group in self.groups_by_name.values()
-        )
+    def names_awaiting_confirmation(self):
+        """Return the groups for which the promoter is to let the store confirm it."""
+        return [
+            name
+            for name, group in self.groups_by_name.items()
+            if group.active
+            and group.commit_witnesses.await_confirmation(group.primary.server_id)
+        ]
 
     def names_without_primary(self):
         """Return the connected groups whose primary this process does not reach."""
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -31,7 +31,7 @@
 
 HEARTBEAT_INTERVAL_SECONDS = 0.4
 HEARTBEAT_TIMEOUT_SECONDS = 0.4
-# Interval of heartbeats to the promoter while connections await its statement.
+# Interval of heartbeats to the promoter while connections await its confirmation.
 STATEMENT_RETRY_SECONDS = 0.2
 # Interval of questions for the promoter's role to a store that does not answer.
 UNCONFIRMED_RETRY_SECONDS = 1.0
@@ -223,9 +223,11 @@
         if not self.election.is_promoter:
             return msgspec.UNSET
         now = self._loop.clock.now()
-        if heartbeat.awaits_statement is True:
-            self._confirm_promoter(now)
         settled = self._process_state.settled_groups()
+        if heartbeat.awaiting is not msgspec.UNSET and not settled.keys().isdisjoint(
+            heartbeat.awaiting
+        ):
+            self._confirm_promoter(now)
         return heartbeats.SettledGroups(
             {name: settled[name] for name in heartbeat.watched if name in settled},
             min(now - self.election.confirmed_at, MAX_CONFIRMED_AGE_SECONDS),
@@ -337,7 +339,7 @@
             self._process_state.apply_total_demand(self.reports.total_demand_by_group)
             self._rate_heartbeats.exchange_own(now)
             self._record_own_statement(now)
-            if self._process_state.awaits_statement():
+            if self._process_state.groups_awaiting_confirmation():
                 self._confirm_promoter(now)
         elif self._may_become_promoter():
             self._start_heartbeat(self._promoter_member())
@@ -434,7 +436,7 @@
             servers_revision.era,
             self.registry.revision.era,
             self._rate_heartbeats.report_for(member),
-            self._process_state.awaits_statement() or msgspec.UNSET,
+            self._process_state.groups_awaiting_confirmation() or msgspec.UNSET,
         )
         asked_at = self._loop.clock.now()
         deadline = asked_at + HEARTBEAT_TIMEOUT_SECONDS
@@ -497,12 +499,14 @@
         self._process_state.record_settled_groups(
             settled.server_ids_by_group, asked_at - settled.confirmed_age, asked_at
         )
-        if self._process_state.awaits_statement() and not self._asks_again:
+        awaiting = self._process_state.groups_awaiting_confirmation()
+        is_soon_confirmed = not settled.server_ids_by_group.keys().isdisjoint(awaiting)
+        if is_soon_confirmed and not self._asks_again:
             self._asks_again = True
             retry_at = self._loop.clock.now() + STATEMENT_RETRY_SECONDS
-            self._loop.call_at(retry_at, lambda: self._ask_for_statement(promoter))
+            self._loop.call_at(retry_at, lambda: self._ask_for_confirmation(promoter))
 
-    def _ask_for_statement(self, promoter):
+    def _ask_for_confirmation(self, promoter):
         self._asks_again = False
         self._start_heartbeat(promoter)
 
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -259,9 +259,9 @@
         """Record the promoter's statement about groups without a promotion."""
         self._groups.record_settled_groups(server_ids_by_group, confirmed_at, heard_at)
 
-    def awaits_statement(self):
-        """Return whether connections prove no commits until such a statement."""
-        return self._groups.awaits_statement()
+    def groups_awaiting_confirmation(self):
+        """Return the groups for which the promoter is to let the store confirm it."""
+        return self._groups.names_awaiting_confirmation()
 
     def demand_by_group(self):
         """Return the average number of statements that wait or run, by group."""
