--- a/cassiahill/member_client.py
+++ b/cassiahill/member_client.py
@@ -79,7 +79,7 @@
         finally:
             connection.close()
 
-    def announce_promotion(self, address, notice, deadline):
+    def ask_about_promotion(self, address, notice, deadline):
         """Tell a member of a promotion; a task.
 
         Parameters
--- a/cassiahill/promotion_evidence.py
+++ b/cassiahill/promotion_evidence.py
@@ -31,7 +31,7 @@
         """Return the ``Revision`` of this process's term as the promoter, or None."""
         return Revision()
 
-    def announce_promotion(self, group, successor):
+    def ask_about_promotion(self, group, successor):
         """Ask the other proxies what a server that is about to be promoted must have.
 
         Parameters
@@ -149,7 +149,7 @@
         """Return the ``Revision`` of this process's term as the promoter, or None."""
         return self._fleet.election.term_revision
 
-    def announce_promotion(self, group, successor):
+    def ask_about_promotion(self, group, successor):
         """Return the future of the newest commits that other proxies have seen."""
         term = self._fleet.election.term_revision
         if term is None:
@@ -184,7 +184,9 @@
 
     def _tell_proxy(self, member, notice, deadline):
         try:
-            commit = yield from self._fleet.announce_promotion(member, notice, deadline)
+            commit = yield from self._fleet.ask_about_promotion(
+                member, notice, deadline
+            )
         except errors.CassiahillError as error:
             event_log.event(
                 "promotion_unannounced",
--- a/cassiahill/promotion_orders.py
+++ b/cassiahill/promotion_orders.py
@@ -61,8 +61,8 @@
     statuses : replica_statuses.ReplicaStatuses
     next_token, confirm_promoter : callable
         See ``takeover.Takeover``.
-    announce : callable
-        Task that tells all proxies which server is to be promoted, and returns whether
+    ask_proxies : callable
+        Task that asks all proxies about the promotion of a server, and returns whether
         this process is still the promoter.
 
     Attributes
@@ -76,7 +76,7 @@
     """
 
     def __init__(
-        self, loop, group, orders, statuses, next_token, confirm_promoter, announce
+        self, loop, group, orders, statuses, next_token, confirm_promoter, ask_proxies
     ):
         self._loop = loop
         self._group = group
@@ -84,7 +84,7 @@
         self._statuses = statuses
         self._next_token = next_token
         self._confirm_promoter = confirm_promoter
-        self._announce = announce
+        self._ask_proxies = ask_proxies
         self._follows_other_promoter = True
         # Until then, an earlier order of any promoter may be carried out.
         self._open_until = float("-inf")
@@ -182,7 +182,7 @@
             if repeated:
                 if not (yield self._confirm_promoter()):
                     return False
-                if not (yield from self._announce(successor)):
+                if not (yield from self._ask_proxies(successor)):
                     return False
             result = yield self._orders.promote(self._group.name, successor, token)
             event_log.event(
--- a/cassiahill/session_fleet.py
+++ b/cassiahill/session_fleet.py
@@ -280,7 +280,7 @@
             if name in names and name != self._own_member.name
         ]
 
-    def announce_promotion(self, member, notice, deadline):
+    def ask_about_promotion(self, member, notice, deadline):
         """Tell a member of a ``heartbeats.PromotionNotice``; a task.
 
         Returns
@@ -292,7 +292,7 @@
         ------
         errors.CassiahillError
         """
-        return self._client.announce_promotion(member.address, notice, deadline)
+        return self._client.ask_about_promotion(member.address, notice, deadline)
 
     def _total_demand_for(self, heartbeat):
         """Return the demand of all proxies for the groups that a member watches."""
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -99,7 +99,7 @@
             self._statuses,
             next_token,
             self._confirm_role,
-            self._announce,
+            self._ask_proxies,
         )
         self._blocked_attempts = 0
         self._in_progress = False
@@ -268,8 +268,8 @@
             self._log_decision("takeover_unsafe", reason, primary, statuses)
             return False
         if prepared.server_id != successor:
-            announced = yield from self._announce(prepared.server_id)
-            if not announced or self._missing_commits.may_lack(
+            is_promoter = yield from self._ask_proxies(prepared.server_id)
+            if not is_promoter or self._missing_commits.may_lack(
                 prepared, primary_answers=False
             ):
                 self._log_decision("takeover_unsafe", reason, primary, statuses)
@@ -305,7 +305,7 @@
             self._group.sole_copies.record_promotion(successor, prepared.received)
         return promoted
 
-    def _announce(self, successor):
+    def _ask_proxies(self, successor):
         """Ask all proxies which commits a promotion must keep; a task.
 
         Returns
@@ -315,7 +315,7 @@
         """
         if not self._is_in_own_term():
             return False
-        seen_by_others = yield self._evidence.announce_promotion(
+        seen_by_others = yield self._evidence.ask_about_promotion(
             self._group.name, successor
         )
         if seen_by_others is None:
@@ -462,7 +462,7 @@
         paused_statuses = [status for status in statuses if status.received is not None]
         if self._group.synchronous and len(paused_statuses) < len(statuses):
             return None
-        announced = self._loop.spawn(self._announce(successor))
+        proxies_asked = self._loop.spawn(self._ask_proxies(successor))
         catch_up_seconds = FAILOVER_CATCH_UP_SECONDS
         old_primary = ReplicaStatus(primary, False, None)
         if primary in self._group.pools_by_id:
@@ -475,7 +475,7 @@
                 self._group.sole_copies.record_primary_position(
                     primary, asked_at, old_primary.received
                 )
-        if not (yield announced):
+        if not (yield proxies_asked):
             return None
         awaited_ids = self._missing_commits.awaited_ids(
             self._evidence.replicas_known_to_others(self._group.name)
--- a/tests/promotion_builders.py
+++ b/tests/promotion_builders.py
@@ -101,7 +101,7 @@
             for name in self._futures_by_name
         ]
 
-    def announce_promotion(self, member, _notice, _deadline):
+    def ask_about_promotion(self, member, _notice, _deadline):
         return (yield self._futures_by_name[member.name])
 
 
@@ -141,7 +141,7 @@
                 self._promoter.register(server_id)
         return completed_future(True)
 
-    def announce_promotion(self, group, successor):
+    def ask_about_promotion(self, group, successor):
         if not self.others_are_reachable:
             return completed_future([])
         position = self._promoter.fixture.group.acknowledged_commits.position
--- a/tests/promotion_history.py
+++ b/tests/promotion_history.py
@@ -54,7 +54,7 @@
     def own_term(self):
         return self._proxy.era if self._proxy.believes else None
 
-    def announce_promotion(self, group, successor):
+    def ask_about_promotion(self, group, successor):
         own_era = self._proxy.era
         others = self._reached_proxies()
         for other in others:
--- a/tests/test_promotion_evidence.py
+++ b/tests/test_promotion_evidence.py
@@ -84,7 +84,7 @@
         )
 
         def wait_for_answers():
-            return (yield self.evidence.announce_promotion("orders", "b"))
+            return (yield self.evidence.ask_about_promotion("orders", "b"))
 
         return self.loop.result(wait_for_answers())
 
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -142,10 +142,10 @@
         self.drain_primary()
         self.run_for(0.5)
         self.assertEqual(len(self.orders.promotions), 1)
-        announced_before = evidence.announce_promotion.call_count
+        announced_before = evidence.ask_about_promotion.call_count
         self.run_for(5.0)
         self.assertEqual(len(self.orders.promotions), 1)
-        self.assertEqual(evidence.announce_promotion.call_count, announced_before)
+        self.assertEqual(evidence.ask_about_promotion.call_count, announced_before)
         self.store_answers = True
         self.run_for(5.0)
         self.assertNotEqual(self.fixture.group.primary.server_id, "a")
@@ -168,7 +168,7 @@
         term = Revision(1, 8)
         self.run_for(1.2)
         self.assertTrue(self.takeover._promotions.are_open)
-        evidence.announce_promotion.assert_not_called()
+        evidence.ask_about_promotion.assert_not_called()
 
     def test_order_needs_the_role_at_the_end_of_the_preparation(self):
         """Guards against an order of a process that was replaced in the meantime."""
@@ -180,7 +180,7 @@
             self.is_promoter = False
             return completed_future([])
 
-        evidence.announce_promotion.side_effect = replace_promoter
+        evidence.ask_about_promotion.side_effect = replace_promoter
         self.drain_primary()
         self.run_for(2.0)
         self.assertFalse(self.is_promoter)
