--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -956,9 +956,12 @@
 
     async def main():
         platform = Platform(folder)
+        task = asyncio.ensure_future(asyncio.wait_for(scenario(platform), 110))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
-            result = await asyncio.wait_for(scenario(platform), 115)
-        except Exception as error:  # noqa: BLE001 the case could not run
+            result = await task
+        except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001
             platform.record.write("the case could not run:", repr(error))
             print("could not run:", repr(error))
             result = NOT_RUN
