--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -501,7 +501,7 @@
         deadline = time.monotonic() + 5.0
         while self.primary is primary and time.monotonic() < deadline:
             await asyncio.sleep(RECEIVE_SECONDS)
-            if self.replicate():
+            if self.primary is primary and self.replicate():
                 self._record.write("committed", f"{primary.term}.{number}", data[:60])
                 return True
         return False
