--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,8 +1,8 @@
 """A store outage in which entries lapse, ended while all processes start again.
 
 A replica receives nothing for 6.5 s. The store is down for 4.5 s meanwhile and the
-entries of the databases lapse. All processes are killed a second before its return.
-The databases run all the time; their entries are back within two seconds.
+entries of the databases lapse. All processes are killed 1.5 s before its return. The
+databases run all the time; their entries are back within two seconds.
 """
 
 import asyncio
@@ -16,9 +16,9 @@
 
 DEAF_SECONDS = 6.5
 OUTAGE_SECONDS = 4.5
-KILL_BEFORE_RETURN_SECONDS = 1.0
+KILL_BEFORE_RETURN_SECONDS = 1.5
 # Seconds from the store's return to the first write of each database there.
-RETURNS = {"i-orders-2": 0.3, "i-orders-1": 1.8, "i-orders-0": 1.8}
+RETURNS = {"i-orders-2": 0.2, "i-orders-1": 1.8, "i-orders-0": 1.8}
 
 
 async def scenario(platform):
