Promote no server until the list of servers can be complete

Cause: a process keeps servers whose entries expire for 2.5 s, but one that has started has seen none of them. It took the first entries that it read for the whole group, and half a second without a primary for a loss. Whether it starts before or after the store's return makes no difference, and the list of a peer that has started too is no better.

Now a promoter's list counts as complete once the store itself has answered for 2.5 s without a failure or a new era (list_completeness); the servers whose entries expire later are kept as before. No promotion is prepared earlier, and a promoter that the store does not answer meanwhile resigns. Pauses of servers that register later are ended too.

--- a/cassiahill/catalog_feed.py
+++ b/cassiahill/catalog_feed.py
@@ -3,7 +3,7 @@
 import attrs
 import msgspec
 
-from cassiahill import errors, event_log, store_watcher
+from cassiahill import errors, event_log, list_completeness, store_watcher
 from cassiahill.catalog import ServerAdded
 from cassiahill.configuration_age import ConfigurationAge
 from cassiahill.heartbeats import View
@@ -69,6 +69,11 @@
         Called with each ``catalog.ServerAdded`` and ``catalog.ServerRemoved``.
     age : configuration_age.ConfigurationAge or None
         Is told what the store proves. None if the deployment does not limit the age.
+
+    Attributes
+    ----------
+    completeness : list_completeness.ListCompleteness
+        Whether the list of servers is complete.
     """
 
     def __init__(
@@ -96,6 +101,7 @@
         self._measured_version = 0
         self._configuration_bytes = 0
         self._resting = False
+        self.completeness = list_completeness.ListCompleteness()
         self._configuration_watcher = store_watcher.StoreWatcher(
             loop,
             store,
@@ -112,6 +118,8 @@
             rng,
             self._apply_server_snapshot,
             self._apply_server_changes,
+            on_complete=self._record_servers_answer,
+            on_failure=self.completeness.record_failure,
         )
         self._lapse_timer = loop.repeat(loop.clock.now(), self._remove_lapsed_servers)
 
@@ -283,6 +291,7 @@
             yield from self._server_watcher.catch_up(deadline)
         except errors.CassiahillError as error:
             event_log.event("servers_unverified", cause=error.detail)
+            self.completeness.record_failure()
             return False
         return True
 
@@ -379,6 +388,13 @@
             self._on_configuration()
         return configuration.version
 
+    def _record_servers_answer(self, asked_at, revision):
+        was_complete = self.completeness.is_complete
+        now = self._loop.clock.now()
+        self.completeness.record_answer(asked_at, now, revision.era)
+        if self.completeness.is_complete and not was_complete:
+            event_log.event("servers_complete", count=len(self._catalog.servers_by_id))
+
     def _apply_server_snapshot(self, snapshot):
         self._replace_servers(
             {stored.name: stored.value for stored in snapshot.objects}
--- a/cassiahill/promotion_evidence.py
+++ b/cassiahill/promotion_evidence.py
@@ -5,6 +5,8 @@
 the servers that are registered now.
 """
 
+import math
+
 from cassiahill import errors, event_log, heartbeats
 from cassiahill.loop import completed_future
 from cassiahill.missing_commits import REMOVED_REPLICA_WAIT_SECONDS
@@ -27,6 +29,16 @@
         """
         return completed_future(True)
 
+    def servers_complete_at(self):
+        """Return when the list of servers will be complete.
+
+        Returns
+        -------
+        float
+            See ``list_completeness.ListCompleteness.complete_at``.
+        """
+        return -math.inf
+
     def own_term(self):
         """Return the ``Revision`` of this process's term as the promoter, or None."""
         return Revision()
@@ -145,6 +157,10 @@
         deadline = self._loop.clock.now() + EVIDENCE_TIMEOUT_SECONDS
         return self._loop.spawn(self._catalog_feed.update_servers(deadline))
 
+    def servers_complete_at(self):
+        """Return when this process's list of servers will be complete."""
+        return self._catalog_feed.completeness.complete_at
+
     def own_term(self):
         """Return the ``Revision`` of this process's term as the promoter, or None."""
         return self._fleet.election.term_revision
--- a/cassiahill/store_watcher.py
+++ b/cassiahill/store_watcher.py
@@ -57,6 +57,8 @@
         watches without changes. All changes up to the revision have been reported, and
         the store held nothing newer at the instant. Lists that may be stale are left
         out.
+    on_failure : callable or None
+        Called without arguments after each call that the store has not answered.
 
     Attributes
     ----------
@@ -82,6 +84,7 @@
         pause_seconds=WATCH_PAUSE_SECONDS,
         may_be_stale=False,
         on_complete=None,
+        on_failure=None,
     ):
         self._loop = loop
         self._store = store
@@ -90,6 +93,7 @@
         self._on_snapshot = on_snapshot
         self._on_changes = on_changes
         self._on_complete = on_complete
+        self._on_failure = on_failure
         self.pause_seconds = pause_seconds
         self.wait_seconds = MAX_WATCH_SECONDS
         self._watch_began_at = None
@@ -172,6 +176,7 @@
         """
         timeout_error = errors.PlatformUnavailable("no answer in time")
         began_at_revision = self.revision
+        asked_at = self._loop.clock.now()
         try:
             if not self._can_watch():
                 raise errors.HistoryLost("the objects were not listed before")
@@ -183,6 +188,7 @@
             if batch.changes and self.revision == began_at_revision:
                 self.revision = self.changed_revision = batch.revision
                 self._on_changes(batch.changes)
+            self._report_complete(asked_at, batch.revision)
         except errors.HistoryLost:
             snapshot = yield self._loop.with_deadline(
                 self._store.list(self._kind), deadline, timeout_error
@@ -191,6 +197,7 @@
                 self._has_objects = True
                 self.revision = self.changed_revision = snapshot.revision
                 self._on_snapshot(snapshot)
+            self._report_complete(asked_at, snapshot.revision)
 
     def _abandon_if_missed(self, began_at, revision):
         """Abandon a watch that still waits although the objects have changed."""
@@ -342,6 +349,8 @@
 
     def _record_failure(self, error):
         self._consecutive_failures += 1
+        if self._on_failure is not None:
+            self._on_failure()
         if self.reachability.unreachable_since is None:
             self.reachability.unreachable_since = self._loop.clock.now()
             event_log.event("store_lost", kind=self._kind, cause=repr(error))
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -145,6 +145,8 @@
                 self._check_pauses_at += ABANDONED_PAUSE_SECONDS
         reason = promotion_reason(symptoms, now)
         if reason is not None:
+            if now < self._evidence.servers_complete_at() < math.inf:
+                return
             task = self._replace_primary(symptoms.primary, reason)
         elif now >= self._check_pauses_at and self._group.active:
             task = self._end_abandoned_pauses()
@@ -174,6 +176,16 @@
         if not (yield self._confirm_role()):
             return False
         yield servers_updated
+        if not self._servers_are_complete():
+            # A server whose entry has expired may have commits that no other one has.
+            event_log.event(
+                "takeover_waits_for_servers",
+                group=self._group.name,
+                primary=primary,
+                servers=" ".join(sorted(self._group.pools_by_id)),
+            )
+            self._record_blocked_attempt()
+            return False
         if self._promotions.are_open and not (
             yield from self._promotions.close(primary)
         ):
@@ -208,9 +220,7 @@
         )
         if successor is None:
             self._log_decision("takeover_waits", reason, primary, statuses)
-            self._blocked_attempts += 1
-            if self._blocked_attempts % BLOCKED_ATTEMPTS_UNTIL_RESIGNING == 0:
-                self._resign()
+            self._record_blocked_attempt()
             return False
         if removed_replicas and self._group.synchronous:
             # Such a replica may be on the primary's side of a network partition and
@@ -233,6 +243,15 @@
         yield from self._end_attempt(replicas, term)
         return promoted.result()
 
+    def _servers_are_complete(self):
+        """Return whether all servers that run are known to this process."""
+        return self._evidence.servers_complete_at() == -math.inf
+
+    def _record_blocked_attempt(self):
+        self._blocked_attempts += 1
+        if self._blocked_attempts % BLOCKED_ATTEMPTS_UNTIL_RESIGNING == 0:
+            self._resign()
+
     def _nearness_by_id(self):
         """Return the nearness of each server to those who use the group."""
         return {
@@ -385,7 +404,12 @@
         yield from self._resume(replicas, lambda paused: paused == term)
 
     def _end_abandoned_pauses(self):
-        """End the pauses of a promoter that could not do so itself; a task."""
+        """End the pauses of a promoter that could not do so itself; a task.
+
+        Those of servers that are not known yet are ended once the list is complete.
+        """
+        if not self._servers_are_complete():
+            yield self._evidence.update_servers()
         if not (yield self._confirm_role()):
             self._check_pauses_at = self._loop.clock.now() + PAUSES_RETRY_SECONDS
             return False
@@ -395,7 +419,7 @@
             self._check_pauses_at = self._loop.clock.now() + OPEN_ORDERS_RETRY_SECONDS
             return False
         self._check_pauses_at = math.inf
-        if not self._promotions.are_fenced:
+        if not self._promotions.are_fenced or not self._servers_are_complete():
             self._check_pauses_at = self._loop.clock.now() + PAUSES_RETRY_SECONDS
         yield from self._resume(list(self._group.pools_by_id), lambda _paused: True)
         return False
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,16 +1,58 @@
 """Tests of ``cassiahill.takeover``: which server is promoted, and when."""
 
+import math
 import unittest
 from unittest import mock
 
 from cassiahill import promotion_evidence
 from cassiahill.loop import completed_future
 from cassiahill.primary_symptoms import PrimarySymptoms
-from cassiahill.promotion_orders import OrderResult
+from cassiahill.promotion_orders import ABANDONED_PAUSE_SECONDS, OrderResult
 from cassiahill.shared_store import Revision
 from tests.takeover_builders import TakeoverTestCase
 
 
+class IncompleteListTest(TakeoverTestCase):
+    """The promoter has just started, and entries may be missing in its list."""
+
+    def setUp(self):
+        self.set_up_group()
+        self.complete_at = 0.0
+        self.takeover._evidence.servers_complete_at = lambda: self.complete_at
+        self.fixture.servers.by_id["a"].unreachable = True
+
+    def test_promotion_waits_until_the_list_is_complete(self):
+        """Guards against promoting the only replica that is registered yet."""
+        self.complete_at = self.fixture.loop.clock.now() + 5.0
+        self.run_for(4.8)
+        self.assertEqual(self.orders.promotions, [])
+        self.complete_at = -math.inf
+        self.run_for(1.0)
+        self.assertEqual(len(self.orders.promotions), 1)
+        self.assertEqual(self.resigned_at, [])
+
+    def test_promoter_without_the_store_resigns(self):
+        """Guards against a group without a primary while others reach the store."""
+        self.complete_at = math.inf
+        self.run_for(5.0)
+        self.assertEqual(self.orders.promotions, [])
+        self.assertTrue(self.resigned_at)
+
+    def test_pauses_of_servers_that_register_later_are_ended(self):
+        """Guards against a replica that stays paused, as nobody looks at it again."""
+        servers = self.fixture.servers
+        servers.by_id["a"].unreachable = False
+        servers.by_id["b"].paused_term = 2
+        self.fixture.group.remove_server("b")
+        self.complete_at = self.fixture.loop.clock.now() + 20.0
+        self.run_for(ABANDONED_PAUSE_SECONDS + 1.0)
+        self.fixture.group.put_server(servers.registered("b"), None)
+        self.run_for(4.5)
+        self.complete_at = -math.inf
+        self.run_for(2.0)
+        self.assertEqual(servers.by_id["b"].paused_term, 0)
+
+
 class TakeoverTest(TakeoverTestCase):
     def test_nearest_of_equal_replicas_is_promoted(self):
         """Guards against a primary far from those who write, for no reason."""
