Decode each entry of the store by itself, and let no log line end its caller

Cause: decoders and the log formatter have limits of their own (digits, ranges, control characters, surrogates, levels), and each failed for everything that it was given together. Which of the two decoders read an entry depended on its neighbours, and the failure was reported as a store that is away.

A line that cannot be formatted is replaced by one that says so. Entries without a server share one log line instead of one each, 600 of which pushed out others.

--- a/cassiahill/catalog_feed.py
+++ b/cassiahill/catalog_feed.py
@@ -1,5 +1,7 @@
 """Keeps the catalog up to date from the shared store, or from peers in an outage."""
 
+import itertools
+
 import attrs
 import msgspec
 
@@ -19,6 +21,8 @@
 # Longer for processes without connections: the store limits the calls of all proxies.
 UNCONNECTED_WATCH_PAUSE_SECONDS = 2.0
 
+_NO_DOCUMENT = object()
+
 
 @attrs.frozen
 class CatalogSource:
@@ -97,6 +101,7 @@
         self._on_server = on_server
         self._store = store
         self._documents_by_id = {}
+        self._failed_documents_by_id = {}
         self._reading_configuration = False
         self._measured_version = 0
         self._configuration_bytes = 0
@@ -406,31 +411,64 @@
         for server_id in list(self._documents_by_id):
             if server_id not in documents_by_id:
                 self._mark_server_unregistered(server_id, now)
-        for server_id, document in documents_by_id.items():
-            self._put_server(server_id, document, now)
+        self._put_servers(documents_by_id.items(), now)
 
     def _apply_server_changes(self, changes):
         now = self._loop.clock.now()
-        for change in changes:
-            if change.deleted:
-                self._mark_server_unregistered(change.stored.name, now)
-            else:
-                self._put_server(change.stored.name, change.stored.value, now)
-
-    def _put_server(self, server_id, document, now):
-        self._documents_by_id[server_id] = document
-        server = self._source.decode_server(server_id, document)
-        if server is None:
-            event_log.event("server_unreadable", server=server_id)
-            self._catalog.mark_unregistered(server_id, now)
-            return
-        change = self._catalog.put(server, now)
-        if change is not None:
-            self._log_server_change(change)
-            self._on_server(change)
+        for deleted, group in itertools.groupby(changes, lambda change: change.deleted):
+            entries = [(change.stored.name, change.stored.value) for change in group]
+            if not deleted:
+                self._put_servers(entries, now)
+                continue
+            for server_id, _ in entries:
+                self._mark_server_unregistered(server_id, now)
+
+    def _put_servers(self, entries, now):
+        """Apply entries that other writers may have made, each by itself.
+
+        Parameters
+        ----------
+        entries : iterable of (str, object)
+            Ids and documents of servers.
+        now : float
+        """
+        unreadable_ids = []
+        for server_id, document in entries:
+            server = self._decode_server(server_id, document)
+            if server is None:
+                self._documents_by_id.pop(server_id, None)
+                self._catalog.mark_unregistered(server_id, now)
+                unreadable_ids.append(server_id)
+                continue
+            self._documents_by_id[server_id] = document
+            change = self._catalog.put(server, now)
+            if change is not None:
+                self._log_server_change(change)
+                self._on_server(change)
+        if unreadable_ids:
+            event_log.event(
+                "server_unreadable",
+                server=unreadable_ids[0],
+                count=len(unreadable_ids),
+            )
+
+    def _decode_server(self, server_id, document):
+        """Return the server that a document describes, or None.
+
+        An unexpected error lets the list be read once more, and ends nothing else.
+        """
+        try:
+            return self._source.decode_server(server_id, document)
+        except Exception:  # noqa: BLE001 other entries must not depend on it
+            self._loop.record_failure("decode_server_failed")
+            if self._failed_documents_by_id.get(server_id, _NO_DOCUMENT) != document:
+                self._failed_documents_by_id[server_id] = document
+                self._server_watcher.request_list()
+            return None
 
     def _mark_server_unregistered(self, server_id, now):
         self._documents_by_id.pop(server_id, None)
+        self._failed_documents_by_id.pop(server_id, None)
         self._catalog.mark_unregistered(server_id, now)
         event_log.event("server_entry_gone", server=server_id)
 
--- a/cassiahill/event_log.py
+++ b/cassiahill/event_log.py
@@ -13,6 +13,7 @@
 MAX_BUFFERED_LINES = 2000  # Takes about 0.5 MB while the reader stalls.
 MAX_LINES_PER_SECOND = 400  # Lets every failure in an overload be logged.
 MAX_FIELD_CHARACTERS = 200
+MAX_TRACE_CHARACTERS = 2000
 # One in this many successful requests is logged, chosen by a hash of the request id.
 SUCCESS_SAMPLE_INTERVAL = 64
 
@@ -63,14 +64,15 @@
         line = {
             "at": round(self._clock.now(), 4),
             "node": self._node,
-            "event": record.getMessage()[:MAX_FIELD_CHARACTERS],
+            "event": printable(record.getMessage())[:MAX_FIELD_CHARACTERS],
         }
         if record.levelno >= logging.WARNING:
             line["level"] = record.levelname.lower()
         for key, value in getattr(record, "fields", {}).items():
             line[key] = _to_json_value(value)
         if record.exc_info:
-            line["exception"] = self.formatException(record.exc_info)[-2000:]
+            trace = printable(self.formatException(record.exc_info))
+            line["exception"] = trace[-MAX_TRACE_CHARACTERS:]
         return _encoder.encode(line).decode()
 
 
@@ -79,7 +81,12 @@
         return value
     if isinstance(value, float):
         return round(value, 4)
-    return str(value)[:MAX_FIELD_CHARACTERS]
+    return printable(str(value))[:MAX_FIELD_CHARACTERS]
+
+
+def printable(text):
+    """Return a text with escapes for halves of surrogate pairs."""
+    return text.encode("utf-8", "backslashreplace").decode()
 
 
 class BoundedWriter(logging.Handler):
@@ -121,9 +128,18 @@
         ):
             self.dropped += 1
             return
-        self._buffered_lines.append(self.format(record).encode() + b"\n")
+        self._buffered_lines.append(self._line(record).encode() + b"\n")
         self.flush()
 
+    def _line(self, record):
+        """Return the line of a record; no record may end the work that logs it."""
+        try:
+            return self.format(record)
+        except Exception as error:  # noqa: BLE001 whatever the fields hold
+            line = {"event": "line_unformatted", "cause": type(error).__name__}
+            line["of"] = printable(str(record.msg))[:MAX_FIELD_CHARACTERS]
+            return _encoder.encode(line).decode()
+
     def flush(self):
         """Write the buffered lines until the descriptor would block."""
         while self._buffered_lines:
--- a/tests/test_adapter_documents.py
+++ b/tests/test_adapter_documents.py
@@ -63,6 +63,11 @@
             entry = {**SERVER_ENTRY, "slots": slots}
             self.assertIsNone(documents.decode_server("i-1", entry))
 
+    def test_absurd_port_gives_none(self):
+        """Guards against a number of more digits than Python converts."""
+        entry = {**SERVER_ENTRY, "addr": "10.128.0.9:" + "8" * 5000}
+        self.assertIsNone(documents.decode_server("i-1", entry))
+
 
 class DecodeConfigurationTest(unittest.TestCase):
     def test_routes_and_limits(self):
--- a/tests/test_event_log.py
+++ b/tests/test_event_log.py
@@ -58,6 +58,17 @@
         writer.setFormatter(event_log.JsonFormatter(self.clock, "node-1"))
         writer.emit(make_record("event"))
 
+    def test_line_that_cannot_be_formatted_ends_nothing(self):
+        """Guards against a log line that decides about the work after it."""
+        read_end, write_end = os.pipe()
+        for end in (read_end, write_end):
+            self.addCleanup(os.close, end)
+        writer = event_log.BoundedWriter(write_end, self.clock)
+        writer.setFormatter(event_log.JsonFormatter(self.clock, "node-1"))
+        writer.emit(make_record("event", number=10**5000))
+        line = json.loads(os.read(read_end, 1000))
+        self.assertEqual((line["event"], line["of"]), ("line_unformatted", "event"))
+
 
 class JsonFormatterTest(unittest.TestCase):
     def test_client_text_cannot_forge_a_line(self):
@@ -67,6 +78,12 @@
         self.assertEqual(len(text.splitlines()), 1)
         self.assertEqual(json.loads(text)["event"], "event")
 
+    def test_halves_of_surrogate_pairs_are_escaped(self):
+        """Guards against a name that ends the work of which the line tells."""
+        formatter = event_log.JsonFormatter(clock.ManualClock(), "node-1")
+        text = formatter.format(make_record("event", server="foreign-\udcff"))
+        self.assertEqual(json.loads(text)["server"], "foreign-\\udcff")
+
     def test_long_fields_are_truncated(self):
         """Guards against log lines of unbounded length."""
         formatter = event_log.JsonFormatter(clock.ManualClock(), "node-1")
