Take an entry that lacks a field for no server, and wait for none without end

Cause: decode_server took 0 for a missing seq or born and did not look at version and coldLeftMs. Servers of services that the configuration does not name stay in the catalog; no group, connection or promotion is made for them.

Beside it, the wait for a server with a sound entry that never answers has an end. If its address refuses all connections for 8 s, or is silent for 30 s, while the store answers and still lists it, a promotion leaves it out: the store removes the entry of a server that has ended after three heartbeats, and only answering replicas prove commits. The second bound is that after which a group goes on without a server that has crashed.

Failed before: test_foreign_entries.test_drawn_entries_change_nothing (an entry without born), test_adapter_documents, test_server_absence.

--- a/cassiahill/catalog.py
+++ b/cassiahill/catalog.py
@@ -96,6 +96,11 @@
     document: dict = attrs.field(repr=False, eq=False)
     tenants: object = None
 
+    def group_names(self):
+        """Return the names of the groups that have limits or a route."""
+        routed = {route.group for route in self.routes_by_database.values()}
+        return routed | set(self.groups_by_name)
+
 
 @attrs.frozen
 class BackendServer:
--- a/cassiahill/list_completeness.py
+++ b/cassiahill/list_completeness.py
@@ -19,19 +19,27 @@
 
     Attributes
     ----------
-    complete_at : float
-        Instant from which an answer of the store makes the list complete; infinite
-        while the store does not answer, minus infinity once the list is complete.
+    answered_since : float
+        Instant since which the store has answered; infinite while it does not.
+    is_complete : bool
+        Whether the list is complete.
     """
 
     def __init__(self):
         self._era = None
-        self.complete_at = math.inf
+        self.answered_since = math.inf
+        self.is_complete = False
 
     @property
-    def is_complete(self):
-        """Whether the list is complete."""
-        return self.complete_at == -math.inf
+    def complete_at(self):
+        """Instant from which an answer of the store makes the list complete.
+
+        It is infinite while the store does not answer, and minus infinity once the list
+        is complete.
+        """
+        if self.is_complete:
+            return -math.inf
+        return self.answered_since + REMOVAL_DELAY_SECONDS
 
     def record_answer(self, asked_at, now, era):
         """Record that the store has listed the servers or their changes.
@@ -44,15 +52,12 @@
         era : int
             Era of the store. In a new one it has been away since the last answer.
         """
-        if self.is_complete:
-            return
-        if era != self._era or self.complete_at == math.inf:
+        if era != self._era or self.answered_since == math.inf:
             self._era = era
-            self.complete_at = now + REMOVAL_DELAY_SECONDS
+            self.answered_since = now
         elif asked_at >= self.complete_at:
-            self.complete_at = -math.inf
+            self.is_complete = True
 
     def record_failure(self):
         """Record that the store did not answer; further entries may expire."""
-        if not self.is_complete:
-            self.complete_at = math.inf
+        self.answered_since = math.inf
--- a/cassiahill/promotion_evidence.py
+++ b/cassiahill/promotion_evidence.py
@@ -39,6 +39,16 @@
         """
         return -math.inf
 
+    def servers_listed_since(self):
+        """Return the instant since which the store has listed the servers.
+
+        Returns
+        -------
+        float
+            Infinite while it does not answer.
+        """
+        return math.inf
+
     def own_term(self):
         """Return the ``Revision`` of this process's term as the promoter, or None."""
         return Revision()
@@ -161,6 +171,10 @@
         """Return when this process's list of servers will be complete."""
         return self._catalog_feed.completeness.complete_at
 
+    def servers_listed_since(self):
+        """Return the instant since which the store has answered this process."""
+        return self._catalog_feed.completeness.answered_since
+
     def own_term(self):
         """Return the ``Revision`` of this process's term as the promoter, or None."""
         return self._fleet.election.term_revision
--- a/cassiahill/server_group.py
+++ b/cassiahill/server_group.py
@@ -330,6 +330,21 @@
             for server_id, removed_at in removed_at_by_id.items()
         }
 
+    def absent_ids(self, listed_since):
+        """Return the ids of servers whose entries are all that there is of them.
+
+        Parameters
+        ----------
+        listed_since : float
+            See ``server_absence.ServerAbsence.is_certain``.
+        """
+        now = self._loop.clock.now()
+        return {
+            server_id
+            for server_id, pool in self.pools_by_id.items()
+            if pool.absence.is_certain(now, listed_since)
+        }
+
     @property
     def primary_answered_at(self):
         """Instant at which the last question was sent that a primary has answered."""
--- a/cassiahill/server_pool.py
+++ b/cassiahill/server_pool.py
@@ -21,6 +21,7 @@
     line_connections,
     network_delays,
     placement,
+    server_absence,
 )
 from cassiahill.statements import Code, TransactionState
 
@@ -84,6 +85,7 @@
         Instant of the server's last answer.
     answer_lost_at : float
         Instant at which an answer or a connection was last found to be lost.
+    absence : server_absence.ServerAbsence
     refuses_connections : bool
         Whether the server refuses new connections instead of not answering.
     round_trip : network_delays.RoundTrip
@@ -117,6 +119,7 @@
         self.failed_openings = 0
         self.answered_at = float("-inf")
         self.answer_lost_at = float("-inf")
+        self.absence = server_absence.ServerAbsence()
         self.refuses_connections = False
         self.round_trip = network_delays.RoundTrip()
         self.statement_count = 0
@@ -165,6 +168,7 @@
     def record_lost_answer(self, now):
         """Record that an answer or a connection was lost."""
         self.answer_lost_at = now
+        self.absence.record_silence(now)
 
     def may_be_unreachable(self, now):
         """Return whether statements stay unanswered or connections fail to open."""
@@ -284,17 +288,21 @@
         self.running_statements -= 1
         if seconds is not None:
             self.latency_seconds += LATENCY_WEIGHT * (seconds - self.latency_seconds)
-            self.answered_at = now
+            self._record_answer(now)
             self._unanswered_since = now
         if not self.running_statements:
             self._unanswered_since = None
 
     def record_contact(self, now):
         """Record that the server answered, without a duration for the latency."""
-        self.answered_at = now
+        self._record_answer(now)
         if self._unanswered_since is not None:
             self._unanswered_since = now
 
+    def _record_answer(self, now):
+        self.answered_at = now
+        self.absence.record_answer()
+
     # Opening and closing of connections
 
     def open_if_needed(self, wanted_idle, now, tenant=None, waiting_tenants=()):
@@ -441,7 +449,7 @@
         self.failed_openings = 0
         self.refuses_connections = False
         self._next_open_at = 0.0
-        self.answered_at = loop.clock.now()
+        self._record_answer(loop.clock.now())
         if connection in self._tenants_by_connection:
             self._opened_at_by_connection[connection] = self.answered_at
         self.release(connection)
@@ -462,9 +470,10 @@
             self._next_open_at = now + (
                 WITHIN_QUOTA_RETRY_SECONDS if within_quota else OVER_QUOTA_RETRY_SECONDS
             )
-            self.answered_at = now
+            self._record_answer(now)
         else:
-            self._on_open_failed(reply.code.value)
+            is_other_server = reply.code is Code.WRONG_SERVER
+            self._on_open_failed(reply.code.value, is_elsewhere=is_other_server)
         event_log.event(
             "connection_refused",
             server=self.server.server_id,
@@ -472,7 +481,7 @@
             open=self.connection_count,
         )
 
-    def _on_open_failed(self, cause, refused=False):
+    def _on_open_failed(self, cause, refused=False, is_elsewhere=False):
         """Delay the next opening after an error, with exponential backoff.
 
         Parameters
@@ -481,10 +490,16 @@
             Text for the log.
         refused : bool
             Whether the server refused the connection instead of not answering.
+        is_elsewhere : bool
+            Whether another server has answered at its address.
         """
         now = self._loop.clock.now()
         self.failed_openings += 1
-        self.record_lost_answer(now)
+        self.answer_lost_at = now
+        if refused or is_elsewhere:
+            self.absence.record_refusal(now)
+        else:
+            self.absence.record_silence(now)
         self.refuses_connections = refused and self.failed_openings > 1
         pause_seconds = BASE_BACKOFF_SECONDS * 2 ** min(self.failed_openings, 10)
         self._next_open_at = now + min(MAX_BACKOFF_SECONDS, pause_seconds)
--- a/cassiahill/session_proxy.py
+++ b/cassiahill/session_proxy.py
@@ -109,6 +109,7 @@
             self._update_limits,
         )
         self.groups_by_name = self._groups.groups_by_name
+        self._filled_groups = set()
         self.owners = session_owners.GroupOwnerRouting(
             loop,
             own_member,
@@ -324,6 +325,7 @@
 
     def _apply_configuration(self):
         """Apply a newer configuration that was installed."""
+        self._fill_new_groups()
         self._update_limits()
         self.sessions.close_revoked()
 
@@ -331,9 +333,23 @@
         self._loop.call_soon(self.fleet.announce_changes)
         match change:
             case catalog.ServerAdded(server=server, previous=previous):
-                self._groups.get_group(server.group).put_server(server, previous)
+                if server.group in self._filled_groups:
+                    self._groups.get_group(server.group).put_server(server, previous)
             case catalog.ServerRemoved(server=server):
-                self._groups.get_group(server.group).remove_server(server.server_id)
+                if server.group in self._filled_groups:
+                    self._groups.get_group(server.group).remove_server(server.server_id)
+
+    def _fill_new_groups(self):
+        """Add the known servers of groups that the configuration names first.
+
+        Servers of other groups may be entries of another writer. They are kept in the
+        catalog only.
+        """
+        names = self.catalog.configuration.group_names() - self._filled_groups
+        self._filled_groups |= names
+        for server in list(self.catalog.servers_by_id.values()):
+            if server.group in names:
+                self._groups.get_group(server.group).put_server(server, None)
 
     def _update_limits(self):
         """Choose the owners of all groups and apply the connection limits."""
--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -195,8 +195,17 @@
         token = self._next_token()
         if token is None:
             return False
+        absent_ids = self._absent_ids()
+        if absent_ids:
+            event_log.event(
+                "takeover_leaves_out",
+                group=self._group.name,
+                servers=" ".join(sorted(absent_ids)),
+            )
         replicas = [
-            server_id for server_id in self._group.pools_by_id if server_id != primary
+            server_id
+            for server_id in self._group.pools_by_id
+            if server_id != primary and server_id not in absent_ids
         ]
         # Read before the statuses are asked for: a replica that registers again while
         # the answers are awaited must still block the promotion.
@@ -247,6 +256,10 @@
         """Return whether all servers that run are known to this process."""
         return self._evidence.servers_complete_at() == -math.inf
 
+    def _absent_ids(self):
+        """Return the ids of listed servers that do not exist."""
+        return self._group.absent_ids(self._evidence.servers_listed_since())
+
     def _record_blocked_attempt(self):
         self._blocked_attempts += 1
         if self._blocked_attempts % BLOCKED_ATTEMPTS_UNTIL_RESIGNING == 0:
@@ -450,7 +463,7 @@
         others = [
             server_id
             for server_id in {*replicas, *self._group.pools_by_id}
-            if server_id not in {primary, successor.server_id}
+            if server_id not in {primary, successor.server_id} | self._absent_ids()
         ]
         statuses = yield from self._statuses.ask_all(others, statements.ReadStatus())
         return [
--- a/tests/foreign_entries.py
+++ b/tests/foreign_entries.py
@@ -91,10 +91,13 @@
     return b"{" + b",".join(members) + b"}"
 
 
-def _damaged_entry(changes):
-    """Return a content in which some fields hold other values."""
+def _damaged_entry(changes, missing):
+    """Return a content that lacks a field, or has another one than it should."""
     values = {name: json.dumps(value).encode() for name, value in OWN_ENTRY.items()}
-    return encode_spec({**values, **changes})
+    values = {**values, **changes}
+    for name in missing:
+        values.pop(name)
+    return encode_spec(values)
 
 
 FIELDS = st.sampled_from(sorted(OWN_ENTRY))
@@ -102,13 +105,16 @@
 FOREIGN_SPECS = st.one_of(
     VALUES,
     st.builds(
-        lambda changes: _damaged_entry({**changes, "service": b'"elsewhere"'}),
+        lambda changes: _damaged_entry({**changes, "service": b'"elsewhere"'}, ()),
         st.dictionaries(st.one_of(FIELDS, st.just("new")), VALUES, max_size=2),
     ),
 )
+# Of the own group, but without one of the fields.
+LACKING_SPECS = st.builds(lambda name: _damaged_entry({}, [name]), FIELDS)
 FOREIGN_ITEMS = st.one_of(
     VALUES,
     st.builds(encode_item, NAMES, FOREIGN_SPECS),
+    st.builds(encode_item, NAMES, LACKING_SPECS),
 )
 
 
--- a/tests/promotion_history.py
+++ b/tests/promotion_history.py
@@ -56,6 +56,9 @@
     def servers_complete_at(self):
         return self._proxy.completeness.complete_at
 
+    def servers_listed_since(self):
+        return self._proxy.completeness.answered_since
+
     def own_term(self):
         return self._proxy.era if self._proxy.believes else None
 
--- a/tests/test_adapter_documents.py
+++ b/tests/test_adapter_documents.py
@@ -48,15 +48,29 @@
 
     def test_malformed_entry_gives_none(self):
         """Guards against using a server whose entry another writer has damaged."""
-        for key in ("service", "addr", "zone", "slots", "state", "dbRole"):
+        for key in SERVER_ENTRY:
             for value in (None, 7.5, True, [], {}, "", "nonsense"):
-                if key in {"service", "zone"} and isinstance(value, str):
+                if key in {"service", "zone", "version"} and isinstance(value, str):
+                    continue
+                if key == "coldLeftMs" and value == 7.5:
                     continue
                 entry = {**SERVER_ENTRY, key: value}
                 self.assertIsNone(documents.decode_server("i-1", entry), entry)
         for entry in (None, "x", [], {}):
             self.assertIsNone(documents.decode_server("i-1", entry))
 
+    def test_entry_that_lacks_a_field_gives_none(self):
+        """Guards against a replica that nobody runs and every promotion waits for."""
+        for key in SERVER_ENTRY:
+            entry = {name: SERVER_ENTRY[name] for name in SERVER_ENTRY if name != key}
+            self.assertIsNone(documents.decode_server("i-1", entry), key)
+
+    def test_address_of_a_name_gives_none(self):
+        """Guards against a look-up of a name that another writer has chosen."""
+        for address in ("database:8080", "a\0b:8080", "10.0.0.300:8080", " :1"):
+            entry = {**SERVER_ENTRY, "addr": address}
+            self.assertIsNone(documents.decode_server("i-1", entry), address)
+
     def test_absurd_number_of_slots_gives_none(self):
         """Guards against arithmetic that fails and ends the service of a group."""
         for slots in (documents.MAX_SERVER_SLOTS + 1, 10**400):
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -1,6 +1,7 @@
 """Tests that no entry of another writer changes what becomes of the own servers."""
 
 import json
+import time
 import unittest
 from unittest import mock
 
@@ -8,14 +9,17 @@
 from hypothesis import find, given, settings
 
 from cassiahill import event_log
-from cassiahill.shared_store import Revision, Snapshot
+from cassiahill.shared_store import MemorySharedStore, Revision, Snapshot
 from tests import adapter_path, foreign_entries
+from tests.loop_waits import let_time_pass
+from tests.proxy_process import running_proxy
 
 with adapter_path.importable():
     from adapter import lenient_json
     from adapter import store as platform_store
 
 NO_ITEMS = ((), (), (), ())
+LIMIT_SECONDS = 20.0
 SEARCH_SETTINGS = settings(derandomize=True, max_examples=150, deadline=None)
 
 
@@ -59,6 +63,53 @@
         self.assertFalse(differs((items, (), (), ())))
 
 
+class ForeignServiceTest(unittest.TestCase):
+    """Sound entries of services that the configuration does not name."""
+
+    def setUp(self):
+        self.store = MemorySharedStore()
+        for number in range(3):
+            self.write_server(f"i-{number}", "orders")
+            self.write_server(f"x-{number}", f"elsewhere-{number}")
+        self.write_configuration(1, ["orders"])
+        manager = running_proxy(self.store)
+        self.proxy, _ = manager.__enter__()
+        self.addCleanup(manager.__exit__, None, None, None)
+        self.wait_for_server("i-2")
+
+    def write_server(self, server_id, service):
+        entry = {**foreign_entries.OWN_ENTRY, "service": service}
+        self.store.write("servers", server_id, entry)
+
+    def write_configuration(self, version, services):
+        document = {
+            "version": version,
+            "routes": [{"host": "shop", "service": "orders"}],
+            "services": [{"name": name, "maxConns": 20} for name in services],
+        }
+        self.store.write("config", "main", document)
+
+    def wait_for_server(self, server_id):
+        """Wait until a group of the proxy has a server."""
+        deadline = time.monotonic() + LIMIT_SECONDS
+        while not any(
+            server_id in group.pools_by_id
+            for group in list(self.proxy.groups_by_name.values())
+        ):
+            self.assertLess(time.monotonic(), deadline, server_id)
+            let_time_pass(self.proxy._loop, 0.02)
+
+    def test_no_group_is_made_for_them(self):
+        """Guards against promotions and connections for what nobody configured."""
+        self.assertEqual(set(self.proxy.groups_by_name), {"orders"})
+
+    def test_servers_of_an_added_service_are_used(self):
+        """Guards against a service without servers that registered before it."""
+        self.write_configuration(2, ["orders", "elsewhere-1"])
+        self.wait_for_server("x-1")
+        self.assertEqual(set(self.proxy.groups_by_name), {"orders", "elsewhere-1"})
+
+
 class BrokenVersionsTest(unittest.TestCase):
     """The search finds each place where one entry could decide about others."""
 
@@ -100,6 +151,20 @@
         ):
             find_difference()
 
+    def test_entries_with_missing_fields(self):
+        """Guards against a search that misses servers that do not exist."""
+        defaults = {"seq": 0, "born": 0, "version": "", "coldLeftMs": 0}
+        decode = platform_store.lenient_json.decode_or_none
+
+        def decode_with_defaults(*args):
+            value = decode(*args)
+            if isinstance(value, dict) and isinstance(value.get("spec"), dict):
+                value["spec"] = {**defaults, **value["spec"]}
+            return value
+
+        with mock.patch.object(lenient_json, "decode_or_none", decode_with_defaults):
+            find_difference()
+
 
 if __name__ == "__main__":
     unittest.main()
