--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -34,9 +34,13 @@
     "service": "orders",
     "addr": "10.128.0.9:8080",
     "zone": "z1",
+    "version": "v1",
     "slots": 3,
     "state": "ready",
+    "coldLeftMs": 0,
     "dbRole": "replica",
+    "seq": 1,
+    "born": 1700000000000,
 }
 CHECK_SCRIPT = pathlib.Path(adapter_path.PLATFORM_DIRECTORY) / "check.py"
 # Paths and values that the decoders drop or replace, and the place of the finding.
