Join the pages of a list with the changes between them

The report came between two pages of the list.

Cause: the revision of the last page was taken for that of all pages, and the watch went on from there. What had changed or gone since an earlier page was in neither.

Now the changes since the first page are read and applied, so that the list is that of one revision. Stale pages, which may be of different ages, count as the oldest.

--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -2,10 +2,15 @@
 
 import random
 import unittest
+from unittest import mock
+
+import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from cassiahill import clock, errors, http1
 from cassiahill.loop import EventLoop
-from cassiahill.shared_store import MemorySharedStore
+from cassiahill.shared_store import MemorySharedStore, Snapshot
 from tests import adapter_path
 
 with adapter_path.importable():
@@ -184,6 +189,143 @@
         self.assertEqual(stored.value["n"], 3)
 
 
+class PagedListTest(unittest.TestCase):
+    """Lists of several pages, between which the store changes."""
+
+    def setUp(self):
+        self.start_store()
+
+    def start_store(self):
+        """Start a store with six objects and pages of two."""
+        self.loop = EventLoop(clock.SystemClock())
+        self.addCleanup(self.loop.close)
+        self.server = stand_in.Store(self.loop, random.Random(1))
+        self.server.page_items = 2
+        self.store = platform_store.PlatformStore(self.loop, self.server.address)
+        for number in range(0, 12, 2):
+            self.server.put("kind", f"n{number:02}", {"state": 0})
+
+    def result(self, future):
+        while not future.done():
+            self.loop._run_once()
+        return future.result()
+
+    def act_after_pages(self, *actions):
+        """Let each action follow one page of the next list."""
+        remaining = list(actions)
+
+        def after_page(_kind, _more):
+            if remaining:
+                remaining.pop(0)()
+
+        self.server.after_page = after_page
+
+    def held_by_store(self):
+        """Return what the store holds, by name."""
+        return {
+            name: self.server.read_spec("kind", name)
+            for name in self.server.list_names("kind")
+        }
+
+    def list_and_watch(self, may_be_stale=False):
+        """Return what a list and a watch from its revision know, by name."""
+        snapshot = self.result(self.store.list("kind", may_be_stale))
+        known = {stored.name: stored.value for stored in snapshot.objects}
+        revision = attrs.evolve(snapshot.revision, era=self.server.era)
+        self.server.put("kind", "last", {})
+        batch = self.result(self.store.watch("kind", revision))
+        for change in batch.changes:
+            if change.deleted:
+                known.pop(change.stored.name, None)
+            else:
+                known[change.stored.name] = change.stored.value
+        return known, snapshot
+
+    def test_change_between_two_pages_is_known(self):
+        """Guards against a drain that is missed because its page was read before."""
+        self.act_after_pages(lambda: self.server.put("kind", "n00", {"state": 1}))
+        known, snapshot = self.list_and_watch()
+        self.assertEqual(known["n00"], {"state": 1})
+        values_by_name = {stored.name: stored.value for stored in snapshot.objects}
+        self.assertEqual(values_by_name["n00"], {"state": 1})
+
+    def test_removal_between_two_pages_is_known(self):
+        """Guards against a server that is never removed and blocks promotions."""
+        self.act_after_pages(lambda: self.server.delete("kind", "n02"))
+        known, _ = self.list_and_watch()
+        self.assertEqual(known, self.held_by_store())
+
+    def test_list_begins_anew_without_the_history_between_its_pages(self):
+        """Guards against pages that nothing can join, and against an endless list."""
+
+        def lose_history():
+            self.server.put("kind", "n00", {"state": 1})
+            self.server.forget()
+
+        def restore():
+            self.server.restore(self.server.copy_content())
+
+        for action in (lose_history, restore):
+            self.act_after_pages(lambda: None, action)
+            known, _ = self.list_and_watch()
+            self.assertEqual(known, self.held_by_store())
+        self.act_after_pages(*[lose_history] * 20)
+        with self.assertRaises(errors.PlatformUnavailable):
+            self.result(self.store.list("kind"))
+
+    @given(
+        st.lists(
+            st.tuples(st.integers(0, 12), st.sampled_from(("put", "delete"))),
+            max_size=5,
+        ),
+        st.booleans(),
+    )
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    def test_list_and_watch_join_whatever_changes_meanwhile(self, changes, is_stale):
+        """Guards against a gap between the pages and the watch that follows."""
+        self.start_store()
+        actions = []
+        for state, (number, action) in enumerate(changes):
+            name = f"n{number:02}"
+            actions.append(
+                (lambda name=name: self.server.delete("kind", name))
+                if action == "delete"
+                else lambda name=name, state=state: self.server.put(
+                    "kind", name, {"state": state}
+                )
+            )
+        self.act_after_pages(*actions)
+        known, _ = self.list_and_watch(is_stale)
+        self.assertEqual(known, self.held_by_store())
+
+    def test_last_page_counts_for_all_is_found(self):
+        """Guards against a search that finds nothing in the former version."""
+
+        def join_nothing(store, _kind, pages):
+            yield from ()
+            objects = tuple(platform_store._objects_by_name(pages).values())
+            return Snapshot(objects, pages[-1].revision)
+
+        with mock.patch.object(
+            platform_store.PlatformStore, "_join_pages", join_nothing
+        ):
+            for change in (
+                lambda: self.server.put("kind", "n00", {"state": 1}),
+                lambda: self.server.delete("kind", "n02"),
+            ):
+                self.start_store()
+                self.act_after_pages(change)
+                known, _ = self.list_and_watch()
+                self.assertNotEqual(known, self.held_by_store())
+
+    def test_names_that_cannot_be_sent_back(self):
+        """Guards against a page after which the rest of the list is left out."""
+        for number in range(5):
+            self.server.put("kind", f"n05-{chr(0xDC80 + number)}", {"state": 0})
+        known, _ = self.list_and_watch()
+        self.assertLessEqual({"n00", "n06", "n10"}, set(known))
+
+
 class LargeObjectTest(unittest.TestCase):
     def test_largest_object_that_the_settings_allow(self):
         """Guards against a configuration that no process can ever read."""
