--- a/tests/foreign_entries.py
+++ b/tests/foreign_entries.py
@@ -19,8 +19,7 @@
 from tests.stepped_loop import SteppedLoop
 
 with adapter_path.importable():
-    from adapter import documents
-    from adapter import store as platform_store
+    from adapter import documents, store_answers
 
 OWN_IDS = ("i-1", "i-2", "i-3")
 OWN_ENTRY = {
@@ -150,16 +149,16 @@
     def list(self, kind, may_be_stale=False):
         if kind != documents.SERVERS_KIND:
             return LoopFuture()
-        answer = platform_store._Answer(self._list_body, ERA)
-        page = platform_store._decode_page(answer)
+        answer = store_answers.Answer(self._list_body, ERA)
+        page = store_answers.decode_page(answer)
         return completed_future(shared_store.Snapshot(page.objects, page.revision))
 
     def watch(self, kind, revision, wait_seconds=0.0):
         if self.is_watched:
             return LoopFuture()
         self.is_watched = True
-        answer = platform_store._Answer(self._watch_body, ERA)
-        return completed_future(platform_store._change_batch(answer, revision))
+        answer = store_answers.Answer(self._watch_body, ERA)
+        return completed_future(store_answers.decode_changes_answer(answer, revision))
 
 
 class _SilentStore(shared_store.SharedStore):
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -15,8 +15,7 @@
 from tests.proxy_process import running_proxy
 
 with adapter_path.importable():
-    from adapter import lenient_json
-    from adapter import store as platform_store
+    from adapter import lenient_json, store_answers
 
 NO_ITEMS = ((), (), (), ())
 LIMIT_SECONDS = 20.0
@@ -124,11 +123,13 @@
 
         def decode_page(answer):
             document = decode_whole(answer.body)
-            objects = tuple(platform_store._stored_all(document["items"], answer.era))
+            objects = tuple(
+                store_answers._decode_objects(document["items"], answer.era)
+            )
             revision = Revision(answer.era, document["storeRevision"])
             return Snapshot(objects, revision)
 
-        with mock.patch.object(platform_store, "_decode_page", decode_page):
+        with mock.patch.object(store_answers, "decode_page", decode_page):
             find_difference()
 
     def test_log_lines_that_cannot_be_encoded(self):
@@ -154,7 +155,7 @@
     def test_entries_with_missing_fields(self):
         """Guards against a search that misses servers that do not exist."""
         defaults = {"seq": 0, "born": 0, "version": "", "coldLeftMs": 0}
-        decode = platform_store.lenient_json.decode_or_none
+        decode = lenient_json.decode_or_none
 
         def decode_with_defaults(*args):
             value = decode(*args)
--- a/tests/test_shared_store.py
+++ b/tests/test_shared_store.py
@@ -14,7 +14,7 @@
 from tests import adapter_path
 
 with adapter_path.importable():
-    from adapter import lenient_json
+    from adapter import lenient_json, store_answers
     from adapter import store as platform_store
     from soak import store as stand_in
 
@@ -303,7 +303,7 @@
 
         def join_nothing(store, _kind, pages):
             yield from ()
-            objects = tuple(platform_store._objects_by_name(pages).values())
+            objects = tuple(store_answers.objects_by_name(pages).values())
             return Snapshot(objects, pages[-1].revision)
 
         with mock.patch.object(
@@ -395,7 +395,7 @@
         )
         answer = lenient_json.decode(unreadable_list)
         names = [
-            stored.name for stored in platform_store._stored_all(answer["items"], 1)
+            stored.name for stored in store_answers._decode_objects(answer["items"], 1)
         ]
         self.assertEqual(names, ["b", "a"])
 
