Split the preparation of a successor from the takeover

Tests hand their evidence to the takeover when it is made. No change of behaviour; the searches of promotions and takeovers pass with the same histories.

--- a/cassiahill/takeover.py
+++ b/cassiahill/takeover.py
@@ -18,6 +18,7 @@
     promotion_window,
     replica_statuses,
     statements,
+    successor_preparation,
 )
 from cassiahill.missing_commits import REMOVED_REPLICA_WAIT_SECONDS
 from cassiahill.primary_symptoms import PRIMARY_UNREACHABLE, promotion_reason
@@ -26,23 +27,14 @@
     OPEN_ORDERS_RETRY_SECONDS,
     PRIMARY_RECHECK_TIMEOUT_SECONDS,
 )
-from cassiahill.replica_statuses import (
-    POLL_INTERVAL_SECONDS,
-    ReplicaStatus,
-    ResumeResult,
-)
-from cassiahill.successor_choice import choose_successor, replica_with_longest_log
+from cassiahill.replica_statuses import ResumeResult
+from cassiahill.successor_choice import choose_successor
 from cassiahill.successor_nearness import Nearness
 
 # Between questions to a store that has not confirmed that pauses may be ended.
 PAUSES_RETRY_SECONDS = 1.0
 RETRY_PAUSE_SECONDS = 0.3  # Pause after an attempt that promoted no server.
 PAUSE_AFTER_PROMOTION_SECONDS = 1.5  # Lets the new primary start to serve.
-# Longer than in a failover, because the old primary still sends the entries that the
-# successor does not have yet.
-SWITCHOVER_CATCH_UP_SECONDS = 1.5
-FAILOVER_CATCH_UP_SECONDS = 0.2
-ACKNOWLEDGEMENT_DELAY_SECONDS = 0.06  # Time for a sent acknowledgement to arrive.
 # After this many blocked attempts, the promoter resigns, because another proxy may
 # reach the replicas that did not answer.
 BLOCKED_ATTEMPTS_UNTIL_RESIGNING = 2
@@ -92,6 +84,14 @@
         self._former_domain = None
         self._missing_commits = missing_commits.MissingCommits(loop, group)
         self._statuses = replica_statuses.ReplicaStatuses(loop, group)
+        self._preparation = successor_preparation.SuccessorPreparation(
+            loop,
+            group,
+            self._statuses,
+            self._missing_commits,
+            self._evidence,
+            self._ask_proxies,
+        )
         self._promotions = promotion_orders.OrderedPromotions(
             loop,
             group,
@@ -234,7 +234,9 @@
         if removed_replicas and self._group.synchronous:
             # Such a replica may be on the primary's side of a network partition and
             # acknowledge its commits there.
-            self._log_wait_for_removed(primary, removed_replicas)
+            successor_preparation.log_wait_for_removed(
+                self._group, primary, removed_replicas
+            )
             return False
         self._blocked_attempts = 0
         # Another promoter's pauses have other terms, so that neither ends the other's.
@@ -293,8 +295,8 @@
         """
         replicas = [status.server_id for status in statuses]
         other_replicas = [server_id for server_id in replicas if server_id != successor]
-        prepared = yield from self._prepare_successor(
-            primary, successor, other_replicas, term
+        prepared = yield from self._preparation.prepare(
+            successor_preparation.Plan(primary, successor, other_replicas, term)
         )
         if prepared is None:
             self._log_decision("takeover_unsafe", reason, primary, statuses)
@@ -474,154 +476,6 @@
             or status.received > successor.received
         ]
 
-    def _prepare_successor(self, primary, successor, other_replicas, term):
-        """Pause the other replicas and let the successor receive all that they have.
-
-        Parameters
-        ----------
-        primary : str or None
-        successor : str
-        other_replicas : list of str
-            All replicas but the successor.
-        term : int
-            Term for the pause and the step-down, higher than each known one.
-
-        Returns
-        -------
-        ReplicaStatus or None
-            Last status of the server to promote, which may be another one than
-            ``successor``; None when no promotion is safe.
-        """
-        paused_at = self._loop.clock.now()
-        statuses = yield from self._statuses.ask_all(
-            other_replicas, statements.PauseReceiving(term)
-        )
-        paused_statuses = [status for status in statuses if status.received is not None]
-        if self._group.synchronous and len(paused_statuses) < len(statuses):
-            return None
-        proxies_asked = self._loop.spawn(self._ask_proxies(successor))
-        catch_up_seconds = FAILOVER_CATCH_UP_SECONDS
-        old_primary = ReplicaStatus(primary, False, None)
-        if primary in self._group.pools_by_id:
-            asked_at = self._loop.clock.now()
-            old_primary = yield from self._statuses.ask(
-                primary, statements.ReadStatus()
-            )
-            if old_primary.received is not None:
-                catch_up_seconds = SWITCHOVER_CATCH_UP_SECONDS
-                self._group.sole_copies.record_primary_position(
-                    primary, asked_at, old_primary.received
-                )
-        if not (yield proxies_asked):
-            return None
-        awaited_ids = self._missing_commits.awaited_ids(
-            self._evidence.replicas_known_to_others(self._group.name)
-        )
-        if awaited_ids:
-            event_log.event(
-                "takeover_waits_for_unknown",
-                group=self._group.name,
-                primary=primary,
-                unknown=" ".join(awaited_ids),
-            )
-            return None
-        removed_ids = self._missing_commits.awaited_removed_ids(
-            self._evidence.removed_by_others(self._group.name)
-        )
-        if removed_ids:
-            self._log_wait_for_removed(primary, removed_ids)
-            return None
-        positions = [
-            *(status.received for status in paused_statuses),
-            old_primary.received,
-            self._group.sole_copies.required_position,
-            self._group.acknowledged_commits.position,
-        ]
-        required_position = max(
-            (position for position in positions if position is not None), default=None
-        )
-        if required_position is None:
-            return ReplicaStatus(successor, False, None)
-        deadline = self._loop.clock.now() + catch_up_seconds
-        while self._loop.clock.now() < deadline:
-            status = yield from self._statuses.ask(successor, statements.ReadStatus())
-            if status.received is not None and status.received >= required_position:
-                return status
-            yield self._loop.sleep_until(self._loop.clock.now() + POLL_INTERVAL_SECONDS)
-        last_status = yield from self._statuses.ask(
-            successor, statements.PauseReceiving(term)
-        )
-        if last_status.received is None:
-            return None
-        best_successor = replica_with_longest_log([*paused_statuses, last_status])
-        if self._missing_commits.may_lack(
-            best_successor, old_primary.received is not None
-        ):
-            event_log.event(
-                "takeover_lacks_commits",
-                group=self._group.name,
-                primary=primary,
-                required=self._group.sole_copies.required_position,
-                acknowledged=self._group.acknowledged_commits.position,
-                received=best_successor.received,
-            )
-            return None
-        if old_primary.received is None:
-            return best_successor
-        known_ids = {primary, successor, *other_replicas}
-        return (
-            yield from self._give_up_commits(
-                primary, best_successor, known_ids, term, paused_at
-            )
-        )
-
-    def _give_up_commits(self, primary, successor, known_ids, term, paused_at):
-        """Let a reachable primary step down whose last commits no replica has.
-
-        All known replicas are paused, but one that has just started may not be known
-        and may acknowledge commits.
-
-        Parameters
-        ----------
-        primary : str
-        successor : ReplicaStatus
-        known_ids : set of str
-            Ids of the primary and of the paused replicas.
-        term : int
-        paused_at : float
-
-        Returns
-        -------
-        ReplicaStatus or None
-            Status of the server to promote; None when no promotion is safe.
-        """
-        outstanding_writes = self._group.outstanding_writes
-        if outstanding_writes.acknowledged_at > paused_at:
-            return None
-        step_down_status = yield from self._statuses.ask(
-            primary, statements.StepDown(term)
-        )
-        if step_down_status.received is None:
-            return None
-        yield self._loop.sleep_until(
-            self._loop.clock.now() + ACKNOWLEDGEMENT_DELAY_SECONDS
-        )
-        if outstanding_writes.acknowledged_at > paused_at:
-            return step_down_status
-        if not known_ids.issuperset(self._group.pools_by_id):
-            # Other proxies may have got acknowledgements from a replica that has
-            # registered since.
-            return None
-        return successor
-
-    def _log_wait_for_removed(self, primary, removed_ids):
-        event_log.event(
-            "takeover_waits_for_gone",
-            group=self._group.name,
-            primary=primary,
-            gone=" ".join(removed_ids),
-        )
-
     def _log_effect(self, prepared, ordered_at, statuses):
         """Log that a promotion took effect, and what was known shortly before."""
         event_log.event(
--- a/tests/takeover_builders.py
+++ b/tests/takeover_builders.py
@@ -39,7 +39,7 @@
 class TakeoverTestCase(unittest.TestCase):
     """A group, the takeover of its promoter, and steps that several tests take."""
 
-    def set_up_group(self, results=(), **deployment):
+    def set_up_group(self, results=(), evidence=None, **deployment):
         """Create a group and its takeover; ``results`` are those of the orders."""
         self.fixture = GroupFixture(**deployment)
         self.orders = RecordingOrders(self.fixture, results)
@@ -55,6 +55,7 @@
             self.confirm_promoter,
             lambda: self.resigned_at.append(self.fixture.loop.clock.now()),
             self.nearness,
+            evidence,
         )
         self.takeover = without_predecessor(group_takeover)
         self.near_domain = None
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -177,9 +177,8 @@
         A refusal means that another process has used a higher token, or that the server
         does not run.
         """
-        self.set_up_group([OrderResult.REFUSED])
         evidence = mock.Mock(wraps=promotion_evidence.PromotionEvidence())
-        self.takeover._evidence = evidence
+        self.set_up_group([OrderResult.REFUSED], evidence)
         self.store_answers = False
         self.drain_primary()
         self.run_for(0.5)
@@ -198,11 +197,10 @@
         Another promoter had an order accepted in between. The attempt took all orders
         for closed and ended the pauses.
         """
-        self.set_up_group()
-        self.takeover._promotions.record_other_promoter()
         evidence = mock.Mock(wraps=promotion_evidence.PromotionEvidence())
         evidence.own_term.side_effect = lambda: term
-        self.takeover._evidence = evidence
+        self.set_up_group(evidence=evidence)
+        self.takeover._promotions.record_other_promoter()
         term = Revision(1, 5)
         self.drain_primary()
         self.run_for(0.5)
@@ -214,9 +212,8 @@
 
     def test_order_needs_the_role_at_the_end_of_the_preparation(self):
         """Guards against an order of a process that was replaced in the meantime."""
-        self.set_up_group()
         evidence = mock.Mock(wraps=promotion_evidence.PromotionEvidence())
-        self.takeover._evidence = evidence
+        self.set_up_group(evidence=evidence)
 
         def replace_promoter(_group, _successor):
             self.is_promoter = False
--- a/tests/test_takeover_commits.py
+++ b/tests/test_takeover_commits.py
@@ -209,10 +209,9 @@
 
         A replica that stays away is treated as gone, so that the group gets a primary.
         """
-        self.set_up_group()
         evidence = mock.Mock(wraps=promotion_evidence.PromotionEvidence())
         evidence.replicas_known_to_others.side_effect = lambda _group: {"b", "new"}
-        self.takeover._evidence = evidence
+        self.set_up_group(evidence=evidence)
         self.drain_primary()
         self.run_for(2.5)
         self.assertEqual(self.orders.promotions, [])
