--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
 FAULT_SECONDS = "8"
 CUT_SEEDS = ("4",)
 CUT_SECONDS = "20"  # Time for two or three cuts.
+OUTAGE_SECONDS = "25"  # Time for two outages.
 PROCESS_TIMEOUT_SECONDS = 240  # Allows for a busy machine; a run takes about 30 s.
 
 
@@ -32,6 +33,15 @@
         """
         self.check_run("--group-faults", "cuts", seconds=CUT_SECONDS, seeds=CUT_SEEDS)
 
+    def test_no_lost_commits_after_outages_and_restarts(self):
+        """Guards against a fleet that starts anew and promotes from a partial list.
+
+        The same seed loses 144 commits in a version that does not wait for the list.
+        """
+        self.check_run(
+            "--group-faults", "outages", "--groups", "4", seconds=OUTAGE_SECONDS
+        )
+
     def check_run(self, *options, seconds=FAULT_SECONDS, seeds=SEEDS):
         """Run the soak and check that it finds no violation."""
         command = [sys.executable, "platform/soak/run.py", "--seconds", seconds]
