Keep servers whose entries are missing until the store has answered for 2.5 s

The 2.5 s counted from the instant at which a process saw an entry go, also while the store was away again and no server could register. After two outages in series, running servers were removed, and a list that had been complete no longer was.

A draining server is removed at once, as before.

--- a/cassiahill/catalog.py
+++ b/cassiahill/catalog.py
@@ -266,12 +266,19 @@
         if server_id in self.servers_by_id:
             self._unregistered_since_by_id.setdefault(server_id, now)
 
-    def remove_lapsed_servers(self, now):
+    def remove_lapsed_servers(self, now, store_answers_since=-math.inf):
         """Remove servers that have been unregistered for ``REMOVAL_DELAY_SECONDS``.
 
         An entry may expire while the shared store is unavailable although its server
         runs; it is registered again soon. A draining server is removed at once.
 
+        Parameters
+        ----------
+        now : float
+        store_answers_since : float
+            End of the store's last outage; infinite while the store does not answer,
+            as no server can register then.
+
         Returns
         -------
         list of ServerRemoved
@@ -279,7 +286,8 @@
         removed = []
         for server_id, since in list(self._unregistered_since_by_id.items()):
             server = self.servers_by_id[server_id]
-            if not server.draining and now - since < REMOVAL_DELAY_SECONDS:
+            counted_since = max(since, store_answers_since)
+            if not server.draining and now - counted_since < REMOVAL_DELAY_SECONDS:
                 continue
             del self._unregistered_since_by_id[server_id]
             del self.servers_by_id[server_id]
--- a/cassiahill/catalog_feed.py
+++ b/cassiahill/catalog_feed.py
@@ -475,7 +475,8 @@
     def _remove_lapsed_servers(self):
         """Remove servers that have been unregistered for long enough."""
         now = self._loop.clock.now()
-        for removed in self._catalog.remove_lapsed_servers(now):
+        answers_since = self._server_watcher.store_answers_since
+        for removed in self._catalog.remove_lapsed_servers(now, answers_since):
             event_log.event("server_removed", server=removed.server.server_id)
             self._on_server(removed)
         return now + LAPSE_CHECK_INTERVAL_SECONDS
--- a/cassiahill/store_watcher.py
+++ b/cassiahill/store_watcher.py
@@ -1,5 +1,7 @@
 """Keeps track of the objects of one kind by a list and subsequent watches."""
 
+import math
+
 import attrs
 
 from cassiahill import errors, event_log
@@ -118,6 +120,13 @@
         """Whether the store does not answer; False while the watcher rests."""
         return self.reachability.unreachable_since is not None and not self._resting
 
+    @property
+    def store_answers_since(self):
+        """End of the store's last outage; infinite while it does not answer."""
+        if self.is_store_unreachable:
+            return math.inf
+        return self.reachability.reachable_since
+
     def close(self):
         """Stop after the call in progress."""
         self._closed = True
--- a/tests/promotion_history.py
+++ b/tests/promotion_history.py
@@ -220,7 +220,8 @@
         now = self._loop.clock.now()
         if now >= self.watch_lost_until:
             self.read_entries()
-        for removed in self._catalog.remove_lapsed_servers(now):
+        answers_since = self.completeness.answered_since
+        for removed in self._catalog.remove_lapsed_servers(now, answers_since):
             self.group.remove_server(removed.server.server_id)
         if self.believes:
             self.takeover.start_if_needed(self.group.primary_symptoms(now))
--- a/tests/test_catalog_feed.py
+++ b/tests/test_catalog_feed.py
@@ -147,12 +147,36 @@
             [change for change in self.changes if isinstance(change, ServerRemoved)]
         )
 
+    def test_entry_that_returns_after_a_second_outage_is_not_removed(self):
+        """Guards against removing live servers that no store lets register."""
+        self.store.delete("servers", "a")
+        self.loop.advance(0.5)
+        self.store.available = False
+        self.loop.advance(3 * REMOVAL_DELAY_SECONDS)
+        self.store.available = True
+        self.loop.advance(REMOVAL_DELAY_SECONDS / 2)
+        self.store.write("servers", "a", {})
+        self.loop.advance(2 * REMOVAL_DELAY_SECONDS)
+        self.assertFalse(
+            [change for change in self.changes if isinstance(change, ServerRemoved)]
+        )
+
     def test_missing_entry_is_removed_after_the_delay(self):
         """Guards against using an address that now belongs to another server."""
         self.store.delete("servers", "a")
         self.loop.advance(2 * REMOVAL_DELAY_SECONDS)
         self.assertNotIn("a", self.catalog.servers_by_id)
 
+    def test_missing_entry_is_removed_after_an_outage(self):
+        """Guards against a server that is kept for good once the store was away."""
+        self.store.delete("servers", "a")
+        self.loop.advance(0.5)
+        self.store.available = False
+        self.loop.advance(3.0)
+        self.store.available = True
+        self.loop.advance(2 * REMOVAL_DELAY_SECONDS + 1.0)
+        self.assertNotIn("a", self.catalog.servers_by_id)
+
     def test_deleted_draining_server_is_removed_at_once(self):
         """Guards against a promotion that waits for a server that was shut down."""
         self.store.write("servers", "a", {"draining": True})
