--- a/tests/foreign_entries.py
+++ b/tests/foreign_entries.py
@@ -16,24 +16,14 @@
 from cassiahill.server_group import ServerGroup
 from tests import adapter_path
 from tests.line_group import InMemoryDialect
+from tests.server_entries import SERVER_ENTRY
 from tests.stepped_loop import SteppedLoop
 
 with adapter_path.importable():
     from adapter import documents, store_answers
 
 OWN_IDS = ("i-1", "i-2", "i-3")
-OWN_ENTRY = {
-    "service": "orders",
-    "addr": "127.0.0.1:1",
-    "zone": "zone-a",
-    "version": "v1",
-    "slots": 3,
-    "state": "ready",
-    "coldLeftMs": 0,
-    "dbRole": "replica",
-    "seq": 4,
-    "born": 1700000000000,
-}
+OWN_ENTRY = {**SERVER_ENTRY, "addr": "127.0.0.1:1"}
 ERA = 1
 LIST_REVISION, WATCH_REVISION = 10, 20
 PIPE_BYTES = 1_000_000
--- a/tests/test_adapter_documents.py
+++ b/tests/test_adapter_documents.py
@@ -9,23 +9,12 @@
 from cassiahill.tenants import digest_key
 from tests import adapter_path
 from tests.log_lines import captured_log_lines
+from tests.server_entries import SERVER_ENTRY
 from tests.tenant_builders import NORTH_KEY, SOUTH_KEY
 
 with adapter_path.importable():
     from adapter import documents, settings
 
-SERVER_ENTRY = {
-    "service": "orders",
-    "addr": "10.128.0.9:8080",
-    "zone": "z1",
-    "version": "v1",
-    "slots": 3,
-    "state": "ready",
-    "coldLeftMs": 0,
-    "dbRole": "replica",
-    "seq": 4,
-    "born": 1700000000000,
-}
 SETTINGS_DOCUMENT = {
     "node": "front-1",
     "zone": "z1",
--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -23,6 +23,7 @@
     write_document,
 )
 from tests.log_lines import captured_log_lines
+from tests.server_entries import SERVER_ENTRY
 from tests.tenant_builders import NORTH_KEY, SOUTH_KEY
 
 with adapter_path.importable():
@@ -30,18 +31,6 @@
     from adapter import configuration_command as _configuration_command  # noqa: F401
     from soak import store as stand_in
 
-SERVER_ENTRY = {
-    "service": "orders",
-    "addr": "10.128.0.9:8080",
-    "zone": "z1",
-    "version": "v1",
-    "slots": 3,
-    "state": "ready",
-    "coldLeftMs": 0,
-    "dbRole": "replica",
-    "seq": 1,
-    "born": 1700000000000,
-}
 CHECK_SCRIPT = pathlib.Path(adapter_path.PLATFORM_DIRECTORY) / "check.py"
 # Paths and values that the decoders drop or replace, and the place of the finding.
 MALFORMED_VALUES = (
--- a/tests/test_promotion_search.py
+++ b/tests/test_promotion_search.py
@@ -4,114 +4,22 @@
 promoter one after the other, and servers crash, restart and join.
 """
 
-import math
 import unittest
 from unittest import mock
 
-from hypothesis import find, given, settings
-from hypothesis import strategies as st
-
 from cassiahill import commit_witnesses, takeover
-from tests.promotion_history import OtherProxies, PromotionHistory
-
-SERVERS = st.sampled_from(("a", "a", "b", "c"))
-REPLICAS = st.sampled_from(("b", "c"))
-ABSENCES = st.tuples(SERVERS, st.sampled_from((0.3, 1.0, 2.0, 5.0, 8.0)))
-SECONDS = st.sampled_from((1.0, 2.0, 5.0))
-# From the store's return until the entry of each server is back.
-RETURN_SECONDS = st.tuples(*(st.sampled_from((0.1, 1.0, 1.8)) for _ in range(3)))
-VALUES_BY_ACTION = {
-    "wait": st.sampled_from((1, 2, 3, 5, 8, 12, 20, 40)),
-    "deaf": REPLICAS,
-    "hear": REPLICAS,
-    "drain": SERVERS,
-    "dark": ABSENCES,
-    "crash": ABSENCES,
-    "dark when promoted": SECONDS,
-    "leave": REPLICAS,
-    "join": st.sampled_from((0.05, 0.5, 2.0)),
-    "restart": REPLICAS,
-    "restart empty": REPLICAS,
-    "silent": SERVERS,
-    "lose watch": SECONDS,
-    "cut proxy": SECONDS,
-    "expire": SERVERS,
-    "outage": st.tuples(st.sampled_from((1.0, 4.5)), RETURN_SECONDS),
-    "restart all": st.none(),
-    "late order": st.sampled_from((0.0, 1.5, 3.0, 6.0, 11.0, None)),
-    "new promoter": st.tuples(
-        st.sampled_from(("standing", "idle", "fresh")), st.booleans()
-    ),
-}
-# Drawn in each search; the others in the searches that name them.
-BASE_ACTIONS = ("wait", "deaf", "hear", "drain", "dark")
-MAX_EXAMPLES = 150
+from tests.promotion_draws import (
+    BASE_ACTIONS,
+    VALUES_BY_ACTION,
+    PromotionTestCase,
+    search,
+)
+
 # A promoter gives no closing order after so many steps, so that a late order is that
 # for the successor.
 NO_ORDER_OPEN = ("wait", 160)
 
 
-def draw_actions(*names):
-    """Return a strategy for one of the named actions."""
-    return st.one_of(
-        *(st.tuples(st.just(name), VALUES_BY_ACTION[name]) for name in names)
-    )
-
-
-def draw_histories(*actions):
-    """Return a strategy for histories of the base actions and some others."""
-    return st.lists(
-        draw_actions(*BASE_ACTIONS, *actions),
-        min_size=3,
-        max_size=16,
-    )
-
-
-def draw_restarted_fleets():
-    """Return a strategy for a restart of all processes near the end of an outage.
-
-    One replica receives nothing for some time before, and entries are missing after.
-    """
-    return st.builds(
-        lambda deaf_id, before, outage, steps, after: [
-            ("deaf", deaf_id),
-            ("wait", 10),
-            *before,
-            ("outage", outage),
-            ("wait", steps),
-            ("restart all", None),
-            *after,
-            ("wait", 30),
-        ],
-        REPLICAS,
-        st.lists(draw_actions("drain", "dark", "crash"), max_size=1),
-        st.tuples(st.just(2.0), RETURN_SECONDS),
-        st.integers(10, 30),
-        st.lists(draw_actions("wait", "crash", "hear", "restart all"), max_size=2),
-    )
-
-
-SEARCH_SETTINGS = settings(derandomize=True, max_examples=MAX_EXAMPLES, deadline=None)
-
-
-def search(*actions):
-    """Return a decorator that runs a test on drawn histories."""
-    return lambda test: SEARCH_SETTINGS(given(draw_histories(*actions))(test))
-
-
-class PromotionTestCase(unittest.TestCase):
-    def lost_commits(self, history, takeover_class=takeover.Takeover):
-        """Return the commits that a history loses, and then 3 s without faults."""
-        run = PromotionHistory(takeover_class)
-        try:
-            return run.run_actions([*history, ("wait", 30)])
-        finally:
-            run.close()
-
-    def assert_nothing_lost(self, *history):
-        self.assertEqual(self.lost_commits(history), [])
-
-
 class UnknownToPromoterTest(PromotionTestCase):
     """A promoter that lacks what others know."""
 
@@ -168,37 +76,6 @@
         )
 
 
-class StartedFleetTest(PromotionTestCase):
-    """Processes that have started have seen no entry that is missing in the list."""
-
-    HISTORY = (
-        ("deaf", "b"),
-        ("wait", 10),
-        ("outage", (4.5, (1.8, 0.1, 1.8))),
-        ("wait", 30),
-        ("restart all", None),
-        ("wait", 50),
-    )
-
-    def test_all_processes_start_before_the_entries_are_back(self):
-        """Guards against the promotion of the only replica that is registered yet."""
-        self.assert_nothing_lost(*self.HISTORY)
-
-    def test_all_processes_start_after_the_store_is_back(self):
-        """Guards against a wait only of processes that have found the store away."""
-        for steps in (44, 46, 50):
-            history = list(self.HISTORY)
-            history[3] = ("wait", steps)
-            self.assert_nothing_lost(*history)
-
-    def test_reliance_on_the_first_list_is_found(self):
-        """Guards against a search that finds nothing without the wait."""
-        with mock.patch.object(
-            OtherProxies, "servers_complete_at", lambda _self: -math.inf
-        ):
-            find(draw_restarted_fleets(), self.lost_commits, settings=SEARCH_SETTINGS)
-
-
 class OpenOrderTest(PromotionTestCase):
     """An order that may still be carried out while its attempt has ended."""
 
@@ -463,12 +340,6 @@
         """Guards against lost commits by orders and pauses of several promoters."""
         self.assert_nothing_lost(*history)
 
-    @SEARCH_SETTINGS
-    @given(draw_restarted_fleets())
-    def test_outages_and_restarts_of_all(self, history):
-        """Guards against lost commits by processes that know nothing of the past."""
-        self.assert_nothing_lost(*history)
-
     @search(*(action for action in VALUES_BY_ACTION if action not in BASE_ACTIONS))
     def test_all_actions(self, history):
         """Guards against lost commits by a combination of all faults."""
