Log the age of the proof at an installation, and refusals of unknown databases

Cause: the logs could not tell for how long a process had not been sure to have the newest version when it installed one, nor which version a process had that refused a database, nor whether an owner or the client's own proxy refused. Change: proof_age in configuration_installed; database_unknown with the version and whether the session is relayed.

--- a/cassiahill/catalog_feed.py
+++ b/cassiahill/catalog_feed.py
@@ -389,6 +389,7 @@
                 routes=len(configuration.routes_by_database),
                 source=origin,
                 known_for=now - self._age.known_since,
+                proof_age=self._age.stated_age(now),
             )
             self._on_configuration()
         return configuration.version
--- a/cassiahill/configuration_age.py
+++ b/cassiahill/configuration_age.py
@@ -123,6 +123,10 @@
         """Return the seconds since the last proof; infinite without one."""
         return now - self.proved_at
 
+    def stated_age(self, now):
+        """Return the seconds since the last proof; None without one."""
+        return None if self.proved_at == -math.inf else self.age(now)
+
     def is_young_enough(self, now):
         """Return whether a request that has arrived by now may use its key."""
         if not self.is_required:
@@ -131,9 +135,7 @@
 
     def state_proof(self, now):
         """Return the ``StatedProof`` for a peer."""
-        if self.proved_at == -math.inf:
-            return StatedProof(0, None)
-        return StatedProof(self.proved_version, self.age(now))
+        return StatedProof(self.proved_version, self.stated_age(now))
 
     # What this proxy learns
 
--- a/cassiahill/session_opening.py
+++ b/cassiahill/session_opening.py
@@ -90,6 +90,7 @@
             )
         route = self._server.catalog.route(self._database)
         if route is None:
+            self._server.log_unknown_database(self._database, self._is_relayed)
             return Refused(Code.UNKNOWN_DATABASE, self._database)
         checks = self._server.caller_checks
         if checks.needs_keys():
--- a/cassiahill/session_server.py
+++ b/cassiahill/session_server.py
@@ -1,6 +1,6 @@
 """Accepts the sessions of clients and the sessions that other proxies relay."""
 
-from cassiahill import sessions, transport
+from cassiahill import event_log, sessions, transport
 
 # The load balancer takes a proxy that is not ready out of rotation within this time.
 MIN_OPEN_SECONDS = 2.0
@@ -132,6 +132,22 @@
         """Remove a closed session."""
         self._sessions.discard(session)
 
+    def log_unknown_database(self, database, is_relayed):
+        """Log that a client was told that a database has no route.
+
+        Parameters
+        ----------
+        database : str
+        is_relayed : bool
+            Whether another proxy relays the client's session.
+        """
+        event_log.event(
+            "database_unknown",
+            database=database,
+            relayed=is_relayed,
+            version=self.catalog.configuration.version,
+        )
+
     def stop_listening(self):
         """Stop accepting clients, and let each session end with its next answer.
 
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -480,6 +480,7 @@
         self._send_reply(request, Reply(code=code, detail=detail), arrived_at)
 
     def _send_unknown_database(self, request, arrived_at):
+        self._server.log_unknown_database(self.database, self._relayed)
         self._send_error(request, Code.UNKNOWN_DATABASE, self.database, arrived_at)
 
     def _reject_line(self, detail):
--- a/tests/test_catalog_feed.py
+++ b/tests/test_catalog_feed.py
@@ -88,6 +88,7 @@
         ]
         self.assertEqual(installed["source"], "peer p2")
         self.assertAlmostEqual(installed["known_for"], 2.0)
+        self.assertGreaterEqual(installed["proof_age"], 2.0)
 
     def test_log_tells_how_long_a_lost_watch_has_waited(self):
         """Guards against a silent store that looks like one that refuses calls."""
