Events of clients wait in the event loop while there are others

Callers saw: a database that had been added was unknown at a proxy that was flooded by clients, more than 5 s after the acknowledgement of its version. Cause: each turn of the event loop handled all sockets that were ready. With hundreds of clients a turn took up to 5 s; what the process asked the store and its peers takes two or three turns and failed at deadlines of 0.4 to 0.8 s, while clients were answered. Change: sockets of clients are deferrable: all other sockets, timers and callbacks come first, then clients for 20 ms, those first that have waited longest; at most 16 connections are accepted in a turn. Why it works: an exchange with the store now takes turns of some 20 ms.

--- a/cassiahill/http1.py
+++ b/cassiahill/http1.py
@@ -154,7 +154,11 @@
         self._waiting_requests = None
         self._handling_request = False
         self.stream = transport.Stream(
-            server.loop, sock, self._on_data, self._on_closed
+            server.loop,
+            sock,
+            self._on_data,
+            self._on_closed,
+            is_deferrable=server.is_deferrable,
         )
         self.stream.on_drained = self._handle_waiting_request
 
@@ -291,6 +295,8 @@
         Called with each connection that has closed.
     max_body_bytes : int
         A request with a longer body is refused.
+    is_deferrable : bool
+        Whether requests may wait for other work; see ``loop.EventLoop``.
 
     Attributes
     ----------
@@ -308,8 +314,10 @@
         ssl_context=None,
         on_disconnect=None,
         max_body_bytes=MAX_BODY_BYTES,
+        is_deferrable=False,
     ):
         self.loop = loop
+        self.is_deferrable = is_deferrable
         self.max_body_bytes = max_body_bytes
         self.handler = handler
         self.closing = False
@@ -317,7 +325,7 @@
         self._on_disconnect = on_disconnect
         self._connections = set()
         self._listener = transport.Listener(
-            loop, address, self._add_connection, ssl_context
+            loop, address, self._add_connection, ssl_context, is_deferrable
         )
         self.address = self._listener.address
 
--- a/cassiahill/loop.py
+++ b/cassiahill/loop.py
@@ -15,12 +15,15 @@
 import threading
 from concurrent.futures import Future, InvalidStateError
 
+import attrs
 from absl import logging
 
 from cassiahill import errors
 
 READ = selectors.EVENT_READ
 WRITE = selectors.EVENT_WRITE
+# Longest work on deferrable events in one turn; the rest waits for the next turn.
+DEFERRABLE_WORK_SECONDS = 0.02
 RETRY_AFTER_FAILURE_SECONDS = 0.1  # Pause of repeated work after an unexpected error.
 
 
@@ -147,9 +150,27 @@
                 self._timer = self._loop.call_at(next_at, self._run)
 
 
+@attrs.frozen
+class _Watch:
+    """What is called when a socket is ready.
+
+    Attributes
+    ----------
+    callback : callable
+    is_deferrable : bool
+    """
+
+    callback: object
+    is_deferrable: bool
+
+
 class EventLoop:
     """Single-threaded event loop.
 
+    Events are deferrable or not. In each turn all others are handled first, then
+    timers and callbacks, then deferrable ones for a short time. So many clients do not
+    delay what this process hears from the rest of the system.
+
     Parameters
     ----------
     clock : clock.Clock
@@ -158,6 +179,8 @@
     def __init__(self, clock):
         self.clock = clock
         self._selector = selectors.DefaultSelector()
+        # Descriptors with deferrable events that wait, the longest ones first.
+        self._deferred_fds = []
         self._timers = []
         # Orders timers of the same instant by their creation.
         self._timer_numbers = itertools.count()
@@ -168,7 +191,9 @@
         self._wake_read_fd, self._wake_write_fd = os.pipe()
         os.set_blocking(self._wake_read_fd, False)
         os.set_blocking(self._wake_write_fd, False)
-        self._selector.register(self._wake_read_fd, READ, self._drain_wake_pipe)
+        self._selector.register(
+            self._wake_read_fd, READ, _Watch(self._drain_wake_pipe, False)
+        )
 
     def call_soon(self, callback, *args):
         """Run a callback in the next turn; call this on the loop's thread only."""
@@ -213,7 +238,7 @@
         """
         logging.exception("event=%s", event)
 
-    def watch(self, sock, events, callback):
+    def watch(self, sock, events, callback, is_deferrable=False):
         """Call ``callback(ready_events)`` whenever the socket is ready.
 
         Parameters
@@ -222,11 +247,14 @@
         events : int
             ``READ``, ``WRITE`` or both; replaces what the socket was watched for.
         callback : callable
+        is_deferrable : bool
+            Whether its events may wait while there are others.
         """
+        watch = _Watch(callback, is_deferrable)
         try:
-            self._selector.modify(sock, events, callback)
+            self._selector.modify(sock, events, watch)
         except KeyError:
-            self._selector.register(sock, events, callback)
+            self._selector.register(sock, events, watch)
 
     def unwatch(self, sock):
         """Stop watching a socket."""
@@ -341,18 +369,55 @@
             signal.set_wakeup_fd(previous_fd)
 
     def _run_once(self):
-        """Wait for events and run one turn: sockets, due timers, ready callbacks."""
+        """Wait for events and run one turn.
+
+        Its order is: sockets whose events cannot wait, due timers, ready callbacks,
+        other sockets.
+        """
+        deferrable = []
         for key, events in self._selector.select(self._selector_timeout_seconds()):
-            self._run_callback(key.data, (events,))
+            if key.data.is_deferrable:
+                deferrable.append((key, events))
+            else:
+                self._run_callback(key.data.callback, (events,))
+        self._run_timers()
+        self._run_ready_callbacks()
+        self._run_deferrable(deferrable)
+
+    def _run_timers(self):
         now = self.clock.now()
         while self._timers and self._timers[0][0] <= now:
             timer = heapq.heappop(self._timers)[2]
             if not timer.cancelled:
                 self._run_callback(timer.callback, ())
+
+    def _run_ready_callbacks(self):
         for _ in range(len(self._ready)):
             callback, args = self._ready.popleft()
             self._run_callback(callback, args)
 
+    def _run_deferrable(self, key_events):
+        """Handle deferrable events for a while, those first that have waited longest.
+
+        The selector reports the others again in the next turn.
+
+        Parameters
+        ----------
+        key_events : list of (selectors.SelectorKey, int)
+        """
+        if self._deferred_fds:
+            ranks_by_fd = {fd: rank for rank, fd in enumerate(self._deferred_fds)}
+            key_events.sort(
+                key=lambda item: ranks_by_fd.get(item[0].fd, len(ranks_by_fd))
+            )
+            self._deferred_fds = []
+        ends_at = self.clock.now() + DEFERRABLE_WORK_SECONDS
+        for index, (key, events) in enumerate(key_events):
+            if index and self.clock.now() >= ends_at:
+                self._deferred_fds = [key.fd for key, _ in key_events[index:]]
+                return
+            self._run_callback(key.data.callback, (events,))
+
     def _selector_timeout_seconds(self):
         """Return the longest wait of the selector in seconds; None for no limit."""
         if self._ready or self._stopping:
--- a/cassiahill/proxy.py
+++ b/cassiahill/proxy.py
@@ -252,6 +252,7 @@
             ).handle,
             tls.server_context(self._tls_by_link.get("callers")),
             on_disconnect=self.transactions.on_connection_closed,
+            is_deferrable=True,
         )
         # Requests leave almost no reference cycles; looking for them at the default
         # thresholds wastes CPU time.
--- a/cassiahill/session_server.py
+++ b/cassiahill/session_server.py
@@ -105,9 +105,11 @@
         self.refuses_statements = False
         self._sessions = set()
         self._revocation_timer = None
-        self._listener = transport.Listener(loop, address, self._accept)
+        self._listener = transport.Listener(
+            loop, address, self._accept, is_deferrable=True
+        )
         self._relay_listener = transport.Listener(
-            loop, relay_address, self._accept_relayed
+            loop, relay_address, self._accept_relayed, is_deferrable=True
         )
 
     def __len__(self):
--- a/cassiahill/sessions.py
+++ b/cassiahill/sessions.py
@@ -56,7 +56,7 @@
         self.group = None
         self.opened_at = self.last_active_at = self._loop.clock.now()
         self._stream = transport.Stream(
-            self._loop, sock, self._on_data, self._on_closed
+            self._loop, sock, self._on_data, self._on_closed, is_deferrable=True
         )
         self._stream.on_drained = self._on_drained
 
--- a/cassiahill/transport.py
+++ b/cassiahill/transport.py
@@ -14,6 +14,7 @@
 # ``MAX_WRITE_BUFFER_BYTES`` is room for one more message of the largest size.
 CONGESTED_WRITE_BUFFER_BYTES = 1024 * 1024
 LISTEN_BACKLOG = 1024
+MAX_ACCEPTED_IN_A_TURN = 16  # The others stay in the backlog until the next turn.
 # With these values the kernel closes a connection about 4 s after the other end has
 # become unreachable.
 KEEPALIVE_IDLE_SECONDS = 1
@@ -38,6 +39,8 @@
         Called once without arguments when the stream has closed for any reason.
     connecting : bool
         Whether the socket is still connecting.
+    is_deferrable : bool
+        Whether its events may wait; see ``loop.EventLoop``.
 
     Attributes
     ----------
@@ -53,6 +56,7 @@
     __slots__ = (
         "_connecting",
         "_in_handshake",
+        "_is_deferrable",
         "_loop",
         "_on_closed",
         "_on_data",
@@ -66,8 +70,11 @@
         "peer_name",
     )
 
-    def __init__(self, loop, sock, on_data, on_closed, connecting=False):
+    def __init__(
+        self, loop, sock, on_data, on_closed, connecting=False, is_deferrable=False
+    ):
         self._loop = loop
+        self._is_deferrable = is_deferrable
         self._sock = sock
         self._on_data = on_data
         self._on_closed = on_closed
@@ -153,7 +160,7 @@
             return
         self._watched_events = events
         if events:
-            self._loop.watch(self._sock, events, self._on_ready)
+            self._loop.watch(self._sock, events, self._on_ready, self._is_deferrable)
         else:
             self._loop.unwatch(self._sock)
 
@@ -252,6 +259,8 @@
         Called with each accepted socket, which is non-blocking and has TLS when there
         is an ``ssl_context``.
     ssl_context : ssl.SSLContext or None
+    is_deferrable : bool
+        Whether new connections may wait; see ``loop.EventLoop``.
 
     Attributes
     ----------
@@ -259,7 +268,7 @@
         The address with the port that was taken.
     """
 
-    def __init__(self, loop, address, on_accept, ssl_context=None):
+    def __init__(self, loop, address, on_accept, ssl_context=None, is_deferrable=False):
         self._loop = loop
         self._on_accept = on_accept
         self._ssl_context = ssl_context
@@ -269,7 +278,7 @@
         self._sock.bind(address)
         self._sock.listen(LISTEN_BACKLOG)
         self.address = self._sock.getsockname()
-        loop.watch(self._sock, READ, self._on_ready)
+        loop.watch(self._sock, READ, self._on_ready, is_deferrable)
 
     def close(self):
         """Stop listening; accepted connections stay open."""
@@ -277,7 +286,7 @@
         self._sock.close()
 
     def _on_ready(self, _events):
-        while True:
+        for _ in range(MAX_ACCEPTED_IN_A_TURN):
             try:
                 sock, _ = self._sock.accept()
             except BlockingIOError:
