A known version that is lacking is asked for, and late answers of the store count

Cause: a proxy that hears of a version fetches it from a peer and then from the store, one attempt at a time, each with a deadline; and the call for a proof dropped an answer that came later than 0.6 s, though what it says still holds. Change: a proxy that has lacked a known version for a fifth of the time of a change asks the store, whatever its role; newer versions in between do not postpone this. An answer after the deadline is applied. Result: both new tests fail without the change.

--- a/cassiahill/catalog_feed.py
+++ b/cassiahill/catalog_feed.py
@@ -253,33 +253,37 @@
         bool
             Whether the store answered.
         """
-        kind = self._source.configuration_kind
+        now = self._loop.clock.now()
         try:
-            try:
-                asked_at = self._loop.clock.now()
-                if not self._complete_revision.number:
-                    raise errors.HistoryLost("the configuration was not read before")
-                batch = yield self._loop.with_deadline(
-                    self._store.changes_since(kind, self._complete_revision),
-                    asked_at + PROOF_TIMEOUT_SECONDS,
-                    errors.PlatformUnavailable("no answer in time"),
-                )
-                self._apply_configuration_changes(batch.changes)
-                self._record_proof(asked_at, batch.revision)
-                for change in batch.changes:
-                    self._configuration_watcher.record_announcement(
-                        change.stored.revision
-                    )
-            except errors.HistoryLost:
-                asked_at = self._loop.clock.now()
-                snapshot = yield self._store.list(kind)
-                self._apply_configuration_snapshot(snapshot)
-                self._record_proof(asked_at, snapshot.revision)
+            # What arrives after the deadline is applied too.
+            yield self._loop.with_deadline(
+                self._loop.spawn(self._apply_newer_configuration()),
+                now + PROOF_TIMEOUT_SECONDS,
+                errors.PlatformUnavailable("no answer in time"),
+            )
         except errors.CassiahillError as error:
             event_log.event("configuration_unverified", cause=error.detail)
             return False
         return True
 
+    def _apply_newer_configuration(self):
+        """Apply what the store holds beyond the revision known here; a task."""
+        kind = self._source.configuration_kind
+        asked_at = self._loop.clock.now()
+        try:
+            if not self._complete_revision.number:
+                raise errors.HistoryLost("the configuration was not read before")
+            batch = yield self._store.changes_since(kind, self._complete_revision)
+            self._apply_configuration_changes(batch.changes)
+            self._record_proof(asked_at, batch.revision)
+            for change in batch.changes:
+                self._configuration_watcher.record_announcement(change.stored.revision)
+        except errors.HistoryLost:
+            asked_at = self._loop.clock.now()
+            snapshot = yield self._store.list(kind)
+            self._apply_configuration_snapshot(snapshot)
+            self._record_proof(asked_at, snapshot.revision)
+
     def update_servers(self, deadline):
         """Apply the servers that the store lists now, whatever the watch knows; a task.
 
--- a/cassiahill/configuration_age.py
+++ b/cassiahill/configuration_age.py
@@ -32,6 +32,9 @@
 # after failures.
 MIN_CALL_PAUSE_SHARE = 0.2
 MAX_CALL_PAUSE_SHARE = 0.8
+# Part of the time for a proof after which a proxy that has heard of a newer version asks.
+# Peers have usually sent it by then.
+BEHIND_SHARE = 0.2
 # Part of the time for a proof by which proxies differ, so that they do not call the
 # store at once.
 CALL_SPREAD_SHARE = 0.1
@@ -105,6 +108,7 @@
         self.installed_version = 0
         self.known_version = 0
         self.known_since = now
+        self._behind_since = now
         self.proved_at = -math.inf
         self.proved_version = 0
 
@@ -153,9 +157,12 @@
 
     def record_known(self, version, now):
         """Record that a version exists, as a message of a peer shows."""
-        if version > self.known_version:
-            self.known_version = version
-            self.known_since = now
+        if version <= self.known_version:
+            return
+        if not self._is_behind():
+            self._behind_since = now
+        self.known_version = version
+        self.known_since = now
 
     def record_era(self, era, now):
         """Record the era of the store; proofs of a new one count after a while."""
@@ -219,6 +226,10 @@
         """
         if not self.is_sought or now < self._next_call_at:
             return False
+        if self._is_behind() and (
+            now - self._behind_since >= BEHIND_SHARE * self._proof_seconds
+        ):
+            return True
         share = role.value
         if role is not StoreRole.PROMOTER:
             share += CALL_SPREAD_SHARE * self._spread
@@ -244,6 +255,10 @@
         pause_seconds = pause_share * self._proof_seconds
         self._next_call_at = now + pause_seconds * (0.5 + 0.5 * self._spread)
 
+    def _is_behind(self):
+        """Return whether this proxy has heard of a version that it lacks."""
+        return self.known_version > self.installed_version
+
     def _age_since_start(self, now):
         """Return the age of the proof, or the time since the start if that is less."""
         return now - max(self.proved_at, self._started_at)
--- a/tests/test_catalog_feed.py
+++ b/tests/test_catalog_feed.py
@@ -271,6 +271,18 @@
         self.assertTrue(self.verify())
         self.assertEqual(lists, [])
 
+    def test_answer_after_the_deadline_is_applied(self):
+        """Guards against a busy process that drops each answer and asks again."""
+        self.rest_until_settled()
+        late_batch = LoopFuture()
+        revision = self.feed._complete_revision
+        self.store.changes_since = lambda _kind, _revision: late_batch
+        self.assertFalse(self.verify())
+        self.store.write("config", "main", {"version": 5})
+        late_batch.set_result(self.store.watch("config", revision).result())
+        self.loop.advance(0.1)
+        self.assertEqual(self.catalog.configuration.version, 5)
+
     def test_proof_installs_what_has_changed(self):
         """Guards against a proof of a version that is not in force."""
         self.rest_until_settled()
--- a/tests/test_configuration_age.py
+++ b/tests/test_configuration_age.py
@@ -8,6 +8,7 @@
 
 from cassiahill.catalog_feed import CatalogFeed
 from cassiahill.configuration_age import (
+    BEHIND_SHARE,
     CLOCK_MARGIN_SECONDS,
     ERA_SETTLE_SECONDS,
     ConfigurationAge,
@@ -125,6 +126,23 @@
             self.assertLessEqual(call_count, limit, role)
             self.assertGreater(call_count, 4, role)
 
+    def test_proxy_that_lacks_a_known_version_asks_early(self):
+        """Guards against a version that is known for seconds and not installed.
+
+        Newer ones that come all the time must not postpone the call.
+        """
+        self.age.record_proof(3, asked_at=10.0)
+        asked_at = None
+        for tenths in range(30):
+            now = 10.0 + tenths / 10
+            self.age.record_known(4 + tenths, now)
+            if self.age.should_ask_store(StoreRole.FOLLOWER, now):
+                asked_at = now
+                break
+        self.assertAlmostEqual(asked_at, 10.0 + BEHIND_SHARE * BOUND_SECONDS)
+        self.age.record_installed(100, asked_at)
+        self.assertFalse(self.age.should_ask_store(StoreRole.FOLLOWER, asked_at))
+
 
 class AgeSearchTest(unittest.TestCase):
     """Searches for an accepted key whose removal was acknowledged before the bound."""
