Soak: clients flood single proxies while the configuration changes

Cause: no test with real processes had a load under which a proxy hears the news late. A short run is in the tests.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
 CUT_SEEDS = ("4",)
 CUT_SECONDS = "20"  # Time for two or three cuts.
 OUTAGE_SECONDS = "25"  # Time for two outages.
+FLOOD_SECONDS = "12"  # Time for one flood.
 PROCESS_TIMEOUT_SECONDS = 240  # Allows for a busy machine; a run takes about 30 s.
 
 
@@ -42,6 +43,10 @@
             "--group-faults", "outages", "--groups", "4", seconds=OUTAGE_SECONDS
         )
 
+    def test_no_late_version_in_a_flood_of_clients(self):
+        """Guards against a busy proxy that serves an older configuration."""
+        self.check_run("--group-faults", "floods", seconds=FLOOD_SECONDS)
+
     def check_run(self, *options, seconds=FAULT_SECONDS, seeds=SEEDS):
         """Run the soak and check that it finds no violation."""
         command = [sys.executable, "platform/soak/run.py", "--seconds", seconds]
