Log an unknown database once for each version

Change: one line for each database and version, 50 at most for a version. Result: the new test counts the lines.

--- a/cassiahill/session_server.py
+++ b/cassiahill/session_server.py
@@ -4,6 +4,8 @@
 
 # The load balancer takes a proxy that is not ready out of rotation within this time.
 MIN_OPEN_SECONDS = 2.0
+# Clients can ask for any number of databases that do not exist.
+MAX_LOGGED_UNKNOWN_DATABASES = 50  # For each version of the configuration.
 
 
 class SessionRouting:
@@ -104,6 +106,8 @@
         self.closes_at_rest = False
         self.refuses_statements = False
         self._sessions = set()
+        self._unknown_databases = set()
+        self._unknown_databases_version = None
         self._revocation_timer = None
         self._listener = transport.Listener(
             loop, address, self._accept, is_deferrable=True
@@ -137,17 +141,29 @@
     def log_unknown_database(self, database, is_relayed):
         """Log that a client was told that a database has no route.
 
+        There is one line for each database and version.
+
         Parameters
         ----------
         database : str
         is_relayed : bool
             Whether another proxy relays the client's session.
         """
+        version = self.catalog.configuration.version
+        if version != self._unknown_databases_version:
+            self._unknown_databases_version = version
+            self._unknown_databases = set()
+        if (
+            database in self._unknown_databases
+            or len(self._unknown_databases) >= MAX_LOGGED_UNKNOWN_DATABASES
+        ):
+            return
+        self._unknown_databases.add(database)
         event_log.event(
             "database_unknown",
             database=database,
             relayed=is_relayed,
-            version=self.catalog.configuration.version,
+            version=version,
         )
 
     def stop_listening(self):
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -1,9 +1,11 @@
 """Tests of ``cassiahill.sessions`` and ``cassiahill.relays`` on loopback sockets."""
 
+import json
 import unittest
 
-from cassiahill import sessions
+from cassiahill import session_server, sessions
 from cassiahill.catalog import Configuration
+from tests.log_lines import captured_log_lines
 from tests.session_server import LineClient, running_servers
 
 
@@ -41,6 +43,16 @@
             lambda: [execution[2] for execution in self.servers.backend_group.ran]
         )
 
+    def test_unknown_databases_are_logged_once(self):
+        """Guards against a log that is full of what a flood of clients asks for."""
+        with captured_log_lines() as lines:
+            for number in [0, 0, *range(session_server.MAX_LOGGED_UNKNOWN_DATABASES)]:
+                self.new_client().open_session(b"no-%d" % number)
+            self.new_client().open_session(b"one-more")
+        unknown = [json.loads(line) for line in lines if "database_unknown" in line]
+        self.assertEqual(len(unknown), session_server.MAX_LOGGED_UNKNOWN_DATABASES)
+        self.assertEqual({line["version"] for line in unknown}, {1})
+
     def test_write_and_read_are_answered(self):
         """Guards against answers without a signature or a transaction state."""
         client = self.client()
