--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -62,16 +62,16 @@
 
 
 async def read_request(reader):
-    """Return method, target and body of an HTTP request; None at the end."""
+    """Return method, target, headers and body of an HTTP request."""
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode("latin-1").split("\r\n")
     method, target, _ = lines[0].split(" ", 2)
-    length = 0
+    headers = {}
     for line in lines[1:]:
         name, _, value = line.partition(":")
-        if name.lower() == "content-length":
-            length = int(value)
-    return method, target, await reader.readexactly(length)
+        headers[name.lower()] = value.strip()
+    length = int(headers.get("content-length", 0))
+    return method, target, headers, await reader.readexactly(length)
 
 
 def encode_response(status, value, headers=""):
@@ -102,15 +102,21 @@
     async def _serve(self, reader, writer):
         with contextlib.suppress(*ENDINGS):
             while True:
-                method, target, body = await read_request(reader)
+                method, target, headers, body = await read_request(reader)
                 path, _, query = target.partition("?")
                 fields = dict(urllib.parse.parse_qsl(query))
+                self.request_headers = headers
                 status, value = await self.handle(method, path, fields, body)
                 writer.write(encode_response(status, value, self.headers))
                 await writer.drain()
         writer.close()
 
 
+def without_seq(spec):
+    """Return what decides whether an entry has changed."""
+    return {name: value for name, value in spec.items() if name != "seq"}
+
+
 class Store(HttpServer):
     """The metadata store: objects with revisions, lists and watches."""
 
@@ -125,7 +131,7 @@
     def put(self, kind, name, spec):
         """Write an object, as the operator, a database or a proxy does."""
         known = self.objects.get((kind, name))
-        if known is not None and known["spec"] == spec:
+        if known is not None and without_seq(known["spec"]) == without_seq(spec):
             return known
         self.revision += 1
         meta = {"name": name, "revision": self.revision}
@@ -183,22 +189,39 @@
 
 
 class Orders(HttpServer):
-    """The interface for promotions; here no primary is ever to be replaced."""
+    """The interface for promotions, with fences; it accepts present primaries only.
 
-    def __init__(self, record):
+    Attributes
+    ----------
+    unplayed : list of str
+        What the proxies asked for and the stand-ins do not play.
+    """
+
+    def __init__(self, record, unplayed):
         self._record = record
+        self.unplayed = unplayed
+        self.primaries_by_service = {}
+        self._tokens_by_service = {}
 
     async def handle(self, method, path, query, body):
-        """Accept an order for the present primary."""
-        self._record.write(f"platform {method} {path} {body.decode()}")
+        """Answer an order; one for the present primary changes nothing."""
+        order = json.loads(body)
+        token = int(self.request_headers["x-cassiahill-fencing-token"])
+        self._record.write(f"platform {method} {path} {body.decode()} token {token}")
+        if token < self._tokens_by_service.get(order["service"], 0):
+            return 409, {}
+        self._tokens_by_service[order["service"]] = token
+        if self.primaries_by_service.get(order["service"]) != order["id"]:
+            self.unplayed.append(f"promotion of {order['id']}")
         return 200, {}
 
 
 class Group:
     """A service with a primary and replicas, which share one log here."""
 
-    def __init__(self, name, zones, max_connections, slots):
+    def __init__(self, name, zones, max_connections, slots, unplayed):
         self.name = name
+        self.unplayed = unplayed
         self.items = {}
         self.number = 1
         self.max_connections = max_connections
@@ -305,6 +328,8 @@
                 return self._run_access(words[0], words[1:], state, writes)
             case "RESET":
                 shapes.clear()
+            case "PAUSE" | "RESUME" | "STEPDOWN":
+                self.group.unplayed.append(f"{text} at {self.server_id}")
         return b"COMPLETE -\r\n", state
 
     def _run_access(self, access, arguments, state, writes):
@@ -435,15 +460,19 @@
         await asyncio.sleep(1.0)
 
 
-def choose_proxy(proxies, zone, rng):
-    """Return the proxy to which the platform forwards a client, or None."""
+def choose_proxy(proxies, zone, rng, avoided_name=None):
+    """Return the proxy to which the platform forwards a client, or None.
+
+    A retry reaches another one than the attempt before, if there is one.
+    """
     present = [proxy for proxy in proxies if not proxy.is_removed]
     own = [proxy for proxy in present if proxy.zone == zone]
     ready = [proxy for proxy in own if proxy.in_rotation]
     if ready and 2 * len(ready) < len(own):
         ready = own
     ready = ready or [proxy for proxy in present if proxy.in_rotation]
-    return rng.choice(ready) if ready else None
+    others = [proxy for proxy in ready if proxy.name != avoided_name]
+    return rng.choice(others or ready) if ready else None
 
 
 class Client:
@@ -468,6 +497,8 @@
         self._rng = random.Random(number)
         self._streams = None
         self._proxy_name = None
+        self._avoided_name = None
+        self._sent = False
         self.results = []
 
     async def run(self, stop_at):
@@ -481,7 +512,9 @@
 
     async def _operate(self, deadline):
         """Return whether an operation with up to two retries was served."""
+        self._avoided_name = None
         for _ in range(3):
+            self._sent = False
             request_id = f"{self._rng.getrandbits(64):016x}"
             text = f"READ k{self.number}"
             if self.number % 3 == 0:
@@ -500,7 +533,9 @@
             if outcome == "served":
                 return True
             self._close()
-            if outcome in {"timeout", "closed"} and text.startswith("WRITE"):
+            self._avoided_name = self._proxy_name
+            is_unknown = outcome in {"timeout", "closed"} and self._sent
+            if is_unknown and text.startswith("WRITE"):
                 return False
             await asyncio.sleep(0.05)
         return False
@@ -514,6 +549,7 @@
                     return refusal
             reader, writer = self._streams
             writer.write(f"QUERY {request_id} {text}\r\n".encode())
+            self._sent = True
             is_complete = False
             answer = ""
             while True:
@@ -528,7 +564,9 @@
 
     async def _open(self):
         """Open a session; return why it was refused, or None."""
-        proxy = choose_proxy(self._get_proxies(), self.zone, self._rng)
+        proxy = choose_proxy(
+            self._get_proxies(), self.zone, self._rng, self._avoided_name
+        )
         self._proxy_name = None if proxy is None else proxy.name
         if proxy is None:
             return "no proxy in rotation"
